--- /dev/null
+++ b/scripts/check.mjs
@@ -0,0 +1,65 @@
+/**
+ * Everything that CI checks: formatter, linter, types, build, tests.
+ *
+ * A test listed in KNOWN-RED.txt may fail; it is printed and not counted. Any other failure, and a
+ * listed test that passes, makes the run fail, so that the list stays true.
+ */
+import { spawnSync } from 'node:child_process';
+import { existsSync, readFileSync, rmSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import path from 'node:path';
+
+const STEPS = [
+  ['format', ['prettier', '--check', '.']],
+  ['lint', ['eslint', '.', '--max-warnings', '0']],
+  ['types', ['tsc']],
+];
+
+function run(args) {
+  return spawnSync('npx', ['--no-install', ...args], { stdio: 'inherit' }).status === 0;
+}
+
+function readKnownRed() {
+  if (!existsSync('KNOWN-RED.txt')) return [];
+  return readFileSync('KNOWN-RED.txt', 'utf8')
+    .split('\n')
+    .filter((line) => line.startsWith('test: '))
+    .map((line) => line.slice('test: '.length).trim());
+}
+
+function runTests() {
+  const outputFile = path.join(tmpdir(), `bramleyvane-tests-${process.pid}.json`);
+  run(['jest', '--json', `--outputFile=${outputFile}`]);
+  if (!existsSync(outputFile)) return { passed: 0, failed: 1 };
+  const report = JSON.parse(readFileSync(outputFile, 'utf8'));
+  rmSync(outputFile);
+  const knownRed = readKnownRed();
+  const tests = report.testResults.flatMap((suite) => suite.assertionResults);
+  const isKnownRed = (test) => knownRed.includes(test.fullName);
+  const brokenSuites = report.testResults.filter(
+    (suite) => suite.status === 'failed' && suite.assertionResults.length === 0,
+  );
+  tests.filter(isKnownRed).forEach((test) => {
+    console.log(`known red: ${test.fullName}: ${test.status}`);
+  });
+  const counted = tests.filter((test) => !isKnownRed(test));
+  const unexpectedPasses = tests.filter((test) => isKnownRed(test) && test.status === 'passed');
+  unexpectedPasses.forEach((test) => console.log(`listed as red but passes: ${test.fullName}`));
+  return {
+    passed: counted.filter((test) => test.status === 'passed').length,
+    failed:
+      counted.filter((test) => test.status === 'failed').length +
+      brokenSuites.length +
+      unexpectedPasses.length,
+  };
+}
+
+const failedSteps = STEPS.filter(([name, args]) => {
+  console.log(`== ${name}`);
+  return !run(args);
+}).map(([name]) => name);
+console.log('== tests');
+const { passed, failed } = runTests();
+failedSteps.forEach((name) => console.log(`failed step: ${name}`));
+console.log(`${passed} passed, ${failed + failedSteps.length} failed`);
+process.exit(failed + failedSteps.length > 0 || passed === 0 ? 1 : 0);
--- /dev/null
+++ b/src/core/ids.ts
@@ -0,0 +1,82 @@
+/**
+ * Branded identifiers.
+ *
+ * An id is a string whose brand keeps it from being passed where another kind of id is expected.
+ * Each kind has a function that asserts the format of text from outside the process.
+ */
+import { randomBytes } from 'node:crypto';
+import { z } from 'zod';
+
+/** Name of a VM, as the platform publishes it. @public */
+export const vmIdSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/)
+  .brand<'VmId'>();
+export type VmId = z.infer<typeof vmIdSchema>;
+
+/** Name of a customer; one contract each. @public */
+export const customerIdSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9-]{0,62}$/)
+  .brand<'CustomerId'>();
+export type CustomerId = z.infer<typeof customerIdSchema>;
+
+/** Name of an endpoint (engine or service); the name of the VM that it runs on. @public */
+export const endpointIdSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/)
+  .brand<'EndpointId'>();
+export type EndpointId = z.infer<typeof endpointIdSchema>;
+
+/** One start of a node: random, so that a restarted node is never taken for its predecessor. @public */
+export const incarnationSchema = z
+  .string()
+  .regex(/^[0-9a-f]{16}$/)
+  .brand<'Incarnation'>();
+export type Incarnation = z.infer<typeof incarnationSchema>;
+
+/** `<vmId>~<random>`: names the node that decides about the request. @public */
+export const requestIdSchema = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9.-]{0,62}~[0-9a-f]{16}$/)
+  .brand<'RequestId'>();
+export type RequestId = z.infer<typeof requestIdSchema>;
+
+/** One run of a model on an engine; chosen by the node that starts it. @public */
+export const generationIdSchema = z
+  .string()
+  .regex(/^[0-9a-f]{24}$/)
+  .brand<'GenerationId'>();
+export type GenerationId = z.infer<typeof generationIdSchema>;
+
+/** One call of a service that may not be repeated. @public */
+export const operationIdSchema = z
+  .string()
+  .regex(/^[0-9a-f]{24}$/)
+  .brand<'OperationId'>();
+export type OperationId = z.infer<typeof operationIdSchema>;
+
+const INCARNATION_BYTES = 8;
+const REQUEST_BYTES = 8;
+const RUN_BYTES = 12;
+
+export function createIncarnation(): Incarnation {
+  return randomBytes(INCARNATION_BYTES).toString('hex') as Incarnation;
+}
+
+export function createRequestId(vmId: VmId): RequestId {
+  return `${vmId}~${randomBytes(REQUEST_BYTES).toString('hex')}` as RequestId;
+}
+
+/** The node that decided about a request. */
+export function getDecidingVm(requestId: RequestId): VmId {
+  return requestId.slice(0, requestId.lastIndexOf('~')) as VmId;
+}
+
+export function createGenerationId(): GenerationId {
+  return randomBytes(RUN_BYTES).toString('hex') as GenerationId;
+}
+
+export function createOperationId(): OperationId {
+  return randomBytes(RUN_BYTES).toString('hex') as OperationId;
+}
--- /dev/null
+++ b/src/decisions/index.ts
@@ -0,0 +1,3 @@
+/** Decisions: read-only views in, read-only verdicts with reasons out. */
+export * from './publishedOrder';
+export * from './assignability';
--- /dev/null
+++ b/src/decisions/publishedOrder.test.ts
@@ -0,0 +1,46 @@
+import fc from 'fast-check';
+import type { PublishedRecord } from '../core';
+import { joinRecords } from './publishedOrder';
+
+const VALID_BODY = JSON.stringify({
+  customer: 'cafe',
+  keyHashes: ['0'.repeat(64)],
+  homeRegion: 'seq',
+  limits: { concurrentGenerations: 1, requestsPerSecond: 1 },
+  kindsOfWork: [
+    { name: 'lookup', type: 'call', service: 's', repeatable: true, rank: 1, answerWithinMs: 1000 },
+  ],
+});
+
+/** One record for each revision, as the publisher makes it. */
+const historyArbitrary = fc
+  .array(fc.constantFrom(VALID_BODY, '{"customer":"cafe"}', null), { minLength: 1, maxLength: 6 })
+  .map((bodies): ReadonlyArray<PublishedRecord> =>
+    bodies.map((body, index) => ({ key: 'contracts/cafe', revision: index + 1, body })),
+  );
+
+// Guards against a revert: whatever order copies arrive in, the highest revision stays.
+test('keeps the highest revision in any order of arrival', () => {
+  fc.assert(
+    fc.property(historyArbitrary, fc.infiniteStream(fc.nat()), (history, picks) => {
+      const arrivals = [...picks.take(12)].map((pick) => history[pick % history.length]!);
+      let held: PublishedRecord | undefined;
+      arrivals.forEach((record) => {
+        const before = held?.revision ?? 0;
+        held = joinRecords(held, record);
+        expect(held.revision).toBe(Math.max(before, record.revision));
+      });
+    }),
+    { seed: 1, numRuns: 300 },
+  );
+});
+
+// Guards against a new node that never saw the last good contract and so refuses its customer.
+test('keeps the last good body beside a refused one', () => {
+  const good = { key: 'contracts/cafe', revision: 1, body: VALID_BODY };
+  const bad = { key: 'contracts/cafe', revision: 2, body: '{}' };
+  const expected = { ...bad, lastGood: { revision: 1, body: VALID_BODY } };
+  expect(joinRecords(good, bad)).toEqual(expected);
+  expect(joinRecords(bad, good)).toEqual(expected);
+  expect(joinRecords(bad, expected)).toEqual(expected);
+});
--- /dev/null
+++ b/src/kernel/Kernel.ts
@@ -0,0 +1,129 @@
+/**
+ * The kernel: lifecycle, services, clock, log and tasks of one node.
+ *
+ * Plug-ins meet only through the abstract classes under which they provide services here. Several
+ * kernels can live in one process, as in the embedded mode and in tests.
+ */
+import {
+  createIncarnation,
+  ServingError,
+  type Clock,
+  type Incarnation,
+  type Settings,
+} from '../core';
+import type { Log } from './Log';
+import { KERNEL_OPTIONS } from './options';
+import { getRegisteredPlugins, type Plugin, type PluginClass } from './Plugin';
+
+/** An abstract class used as the key of a service. @public */
+export type ServiceKey<T> = abstract new (...args: never[]) => T;
+
+/** `starting`: learning; `serving`: takes work; `draining`: finishes what it has. @public */
+export type NodeState = 'starting' | 'serving' | 'draining' | 'stopped';
+
+/** @public */
+export interface KernelParameters {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly log: Log;
+  /** Defaults to everything that has registered itself. */
+  readonly plugins?: ReadonlyArray<PluginClass>;
+}
+
+/** @public */
+export class Kernel {
+  readonly settings: Settings;
+
+  readonly clock: Clock;
+
+  readonly log: Log;
+
+  readonly incarnation: Incarnation = createIncarnation();
+
+  private readonly plugins: ReadonlyArray<Plugin>;
+
+  private readonly services = new Map<ServiceKey<unknown>, unknown[]>();
+
+  private readonly tasks = new Set<Promise<void>>();
+
+  private readonly stopping = new AbortController();
+
+  private currentState: NodeState = 'starting';
+
+  constructor({ settings, clock, log, plugins = getRegisteredPlugins() }: KernelParameters) {
+    this.settings = settings;
+    this.clock = clock;
+    this.log = log;
+    this.plugins = plugins.map((PluginType) => new PluginType(this));
+  }
+
+  get state(): NodeState {
+    return this.currentState;
+  }
+
+  /** Aborted when the kernel is disposed of. */
+  get signal(): AbortSignal {
+    return this.stopping.signal;
+  }
+
+  /** Adds a service; several may stand under one key. */
+  provide<T>(key: ServiceKey<T>, instance: T): void {
+    this.services.set(key, [...(this.services.get(key) ?? []), instance]);
+  }
+
+  /** The one service under the key. @throws ServingError `internal` when no plug-in provides it. */
+  get<T>(key: ServiceKey<T>): T {
+    const [instance] = this.getAll(key);
+    if (instance === undefined) {
+      throw new ServingError('internal', { detail: `No plug-in provides ${key.name}.` });
+    }
+    return instance;
+  }
+
+  getAll<T>(key: ServiceKey<T>): ReadonlyArray<T> {
+    return (this.services.get(key) ?? []) as ReadonlyArray<T>;
+  }
+
+  async start(): Promise<void> {
+    this.plugins.forEach((plugin) => plugin.setUp());
+    for (const plugin of this.plugins) await plugin.start();
+    if (this.currentState === 'starting') this.currentState = 'serving';
+  }
+
+  /** Turns new work away and waits until running work has ended. */
+  async drain(): Promise<void> {
+    if (this.currentState === 'draining' || this.currentState === 'stopped') return;
+    this.currentState = 'draining';
+    this.log.info('drain started');
+    await Promise.all(this.plugins.map(async (plugin) => plugin.drain()));
+    this.log.info('drain finished');
+  }
+
+  async dispose(): Promise<void> {
+    if (this.currentState === 'stopped') return;
+    this.currentState = 'stopped';
+    this.stopping.abort();
+    for (const plugin of [...this.plugins].reverse()) await plugin.dispose();
+    const timeout = new AbortController();
+    await Promise.race([
+      Promise.all(this.tasks),
+      this.clock.sleep(KERNEL_OPTIONS.disposeTimeoutMs, timeout.signal),
+    ]);
+    timeout.abort();
+  }
+
+  /** Runs one long-lived task; its failure is logged and doesn't end the node. */
+  runTask(name: string, body: (signal: AbortSignal) => Promise<void>): void {
+    const task = (async (): Promise<void> => {
+      try {
+        await body(this.stopping.signal);
+      } catch (thrown) {
+        if (!this.stopping.signal.aborted) {
+          this.log.error('task failed', { task: name, cause: thrown });
+        }
+      }
+    })();
+    this.tasks.add(task);
+    void task.finally(() => this.tasks.delete(task));
+  }
+}
--- /dev/null
+++ b/src/plugins/calls/UndiciServiceCalls.ts
@@ -0,0 +1,116 @@
+/**
+ * Calls to plain services over HTTP.
+ */
+import { Client, buildConnector } from 'undici';
+import { ServingError, type Clock, type EndpointId } from '../../core';
+import {
+  ServiceCalls,
+  type FleetEndpoint,
+  type Operations,
+  type Router,
+  type ServiceAnswer,
+  type ServiceCall,
+} from '../../services';
+import { CALL_OPTIONS } from './options';
+
+type CallContext = Parameters<Operations['run']>[2];
+
+const DROPPED_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'content-length',
+  'keep-alive',
+  'transfer-encoding',
+]);
+
+function copyHeaders(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): Readonly<Record<string, string>> {
+  return Object.fromEntries(
+    Object.entries(headers)
+      .filter(([name, value]) => value !== undefined && !DROPPED_HEADERS.has(name))
+      .map(([name, value]) => [name, String(value)]),
+  );
+}
+
+/** @internal */
+export class UndiciServiceCalls extends ServiceCalls {
+  constructor(
+    private readonly router: Router,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  async sendOnce(
+    endpoint: FleetEndpoint,
+    call: ServiceCall,
+    deadlineMs: number,
+  ): Promise<ServiceAnswer> {
+    let isConnected = false;
+    const connect = buildConnector({ timeout: CALL_OPTIONS.connectTimeoutMs });
+    // A connection of its own: one kept alive may be closed by the service at the moment of use,
+    // and then nobody knows whether the call was run.
+    const client = new Client(endpoint.vm.url, {
+      pipelining: 1,
+      connect: (options, callback) =>
+        connect(options, (...result) => {
+          isConnected = result[0] === null;
+          callback(...result);
+        }),
+    });
+    try {
+      const response = await client.request({
+        method: call.method,
+        path: call.path,
+        headers: call.headers,
+        body: call.body.length > 0 ? call.body : null,
+        signal: AbortSignal.timeout(Math.max(1, deadlineMs - this.clock.nowMs())),
+      });
+      const body = new Uint8Array(await response.body.arrayBuffer());
+      return { status: response.statusCode, headers: copyHeaders(response.headers), body };
+    } catch (thrown) {
+      throw new ServingError(isConnected ? 'outcome-unknown' : 'endpoint-unreachable', {
+        detail: `${endpoint.endpointId} failed.`,
+        cause: thrown,
+      });
+    } finally {
+      await client.destroy();
+    }
+  }
+
+  async runRepeatable(call: ServiceCall, context: CallContext): Promise<ServiceAnswer> {
+    const { kind } = context.clause;
+    const deadlineMs = this.clock.nowMs() + kind.answerWithinMs;
+    let excluded: ReadonlyArray<EndpointId> = [];
+    let lastFailure: unknown;
+    for (let attempt = 0; attempt < kind.attempts; attempt++) {
+      const assignment = await this.assign(context, excluded, deadlineMs);
+      try {
+        return await this.sendOnce(assignment.endpoint, call, deadlineMs);
+      } catch (thrown) {
+        lastFailure = thrown;
+        excluded = [...excluded, assignment.endpoint.endpointId];
+      } finally {
+        assignment.release({ complete: true, outputTokens: 0 });
+      }
+      if (this.clock.nowMs() >= deadlineMs) break;
+    }
+    throw new ServingError('endpoint-failed', {
+      detail: `${kind.name} failed in ${excluded.length} attempts.`,
+      clause: `${context.clause.path}.attempts`,
+      cause: lastFailure,
+    });
+  }
+
+  private async assign(
+    context: CallContext,
+    excluded: ReadonlyArray<EndpointId>,
+    deadlineMs: number,
+  ): ReturnType<Router['assign']> {
+    const signal = AbortSignal.timeout(Math.max(1, deadlineMs - this.clock.nowMs()));
+    return this.router.assign(
+      { ...context, promptTokens: 0, prefixHash: undefined, excluded },
+      signal,
+    );
+  }
+}
--- /dev/null
+++ b/src/plugins/calls/index.ts
@@ -0,0 +1,1 @@
+export { CallsPlugin } from './CallsPlugin';
--- /dev/null
+++ b/src/plugins/explain/index.ts
@@ -0,0 +1,1 @@
+export { ExplainPlugin } from './ExplainPlugin';
--- /dev/null
+++ b/src/plugins/fleet/index.ts
@@ -0,0 +1,1 @@
+export { FleetPlugin } from './FleetPlugin';
--- /dev/null
+++ b/src/plugins/http/HttpPlugin.ts
@@ -0,0 +1,63 @@
+/**
+ * The HTTP listeners of a node: one for callers, one for operators.
+ *
+ * A drain waits for the last running request; nothing is cut.
+ */
+import type { AddressInfo } from 'node:net';
+import type { Server } from 'node:http';
+import { createAdaptorServer } from '@hono/node-server';
+import { Plugin, registerPlugin } from '../../kernel';
+import { splitAddress } from '../../core';
+import { createCallerApp } from './createCallerApp';
+import { createOperatorApp } from './createOperatorApp';
+import { RequestTracker } from './RequestTracker';
+
+async function listen(server: Server, address: string): Promise<string> {
+  const { host, port } = splitAddress(address);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = server.address() as AddressInfo;
+  return `${host}:${bound.port}`;
+}
+
+/** @internal */
+export class HttpPlugin extends Plugin {
+  static override readonly type = 'http';
+
+  private readonly tracker = new RequestTracker();
+
+  private servers: ReadonlyArray<Server> = [];
+
+  override async start(): Promise<void> {
+    const caller = createAdaptorServer({
+      fetch: createCallerApp(this.kernel, this.tracker).fetch,
+    }) as Server;
+    const operator = createAdaptorServer({ fetch: createOperatorApp(this.kernel).fetch }) as Server;
+    this.servers = [caller, operator];
+    const { callerAddress, operatorAddress } = this.kernel.settings;
+    this.kernel.log.info('listening', {
+      callerAddress: await listen(caller, callerAddress),
+      operatorAddress: await listen(operator, operatorAddress),
+    });
+  }
+
+  override async drain(): Promise<void> {
+    await this.tracker.waitUntilIdle();
+  }
+
+  override async dispose(): Promise<void> {
+    await Promise.all(
+      this.servers.map(async (server) => {
+        const closed = new Promise<void>((resolve) => {
+          server.close(() => resolve());
+        });
+        server.closeAllConnections();
+        await closed;
+      }),
+    );
+  }
+}
+
+registerPlugin(HttpPlugin);
--- /dev/null
+++ b/src/plugins/http/createCallerApp.ts
@@ -0,0 +1,69 @@
+/**
+ * The hono application for callers: request id, authentication, error answers, tracking.
+ */
+import { Hono } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import type { ContentfulStatusCode } from 'hono/utils/http-status';
+import { createRequestId, ServingError, type RequestId } from '../../core';
+import type { Kernel } from '../../kernel';
+import { ContractBook, HttpRoutes } from '../../services';
+import { createProblem, type CallerApp, type CallerContext, type CallerEnv } from '../../wire';
+import { HTTP_OPTIONS } from './options';
+import type { RequestTracker } from './RequestTracker';
+
+function getBearerKey(context: CallerContext): string | undefined {
+  const [scheme, key] = (context.req.header('authorization') ?? '').split(' ');
+  return scheme?.toLowerCase() === 'bearer' ? key : undefined;
+}
+
+function answerProblem(kernel: Kernel, context: CallerContext, thrown: unknown): Response {
+  const error = ServingError.from(thrown);
+  if (error.kind === 'internal') {
+    kernel.log.error('request failed', { path: context.req.path, cause: thrown });
+  }
+  const requestId = context.get('requestId') as RequestId | undefined;
+  const answer = createProblem(error, requestId);
+  return context.json(answer.problem, answer.status as ContentfulStatusCode, answer.headers);
+}
+
+/** @internal */
+export function createCallerApp(kernel: Kernel, tracker: RequestTracker): CallerApp {
+  const app = new Hono<CallerEnv>();
+  const contracts = kernel.get(ContractBook);
+
+  app.use(async (context, next) => {
+    tracker.begin();
+    context.env.outgoing.once('close', () => tracker.end());
+    const requestId = createRequestId(kernel.settings.vmId);
+    context.set('requestId', requestId);
+    context.header('x-request-id', requestId);
+    context.set('inForce', contracts.authenticate(getBearerKey(context)));
+    await next();
+  });
+  app.use(
+    bodyLimit({
+      maxSize: HTTP_OPTIONS.maxBodyBytes,
+      onError: (context) =>
+        answerProblem(
+          kernel,
+          context as CallerContext,
+          new ServingError('request-too-large', {
+            detail: `The body is over ${HTTP_OPTIONS.maxBodyBytes} bytes.`,
+          }),
+        ),
+    }),
+  );
+  kernel
+    .getAll(HttpRoutes)
+    .filter((routes) => routes.audience === 'caller')
+    .forEach((routes) => routes.mount(app));
+  app.notFound((context) =>
+    answerProblem(
+      kernel,
+      context,
+      new ServingError('unknown-path', { detail: `${context.req.method} ${context.req.path}` }),
+    ),
+  );
+  app.onError((thrown, context) => answerProblem(kernel, context, thrown));
+  return app;
+}
--- /dev/null
+++ b/src/plugins/http/index.ts
@@ -0,0 +1,1 @@
+export { HttpPlugin } from './HttpPlugin';
--- /dev/null
+++ b/src/plugins/published/PublishedContracts.ts
@@ -0,0 +1,115 @@
+/**
+ * Contracts in force, indexed by customer and by the hash of their API keys.
+ */
+import {
+  checkContract,
+  hashApiKey,
+  ServingError,
+  type ContractFault,
+  type CustomerId,
+  type PublishedRecord,
+} from '../../core';
+import type { Log } from '../../kernel';
+import {
+  ContractBook,
+  type ContractInForce,
+  type PublishedState,
+  type RejectedContract,
+} from '../../services';
+
+const PREFIX = 'contracts/';
+
+function checkBody(body: string): ReturnType<typeof checkContract> {
+  try {
+    return checkContract(JSON.parse(body));
+  } catch (thrown) {
+    const message = thrown instanceof Error ? thrown.message : String(thrown);
+    return { accepted: false, faults: [{ path: '', message }] };
+  }
+}
+
+/** @internal */
+export class PublishedContracts extends ContractBook {
+  private readonly inForce = new Map<string, ContractInForce>();
+
+  private readonly customersByKeyHash = new Map<string, string>();
+
+  private readonly rejected = new Map<string, RejectedContract>();
+
+  constructor(
+    published: PublishedState,
+    private readonly log: Log,
+  ) {
+    super();
+    published.onChange(PREFIX, (record) => this.apply(record));
+  }
+
+  find(customer: CustomerId): ContractInForce | undefined {
+    return this.inForce.get(customer);
+  }
+
+  authenticate(apiKey: string | undefined): ContractInForce {
+    const customer = apiKey && this.customersByKeyHash.get(hashApiKey(apiKey));
+    const found = customer ? this.inForce.get(customer) : undefined;
+    if (!found) throw new ServingError('unknown-key', { detail: 'Unauthorized.' });
+    return found;
+  }
+
+  listRejected(): ReadonlyArray<RejectedContract> {
+    return [...this.rejected.values()];
+  }
+
+  countInForce(): number {
+    return this.inForce.size;
+  }
+
+  private apply(record: PublishedRecord): void {
+    const customer = record.key.slice(PREFIX.length);
+    this.rejected.delete(customer);
+    if (record.body === null) {
+      this.remove(customer, record.revision);
+      return;
+    }
+    if (this.accept(customer, record.revision, record.body)) return;
+    if (record.lastGood) this.accept(customer, record.lastGood.revision, record.lastGood.body);
+    this.reject(customer, record.revision, record.body);
+  }
+
+  private accept(customer: string, revision: number, body: string): boolean {
+    const verdict = checkBody(body);
+    if (!verdict.accepted || verdict.contract.customer !== customer) return false;
+    this.forgetKeys(customer);
+    this.inForce.set(customer, { contract: verdict.contract, revision });
+    verdict.contract.keyHashes.forEach((hash) => this.customersByKeyHash.set(hash, customer));
+    this.log.info('contract in force', { customer, contractRevision: revision });
+    return true;
+  }
+
+  private reject(customer: string, revision: number, body: string): void {
+    const verdict = checkBody(body);
+    const faults: ReadonlyArray<ContractFault> = verdict.accepted
+      ? [{ path: 'customer', message: `differs from the key ${PREFIX}${customer}` }]
+      : verdict.faults;
+    const revisionInForce = this.inForce.get(customer)?.revision;
+    this.rejected.set(customer, { customer, revision, revisionInForce, faults });
+    this.log.warn('contract refused', {
+      customer,
+      contractRevision: revision,
+      revisionInForce,
+      faults,
+    });
+  }
+
+  private remove(customer: string, revision: number): void {
+    this.forgetKeys(customer);
+    this.inForce.delete(customer);
+    this.log.info('contract removed', { customer, contractRevision: revision });
+  }
+
+  private forgetKeys(customer: string): void {
+    this.inForce
+      .get(customer)
+      ?.contract.keyHashes.filter((hash) => this.customersByKeyHash.get(hash) === customer)
+      .forEach((hash) => this.customersByKeyHash.delete(hash));
+  }
+}
--- /dev/null
+++ b/src/plugins/published/index.ts
@@ -0,0 +1,1 @@
+export { PublishedPlugin } from './PublishedPlugin';
--- /dev/null
+++ b/src/plugins/routing/index.ts
@@ -0,0 +1,1 @@
+export { RoutingPlugin } from './RoutingPlugin';
--- /dev/null
+++ b/src/services/LimitLeases.ts
@@ -0,0 +1,26 @@
+/**
+ * Slices of a customer's limits that this node holds.
+ */
+import type { ContractInForce } from './ContractBook';
+
+/** A place within the limits; released once, when the request has ended. @public */
+export interface LimitPlace {
+  release: () => void;
+}
+
+/** @public */
+export type LimitedWork = 'generation' | 'call';
+
+/** @public */
+export abstract class LimitLeases {
+  /**
+   * Takes a place for one request, asking the customer's home node for a larger slice if need be.
+   * @param deadlineMs on this node's monotonic clock.
+   * @throws ServingError `limit-reached` with the clause and the time to come back.
+   */
+  abstract acquire(
+    inForce: ContractInForce,
+    work: LimitedWork,
+    deadlineMs: number,
+  ): Promise<LimitPlace>;
+}
--- /dev/null
+++ b/src/services/ServiceCalls.ts
@@ -0,0 +1,46 @@
+/**
+ * Calls to plain services.
+ */
+import type { CallKind, KindClause, RequestId } from '../core';
+import type { ContractInForce } from './ContractBook';
+import type { FleetEndpoint } from './Fleet';
+
+/** A call as a caller made it, without connection headers. @public */
+export interface ServiceCall {
+  readonly method: string;
+  /** Path and query below the service, starting with `/`. */
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** The answer of a service, whatever its status. @public */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+}
+
+/** @public */
+export abstract class ServiceCalls {
+  /**
+   * Sends the call once, on a connection of its own, without any retry.
+   * @param deadlineMs on this node's monotonic clock.
+   * @throws ServingError `endpoint-unreachable` when nothing was sent, else `outcome-unknown`.
+   */
+  abstract sendOnce(
+    endpoint: FleetEndpoint,
+    call: ServiceCall,
+    deadlineMs: number,
+  ): Promise<ServiceAnswer>;
+
+  /** Routes and sends a call that may be repeated, within the attempts of its contract. */
+  abstract runRepeatable(
+    call: ServiceCall,
+    context: {
+      readonly requestId: RequestId;
+      readonly inForce: ContractInForce;
+      readonly clause: KindClause<CallKind>;
+    },
+  ): Promise<ServiceAnswer>;
+}
--- /dev/null
+++ b/src/wire/CallerRoutes.ts
@@ -0,0 +1,40 @@
+/**
+ * Groups of HTTP paths for callers, on hono.
+ *
+ * The HTTP plug-in has authenticated the caller and given the request its id before a group sees
+ * it; an error thrown by a handler becomes a problem answer.
+ */
+import type { HttpBindings } from '@hono/node-server';
+import type { Context, Hono } from 'hono';
+import type { RequestId } from '../core';
+import { HttpRoutes, type ContractInForce } from '../services';
+
+/** Environment of a hono application for callers. @public */
+export interface CallerEnv {
+  readonly Bindings: HttpBindings;
+  readonly Variables: {
+    readonly requestId: RequestId;
+    readonly inForce: ContractInForce;
+  };
+}
+
+/** @public */
+export type CallerApp = Hono<CallerEnv>;
+
+/** @public */
+export type CallerContext = Context<CallerEnv>;
+
+/** @public */
+export abstract class CallerRoutes extends HttpRoutes<CallerApp> {
+  readonly audience = 'caller';
+}
+
+/** @public */
+export abstract class OperatorRoutes extends HttpRoutes<Hono> {
+  readonly audience = 'operator';
+}
+
+/** Aborted when the caller's connection closes before the answer was complete. @public */
+export function getCallerSignal(context: CallerContext): AbortSignal {
+  return context.req.raw.signal;
+}
--- /dev/null
+++ b/src/wire/index.ts
@@ -0,0 +1,4 @@
+/** Encoding of messages: HTTP towards callers and endpoints, frames between nodes. */
+export * from './CallerRoutes';
+export * from './eventStream';
+export * from './problem';
