Let jest find tests in any folder

Cause: jest refuses to start when a folder in its roots doesn't exist yet, as in a fresh work tree. Change: the whole tree is searched, without dist and node_modules; four workers at most.

--- a/jest.config.cjs
+++ b/jest.config.cjs
@@ -1,7 +1,9 @@
 /** @type {import('jest').Config} */
 module.exports = {
   testEnvironment: 'node',
-  roots: ['<rootDir>/src', '<rootDir>/stand-ins', '<rootDir>/tests', '<rootDir>/bench'],
+  testPathIgnorePatterns: ['/node_modules/', '/dist/'],
+  modulePathIgnorePatterns: ['<rootDir>/dist/'],
+  maxWorkers: 4,
   testMatch: ['**/*.test.ts'],
   transform: {
     '^.+\\.ts$': [
