Add stand-ins for the platform and for plain services

The system can only be tested against the systems outside it, which the tests must be able to break.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,10 +1,11 @@
 /**
- * Bundles the program into one CommonJS file, which the single executable is made of.
+ * Bundles the program into one CommonJS file, which the single executable is made of, and the
+ * stand-ins into another.
  */
 import { build } from 'esbuild';
 
 await build({
-  entryPoints: { bramleyvane: 'src/cli/main.ts' },
+  entryPoints: { bramleyvane: 'src/cli/main.ts', 'stand-ins': 'stand-ins/main.ts' },
   outdir: 'dist',
   outExtension: { '.js': '.cjs' },
   bundle: true,
--- /dev/null
+++ b/stand-ins/index.ts
@@ -0,0 +1,6 @@
+/** Stand-ins for the systems outside the fleet. */
+export * from './ConfigurationService';
+export * from './PlainService';
+export * from './StandIn';
+export * from './VmList';
+export * from './WeightStore';
