Add a stand-in of the model engine

Memory pressure, preemption, resume and conditional cancel can't be tested without an engine that has them.

EngineScheduler does continuous batching in a clock given from outside and repeats itself from a seed, so a bench can use it without HTTP. Tokens are a function of the generation id and the position, so that a test can tell a repeated, lost or foreign token.

--- /dev/null
+++ b/stand-ins/engine/OrderDesk.ts
@@ -0,0 +1,92 @@
+/**
+ * Orders to an engine: which models, adapters and versions it serves, and its role.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { match } from 'ts-pattern';
+import { z } from 'zod';
+import type { EngineScheduler } from './EngineScheduler';
+
+const orderSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('load-model'), model: z.string(), version: z.string().optional() }),
+  z.object({ type: z.literal('unload-model'), model: z.string() }),
+  /** An adapter is served under its own name, like a model. */
+  z.object({ type: z.literal('load-adapter'), model: z.string(), adapter: z.string() }),
+  z.object({ type: z.literal('set-role'), role: z.string() }),
+]);
+type EngineOrder = z.infer<typeof orderSchema>;
+
+/** A fencing number, or its parts from the most to the least significant. */
+const fenceSchema = z.union([z.number(), z.array(z.number()).min(1)]);
+
+/** @public */
+export const orderRequestSchema = z.object({ fence: fenceSchema, order: orderSchema });
+export type OrderRequest = z.infer<typeof orderRequestSchema>;
+
+/** An order that came, and whether it was taken. @public */
+export interface OrderEntry extends OrderRequest {
+  readonly accepted: boolean;
+}
+
+function compareFences(a: OrderRequest['fence'], b: OrderRequest['fence']): number {
+  const [left, right] = [[a].flat(), [b].flat()];
+  const difference = left.map((part, index) => part - (right[index] ?? 0)).find((d) => d !== 0);
+  return difference ?? left.length - right.length;
+}
+
+function addName(names: ReadonlyArray<string>, name: string): ReadonlyArray<string> {
+  return names.includes(name) ? names : [...names, name];
+}
+
+/** @internal */
+export class OrderDesk {
+  private entries: ReadonlyArray<OrderEntry> = [];
+
+  private highestFence: OrderRequest['fence'] | undefined;
+
+  constructor(
+    private readonly scheduler: EngineScheduler,
+    private readonly options: { readonly checksFence: boolean; readonly loadMs: number },
+  ) {}
+
+  get received(): ReadonlyArray<OrderEntry> {
+    return this.entries;
+  }
+
+  /** Starts the order; false when its fencing number is old and the engine checks it. */
+  take(request: OrderRequest, signal: AbortSignal): boolean {
+    const { fence, order } = request;
+    const isOld = this.highestFence !== undefined && compareFences(fence, this.highestFence) < 0;
+    const accepted = !isOld || !this.options.checksFence;
+    this.entries = [...this.entries, { ...request, accepted }];
+    if (!isOld) this.highestFence = fence;
+    if (accepted) void this.execute(order, signal);
+    return accepted;
+  }
+
+  private async execute(order: EngineOrder, signal: AbortSignal): Promise<void> {
+    if (order.type === 'load-model' || order.type === 'load-adapter') {
+      const isStopped = await sleep(this.options.loadMs, false, { signal }).catch(() => true);
+      if (isStopped) return;
+    }
+    this.apply(order);
+  }
+
+  private apply(order: EngineOrder): void {
+    const { models, versions } = this.scheduler.current;
+    const nowMs = performance.now();
+    match(order)
+      .with({ type: 'load-model' }, ({ model, version }) => {
+        const next = version === undefined ? versions : { ...versions, [model]: version };
+        this.scheduler.setModels(addName(models, model), next, nowMs);
+      })
+      .with({ type: 'unload-model' }, ({ model }) => {
+        const others = models.filter((name) => name !== model);
+        this.scheduler.setModels(others, versions, nowMs);
+      })
+      .with({ type: 'load-adapter' }, ({ adapter }) => {
+        this.scheduler.setModels(addName(models, adapter), versions, nowMs);
+      })
+      .with({ type: 'set-role' }, ({ role }) => this.scheduler.setRole(role, nowMs))
+      .exhaustive();
+  }
+}
--- /dev/null
+++ b/stand-ins/engine/index.ts
@@ -0,0 +1,7 @@
+/** Scheduler of the model engine, usable without HTTP. */
+export * from './EngineScheduler';
+export * from './options';
+export * from './outputTokens';
+export type { FinishReason, SequenceRequest } from './EngineSequence';
+export type { EngineReport } from './LaggingReport';
+export type { CacheEvent } from './PrefixCache';
--- a/stand-ins/index.ts
+++ b/stand-ins/index.ts
@@ -1,5 +1,7 @@
 /** Stand-ins for the systems outside the fleet. */
 export * from './ConfigurationService';
+export * from './engine';
+export * from './ModelEngine';
 export * from './PlainService';
 export * from './StandIn';
 export * from './VmList';
--- a/tests/waitUntil.ts
+++ b/tests/waitUntil.ts
@@ -9,15 +9,17 @@
 /** Most time for a condition; long, so that a busy machine fails no test. */
 const LIMIT_MS = 40_000;
 
-/** Waits until the check gives a value other than undefined and false, and returns the value. */
+/** Waits until the check gives a value other than undefined, null and false, and returns the value. */
 export async function waitUntil<T>(
   what: string,
   check: () => T | Promise<T>,
-): Promise<Exclude<T, undefined | false>> {
+): Promise<Exclude<T, undefined | null | false>> {
   const deadlineMs = performance.now() + LIMIT_MS;
   for (;;) {
     const value = await check();
-    if (value !== undefined && value !== false) return value as Exclude<T, undefined | false>;
+    if (value !== undefined && value !== null && value !== false) {
+      return value as Exclude<T, undefined | null | false>;
+    }
     if (performance.now() > deadlineMs) throw new Error(`timed out waiting: ${what}`);
     await sleep(CHECK_INTERVAL_MS);
   }
