Lease customers' limits from a home node

Cause: a contracted limit has to hold over all nodes without shared state. Change: each customer has a home node by rendezvous hash, which leases slices of generations and permits of requests; a home that is new to a customer grants no generation before the old slices have ended; in a partition each side grants its part by reachable nodes. Without the wait of a new home, 'a new home grants nothing new before the old slices have ended' fails.

--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -104,6 +104,12 @@
     mayRepeat: true,
     reason: 'The customer has reached a limit of its contract.',
   },
+  'limit-unconfirmed': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason: 'The node that keeps the limits of this customer could not be asked in time.',
+  },
   overloaded: {
     status: 503,
     run: 'not-run',
--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -4,6 +4,7 @@
 import './plugins/published';
 import './plugins/fleet';
 import './plugins/explain';
+import './plugins/limits';
 import './plugins/routing';
 import './plugins/calls';
 import './plugins/http';
--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -9,7 +9,14 @@
   type KindClause,
 } from '../../core';
 import type { Kernel } from '../../kernel';
-import { Operations, ServiceCalls, type ServiceAnswer, type ServiceCall } from '../../services';
+import {
+  LimitLeases,
+  Operations,
+  ServiceCalls,
+  type ContractInForce,
+  type ServiceAnswer,
+  type ServiceCall,
+} from '../../services';
 import { CallerRoutes, type CallerApp, type CallerContext } from '../../wire';
 
 const FORWARDED_HEADERS: ReadonlyArray<string> = ['accept', 'content-type'];
@@ -56,6 +63,14 @@
     app.all('/v1/services/:service/*', async (context) => this.handle(context));
   }
 
+  /** Counts the call against the rate of the contract; a call doesn't wait for a permit. */
+  private async admit(inForce: ContractInForce): Promise<void> {
+    const place = await this.kernel
+      .get(LimitLeases)
+      .acquire(inForce, 'call', this.kernel.clock.nowMs());
+    place.release();
+  }
+
   private async handle(context: CallerContext): Promise<Response> {
     const clause = findClause(context);
     const call = await readCall(context);
@@ -64,6 +79,7 @@
       inForce: context.get('inForce'),
       clause,
     };
+    await this.admit(details.inForce);
     if (clause.kind.repeatable) {
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
--- /dev/null
+++ b/src/plugins/limits/index.ts
@@ -0,0 +1,1 @@
+export { LimitsPlugin } from './LimitsPlugin';
--- /dev/null
+++ b/src/plugins/limits/leaseMessages.ts
@@ -0,0 +1,32 @@
+/**
+ * Messages between a node and the home node of a customer.
+ */
+import { z } from 'zod';
+import { customerIdSchema } from '../../core';
+
+/** @internal */
+export const leaseRequestSchema = z
+  .object({
+    customer: customerIdSchema,
+    /** Generations of the customer that run on the asking node. */
+    generationsInUse: z.number().int().min(0),
+    /** Generations that the node would like to run, those in use included. */
+    generationsWanted: z.number().int().min(0),
+    /** Requests that the node would like to admit during the lease. */
+    permitsWanted: z.number().int().min(0),
+  })
+  .readonly();
+export type LeaseRequest = z.infer<typeof leaseRequestSchema>;
+
+/** @internal */
+export const leaseReplySchema = z
+  .object({
+    generations: z.number().int().min(0),
+    permits: z.number().int().min(0),
+    /** Time for which the slice holds, from the moment at which the request was sent. */
+    leaseMs: z.number().min(0),
+    /** Time after which asking again may help, when less was granted than wanted. */
+    retryAfterMs: z.number().min(0),
+  })
+  .readonly();
+export type LeaseReply = z.infer<typeof leaseReplySchema>;
