Add the command line: contracts, explanations, calls

Cause: operators need to check and explain contracts and to ask why a request waited; callers need a way in from the shell.

--- /dev/null
+++ b/src/cli/ServeCommand.ts
@@ -0,0 +1,53 @@
+/**
+ * `bramleyvane serve`: runs one node until it is told to stop.
+ */
+import type { Command } from 'commander';
+import {
+  getFlagName,
+  getVariableName,
+  SETTING_NAMES,
+  settingsSchema,
+  SystemClock,
+  type SettingName,
+  type Settings,
+} from '../core';
+import { Kernel, Log } from '../kernel';
+import { CliCommand, EXIT_CODE_HELP } from './CliCommand';
+import { readSettings } from './readSettings';
+
+const SIGINT_EXIT_CODE = 130;
+
+/** @internal */
+export class ServeCommand extends CliCommand {
+  addTo(program: Command): void {
+    const command = program
+      .command('serve')
+      .description('run one node; SIGTERM drains it and cuts no request')
+      .addHelpText('after', EXIT_CODE_HELP);
+    SETTING_NAMES.forEach((name) => {
+      const { description } = settingsSchema.unwrap().shape[name];
+      command.option(`${getFlagName(name)} <value>`, `${description} [${getVariableName(name)}]`);
+    });
+    command.action(async (flags: Readonly<Partial<Record<SettingName, string>>>) =>
+      this.run(readSettings(flags, process.env)),
+    );
+  }
+
+  private async run(settings: Settings): Promise<void> {
+    const log = new Log({ level: settings.logLevel, fields: { vmId: settings.vmId } });
+    const kernel = new Kernel({ settings, clock: new SystemClock(), log });
+    const stopRequest = new Promise<void>((resolve) => {
+      // SIGTERM again changes nothing: a drain cuts no request.
+      process.on('SIGTERM', () => resolve());
+      process.on('SIGINT', () => {
+        // A second interrupt comes from a person at a terminal who doesn't want to wait.
+        if (kernel.state === 'draining') process.exit(SIGINT_EXIT_CODE);
+        resolve();
+      });
+    });
+    await kernel.start();
+    await stopRequest;
+    await kernel.drain();
+    await kernel.dispose();
+  }
+}
--- /dev/null
+++ b/src/cli/WhyCommand.ts
@@ -0,0 +1,67 @@
+/**
+ * `bramleyvane why`: says in plain words why a request waited, slowed down or was refused.
+ */
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+import type { Command } from 'commander';
+import { request } from 'undici';
+import { z } from 'zod';
+import { decisionSchema } from '../core';
+import { describeDecision } from '../decisions';
+import { CliCommand, EXIT_CODE_HELP, EXIT_CODES } from './CliCommand';
+
+const answerSchema = z.object({ plainWords: z.array(z.string()) });
+
+interface WhyOptions {
+  readonly operatorUrl?: string;
+  readonly log?: string;
+}
+
+async function findInLog(file: string, requestId: string): Promise<ReadonlyArray<string>> {
+  const found: string[] = [];
+  for await (const line of createInterface({ input: createReadStream(file) })) {
+    if (!line.includes(requestId)) continue;
+    const decision = decisionSchema.safeParse(JSON.parse(line));
+    if (decision.success && decision.data.requestId === requestId) {
+      found.push(describeDecision(decision.data));
+    }
+  }
+  return found;
+}
+
+async function askNode(operatorUrl: string, requestId: string): Promise<ReadonlyArray<string>> {
+  const path = `/v1/decisions/${encodeURIComponent(requestId)}`;
+  const response = await request(new URL(path, operatorUrl));
+  const answer = answerSchema.safeParse(await response.body.json());
+  return answer.success ? answer.data.plainWords : [];
+}
+
+/** @internal */
+export class WhyCommand extends CliCommand {
+  addTo(program: Command): void {
+    program
+      .command('why')
+      .description('say why a request waited, slowed down or was refused')
+      .argument('<request-id>', 'the x-request-id of the answer')
+      .option('--operator-url <url>', 'operator address of any node [BRAMLEYVANE_OPERATOR_URL]')
+      .option('--log <file>', 'collected log lines, for when the deciding node is gone')
+      .addHelpText('after', EXIT_CODE_HELP)
+      .action(async (requestId: string, options: WhyOptions) => this.run(requestId, options));
+  }
+
+  private async run(requestId: string, options: WhyOptions): Promise<void> {
+    const operatorUrl = options.operatorUrl ?? process.env.BRAMLEYVANE_OPERATOR_URL;
+    if (!options.log && !operatorUrl) {
+      this.note('Give --operator-url or --log.');
+      process.exitCode = EXIT_CODES.usage;
+      return;
+    }
+    const lines = options.log
+      ? await findInLog(options.log, requestId)
+      : await askNode(operatorUrl ?? '', requestId);
+    lines.forEach((line) => this.print(line));
+    if (lines.length > 0) return;
+    this.note(`Nothing is known of ${requestId}; look in the collected logs with --log.`);
+    process.exitCode = EXIT_CODES.refused;
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,36 +3,33 @@
  */
 import { Command } from 'commander';
 import '../defaultPlugins';
-import { getFlagName, SETTING_NAMES, ServingError, settingsSchema } from '../core';
-import { readSettings } from './readSettings';
-import { serve } from './serve';
+import { ServingError } from '../core';
+import { CallCommand } from './CallCommand';
+import { EXIT_CODE_HELP, EXIT_CODES, type CliCommand } from './CliCommand';
+import { ContractCommand } from './ContractCommand';
+import { ServeCommand } from './ServeCommand';
+import { WhyCommand } from './WhyCommand';
 
-/** Exit codes, as documented in the help text. */
-const EXIT_CODES = { usage: 2, failure: 1 } as const;
-
-function createProgram(): Command {
-  const program = new Command('bramleyvane').description(
-    'Serves generations of unknown length on crowded engines.',
-  );
-  const serveCommand = program.command('serve').description('run one node');
-  SETTING_NAMES.forEach((name) =>
-    serveCommand.option(
-      `${getFlagName(name)} <value>`,
-      settingsSchema.unwrap().shape[name].description,
-    ),
-  );
-  serveCommand.action(async (flags) => serve(readSettings(flags, process.env)));
-  return program;
-}
+const COMMANDS: ReadonlyArray<CliCommand> = [
+  new ServeCommand(),
+  new ContractCommand(),
+  new WhyCommand(),
+  new CallCommand(),
+];
 
 async function main(): Promise<void> {
+  const program = new Command('bramleyvane')
+    .description('Serves generations of unknown length on crowded engines.')
+    .addHelpText('after', EXIT_CODE_HELP)
+    .exitOverride((error) => process.exit(error.exitCode === 0 ? 0 : EXIT_CODES.usage));
+  COMMANDS.forEach((command) => command.addTo(program));
   try {
-    await createProgram().parseAsync();
-    process.exit(0);
+    await program.parseAsync();
+    process.exit();
   } catch (thrown) {
     const error = ServingError.from(thrown);
     process.stderr.write(`${error.detail}\n`);
-    process.exit(error.kind === 'invalid-settings' ? EXIT_CODES.usage : EXIT_CODES.failure);
+    process.exit(error.kind === 'invalid-settings' ? EXIT_CODES.usage : EXIT_CODES.refused);
   }
 }
 
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -3,3 +3,4 @@
 export * from './assignability';
 export * from './limitShares';
 export * from './rendezvous';
+export * from './describeDecision';
--- /dev/null
+++ b/src/plugins/explain/DecisionFindHandler.ts
@@ -0,0 +1,26 @@
+/**
+ * Answers other nodes that ask for the decisions of this node.
+ */
+import { z } from 'zod';
+import { requestIdSchema, type Decision } from '../../core';
+import { PeerHandler, type DecisionLog, type Peer } from '../../services';
+
+const findSchema = z.object({ requestId: requestIdSchema }).readonly();
+
+/** @internal */
+export class DecisionFindHandler extends PeerHandler<typeof findSchema> {
+  readonly type = 'decision.find';
+
+  readonly schema = findSchema;
+
+  constructor(private readonly decisions: DecisionLog) {
+    super();
+  }
+
+  async handle(
+    _from: Peer,
+    { requestId }: z.infer<typeof findSchema>,
+  ): Promise<ReadonlyArray<Decision>> {
+    return this.decisions.findLocal(requestId);
+  }
+}
--- a/src/plugins/explain/ExplainPlugin.ts
+++ b/src/plugins/explain/ExplainPlugin.ts
@@ -2,7 +2,9 @@
  * Answers why a request waited, slowed down or was refused.
  */
 import { Plugin, registerPlugin } from '../../kernel';
-import { DecisionLog } from '../../services';
+import { DecisionLog, HttpRoutes, PeerHandler } from '../../services';
+import { DecisionFindHandler } from './DecisionFindHandler';
+import { DecisionRoutes } from './DecisionRoutes';
 import { KeptDecisions } from './KeptDecisions';
 
 /** @internal */
@@ -10,7 +12,10 @@
   static override readonly type = 'explain';
 
   override setUp(): void {
-    this.kernel.provide(DecisionLog, new KeptDecisions(this.kernel.clock, this.kernel.log));
+    const decisions = new KeptDecisions(this.kernel);
+    this.kernel.provide(DecisionLog, decisions);
+    this.kernel.provide(HttpRoutes, new DecisionRoutes(decisions));
+    this.kernel.provide(PeerHandler, new DecisionFindHandler(decisions));
   }
 }
 
--- a/src/plugins/explain/KeptDecisions.ts
+++ b/src/plugins/explain/KeptDecisions.ts
@@ -1,9 +1,10 @@
 /**
  * The decisions of this node: kept for the newest requests and written to the log.
  */
-import type { Clock, Decision, RequestId } from '../../core';
-import type { Log } from '../../kernel';
-import { DecisionLog } from '../../services';
+import { z } from 'zod';
+import { decisionSchema, getDecidingVm, type Decision, type RequestId } from '../../core';
+import type { Kernel } from '../../kernel';
+import { DecisionLog, Peers } from '../../services';
 import { EXPLAIN_OPTIONS } from './options';
 
 /** @internal */
@@ -11,23 +12,32 @@
   /** In order of insertion, so that the first key is the oldest request. */
   private readonly chains = new Map<RequestId, ReadonlyArray<Decision>>();
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly log: Log,
-  ) {
+  constructor(private readonly kernel: Kernel) {
     super();
   }
 
   record(decision: Omit<Decision, 'wallMs'>): void {
-    const kept: Decision = { ...decision, wallMs: this.clock.wallMs() };
+    const kept: Decision = { ...decision, wallMs: this.kernel.clock.wallMs() };
     this.chains.set(kept.requestId, [...this.findLocal(kept.requestId), kept]);
-    this.log.decision(kept);
+    this.kernel.log.decision(kept);
     const [oldest] = this.chains.keys();
     if (oldest && this.chains.size > EXPLAIN_OPTIONS.keptRequests) this.chains.delete(oldest);
   }
 
   async find(requestId: RequestId): Promise<ReadonlyArray<Decision>> {
-    return this.findLocal(requestId);
+    const decidingVm = getDecidingVm(requestId);
+    const local = this.findLocal(requestId);
+    if (local.length > 0 || decidingVm === this.kernel.settings.vmId) return local;
+    const deadlineMs = this.kernel.clock.nowMs() + EXPLAIN_OPTIONS.askTimeoutMs;
+    try {
+      const reply = await this.kernel
+        .get(Peers)
+        .call(decidingVm, 'decision.find', { requestId }, deadlineMs);
+      return z.array(decisionSchema).parse(reply);
+    } catch (thrown) {
+      this.kernel.log.warn('decisions unavailable', { requestId, decidingVm, cause: thrown });
+      return [];
+    }
   }
 
   findLocal(requestId: RequestId): ReadonlyArray<Decision> {
