Add authenticated links between nodes

Cause: the services declare Peers, and nothing provided it.

Change: a WebSocket link for each pair of nodes that communicate, with mutual HMAC authentication over both greetings, schema-checked frames, replies by id, error kinds, a deadline for each call and dial on demand by the addresses in the VM list. One task runs each link from handshake to clean-up. ControlTraffic counts frames and bytes by message type.

With the comparison of the proof switched off, `refuses a wrong key` fails; with failPending switched off, `fails pending calls of a lost link` runs into the time limit.

Conclusion: other plug-ins can provide PeerHandler and use Peers.call.

--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -3,6 +3,7 @@
  */
 import './plugins/published';
 import './plugins/fleet';
+import './plugins/peers';
 import './plugins/explain';
 import './plugins/routing';
 import './plugins/calls';
--- /dev/null
+++ b/src/plugins/peers/PeerLinks.ts
@@ -0,0 +1,243 @@
+/**
+ * The links of this node, dialled on demand by the addresses in the VM list.
+ *
+ * Each link has one task, which reads from top to bottom: handshake, frames until the end, clean-up.
+ * When two nodes dial each other at once, both links work; both sides send on the one that the lower
+ * VM id dialled, and the other is closed when it is idle.
+ */
+import { once, on } from 'node:events';
+import { WebSocket } from 'ws';
+import { ServingError, type VmId } from '../../core';
+import type { Kernel } from '../../kernel';
+import { Fleet, Peers, type Peer } from '../../services';
+import { shakeHands, type LinkSide } from './handshake';
+import { MessageDispatcher } from './MessageDispatcher';
+import { PEER_OPTIONS } from './options';
+import { PeerLink } from './PeerLink';
+import type { TrafficCounter } from './TrafficCounter';
+
+/** A connection whose other end is not authenticated yet. */
+interface Connection {
+  readonly socket: WebSocket;
+  readonly side: LinkSide;
+  readonly remoteAddress: string;
+  /** The VM that was dialled. */
+  readonly expected: VmId | undefined;
+}
+
+function unreachable(detail: string, cause?: unknown): ServingError {
+  return new ServingError('peer-unreachable', { detail, cause });
+}
+
+/** @internal */
+export class PeerLinks extends Peers {
+  private readonly links = new Map<VmId, ReadonlyArray<PeerLink>>();
+
+  private readonly dials = new Map<VmId, Promise<PeerLink>>();
+
+  private dispatcher = new MessageDispatcher([]);
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly traffic: TrafficCounter,
+  ) {
+    super();
+  }
+
+  /** Sets who handles messages; called once, before the first link. */
+  setDispatcher(dispatcher: MessageDispatcher): void {
+    this.dispatcher = dispatcher;
+  }
+
+  async call(vmId: VmId, type: string, body: unknown, deadlineMs: number): Promise<unknown> {
+    const link = this.find(vmId) ?? (await this.waitForDial(vmId, deadlineMs));
+    return link.call(type, body, deadlineMs);
+  }
+
+  send(vmId: VmId, type: string, body: unknown): void {
+    const link = this.find(vmId);
+    if (link) {
+      link.send(type, body);
+      return;
+    }
+    this.dial(vmId).then(
+      (dialled) => dialled.send(type, body),
+      () => {},
+    );
+  }
+
+  listLinked(): ReadonlyArray<Peer> {
+    return [...this.links.keys()].flatMap((vmId) => this.find(vmId)?.peer ?? []);
+  }
+
+  /** Serves a connection that another node opened. */
+  accept(socket: WebSocket, remoteAddress: string): void {
+    if (this.kernel.signal.aborted) {
+      socket.terminate();
+      return;
+    }
+    this.open({ socket, side: 'acceptor', remoteAddress, expected: undefined }).catch(() => {});
+  }
+
+  /** Closes links that have carried nothing for a while, except for the most recently used. */
+  closeIdle(): void {
+    const latestUseMs = this.kernel.clock.nowMs() - PEER_OPTIONS.idleCloseMs;
+    const surplus = [...this.links].flatMap(([vmId, links]) =>
+      links.filter((link) => link !== this.find(vmId)),
+    );
+    const idle = [...this.links.keys()]
+      .flatMap((vmId) => this.find(vmId) ?? [])
+      .filter((link) => link.lastUsedMs < latestUseMs)
+      .sort((a, b) => b.lastUsedMs - a.lastUsedMs)
+      .slice(PEER_OPTIONS.keptIdleLinks);
+    const quietSinceMs = this.kernel.clock.nowMs() - PEER_OPTIONS.idleCheckIntervalMs;
+    [...surplus.filter((link) => link.lastUsedMs < quietSinceMs), ...idle]
+      .filter((link) => !link.isBusy)
+      .forEach((link) => link.close());
+  }
+
+  /** The link to send on. */
+  private find(vmId: VmId): PeerLink | undefined {
+    const links = (this.links.get(vmId) ?? []).filter((link) => link.isOpen);
+    const preferredSide = this.kernel.settings.vmId < vmId ? 'dialler' : 'acceptor';
+    return links.find((link) => link.side === preferredSide) ?? links.at(-1);
+  }
+
+  private async waitForDial(vmId: VmId, deadlineMs: number): Promise<PeerLink> {
+    const { clock } = this.kernel;
+    const decided = new AbortController();
+    const timeout = clock.sleep(deadlineMs - clock.nowMs(), decided.signal);
+    try {
+      const link = await Promise.race([this.dial(vmId), timeout]);
+      if (!link) throw unreachable(`${vmId} could not be reached in time.`);
+      return link;
+    } finally {
+      decided.abort();
+    }
+  }
+
+  private async dial(vmId: VmId): Promise<PeerLink> {
+    const running = this.dials.get(vmId);
+    if (running) return running;
+    if (this.kernel.signal.aborted) throw unreachable('This node has stopped.');
+    const address = this.kernel.get(Fleet).findNode(vmId)?.vm.peerAddress;
+    if (!address) throw unreachable(`The VM list has no peer address of ${vmId}.`);
+    const socket = new WebSocket(`ws://${address}`, {
+      maxPayload: PEER_OPTIONS.maxFrameBytes,
+      handshakeTimeout: PEER_OPTIONS.handshakeTimeoutMs,
+      perMessageDeflate: false,
+    });
+    const connection = { socket, side: 'dialler', remoteAddress: address, expected: vmId } as const;
+    const dial = this.open(connection).finally(() => this.dials.delete(vmId));
+    this.dials.set(vmId, dial);
+    return dial;
+  }
+
+  /** Starts the task of a link; resolves when the other end is authenticated. */
+  private async open(connection: Connection): Promise<PeerLink> {
+    return new Promise((resolve, reject) => {
+      this.kernel.runTask(`peer link ${connection.remoteAddress}`, async (signal) => {
+        await this.runLink(connection, signal, resolve);
+        reject(unreachable(`No link could be opened to ${connection.remoteAddress}.`));
+      });
+    });
+  }
+
+  private async runLink(
+    connection: Connection,
+    signal: AbortSignal,
+    onOpen: (link: PeerLink) => void,
+  ): Promise<void> {
+    const { socket } = connection;
+    // Errors are read from the iterator; this listener keeps one that comes later from being fatal.
+    socket.on('error', () => {});
+    const frames = on(socket, 'message', {
+      close: ['close'],
+      signal,
+      highWaterMark: PEER_OPTIONS.readAheadFrames,
+      lowWaterMark: PEER_OPTIONS.resumeAtFrames,
+    }) as AsyncIterableIterator<[Uint8Array]>;
+    let link: PeerLink | undefined;
+    try {
+      const peer = await this.authenticate(connection, frames, signal);
+      link = this.add(connection, peer);
+      onOpen(link);
+      for await (const [data] of frames) link.receive(data);
+      this.kernel.log.info('peer link ended', { peer: peer.vmId });
+    } catch (thrown) {
+      if (!signal.aborted) this.logFailure(connection, link, thrown);
+    } finally {
+      if (link) this.remove(link);
+      link?.failPending();
+      socket.terminate();
+    }
+  }
+
+  private async authenticate(
+    { socket, side, expected, remoteAddress }: Connection,
+    frames: AsyncIterator<[Uint8Array]>,
+    signal: AbortSignal,
+  ): Promise<Peer> {
+    const { clock, settings, incarnation } = this.kernel;
+    const decided = new AbortController();
+    void clock.sleep(PEER_OPTIONS.handshakeTimeoutMs, decided.signal).then(() => {
+      if (!decided.signal.aborted) socket.terminate();
+    });
+    try {
+      if (socket.readyState === WebSocket.CONNECTING) await once(socket, 'open', { signal });
+      const peer = await shakeHands({
+        side,
+        self: { vmId: settings.vmId, incarnation },
+        fleetKey: settings.fleetKey,
+        write: (data) => socket.send(data),
+        read: async () => ((await frames.next()).value as [Uint8Array] | undefined)?.[0],
+      });
+      if (expected !== undefined && peer.vmId !== expected) {
+        throw unreachable(`${remoteAddress} belongs to ${peer.vmId} and not to ${expected}.`);
+      }
+      return peer;
+    } finally {
+      decided.abort();
+    }
+  }
+
+  private add({ socket, side }: Connection, peer: Peer): PeerLink {
+    const { dispatcher, traffic } = this;
+    const link = new PeerLink({
+      socket,
+      peer,
+      side,
+      clock: this.kernel.clock,
+      dispatcher,
+      traffic,
+    });
+    const links = this.links.get(peer.vmId) ?? [];
+    // The other incarnation has ended, or its link is stalled: its calls would wait in vain.
+    const replaced = links.filter((other) => other.peer.incarnation !== peer.incarnation);
+    this.links.set(peer.vmId, [...links.filter((other) => !replaced.includes(other)), link]);
+    replaced.forEach((other) => {
+      other.failPending();
+      other.close();
+    });
+    this.kernel.log.info('peer link opened', { peer: peer.vmId, incarnation: peer.incarnation });
+    return link;
+  }
+
+  private remove(link: PeerLink): void {
+    const { vmId } = link.peer;
+    const remaining = (this.links.get(vmId) ?? []).filter((other) => other !== link);
+    if (remaining.length > 0) this.links.set(vmId, remaining);
+    else this.links.delete(vmId);
+  }
+
+  private logFailure(connection: Connection, link: PeerLink | undefined, thrown: unknown): void {
+    const { remoteAddress, side, expected } = connection;
+    if (link) {
+      this.kernel.log.warn('peer link closed', { peer: link.peer.vmId, cause: thrown });
+    } else if (side === 'acceptor') {
+      this.kernel.log.warn('peer refused', { remoteAddress, cause: thrown });
+    } else {
+      this.kernel.log.info('peer not reached', { remoteAddress, peer: expected, cause: thrown });
+    }
+  }
+}
--- /dev/null
+++ b/src/plugins/peers/handshake.ts
@@ -0,0 +1,80 @@
+/**
+ * Mutual authentication of two nodes by the fleet key.
+ *
+ * Each side proves the key by an HMAC over both greetings, so that a recorded proof is worthless on
+ * another link. The proof names the side that makes it; a reflected one doesn't match.
+ */
+import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto';
+import { ServingError, type Incarnation, type VmId } from '../../core';
+import type { Peer } from '../../services';
+import {
+  decodePeerGreeting,
+  decodePeerProof,
+  encodePeerGreeting,
+  encodePeerProof,
+  type PeerGreeting,
+} from '../../wire';
+import { PEER_OPTIONS } from './options';
+
+const PURPOSE = 'bramleyvane peer link 1';
+const NONCE_BYTES = 16;
+
+/** @internal */
+export type LinkSide = 'dialler' | 'acceptor';
+
+/** @internal */
+export interface HandshakeChannel {
+  readonly side: LinkSide;
+  readonly self: { readonly vmId: VmId; readonly incarnation: Incarnation };
+  readonly fleetKey: string;
+  write: (data: Uint8Array) => void;
+  /** The next frame; undefined when the other side has closed the link. */
+  read: () => Promise<Uint8Array | undefined>;
+}
+
+function computeProof(
+  fleetKey: string,
+  prover: LinkSide,
+  greetings: Readonly<Record<LinkSide, PeerGreeting>>,
+): Buffer {
+  const describe = ({ vmId, incarnation, nonce }: PeerGreeting): ReadonlyArray<string> => [
+    vmId,
+    incarnation,
+    Buffer.from(nonce).toString('hex'),
+  ];
+  const text = [PURPOSE, prover, ...describe(greetings.dialler), ...describe(greetings.acceptor)];
+  return createHmac('sha256', fleetKey).update(text.join('\n')).digest();
+}
+
+async function readFrame(channel: HandshakeChannel): Promise<Uint8Array> {
+  const data = await channel.read();
+  if (!data) {
+    throw new ServingError('peer-unreachable', { detail: 'The link closed in the handshake.' });
+  }
+  if (data.length > PEER_OPTIONS.maxHandshakeFrameBytes) {
+    throw new ServingError('malformed-request', { detail: 'The handshake frame is too large.' });
+  }
+  return data;
+}
+
+/**
+ * Returns the node at the other end.
+ * @throws ServingError `invalid-token` for a process without the key.
+ */
+export async function shakeHands(channel: HandshakeChannel): Promise<Peer> {
+  const { side, self, fleetKey } = channel;
+  const own: PeerGreeting = { version: 1, ...self, nonce: randomBytes(NONCE_BYTES) };
+  channel.write(encodePeerGreeting(own));
+  const other = decodePeerGreeting(await readFrame(channel));
+  const otherSide = side === 'dialler' ? 'acceptor' : 'dialler';
+  const greetings = { [side]: own, [otherSide]: other } as Record<LinkSide, PeerGreeting>;
+  channel.write(encodePeerProof({ proof: computeProof(fleetKey, side, greetings) }));
+  const { proof } = decodePeerProof(await readFrame(channel));
+  if (!timingSafeEqual(proof, computeProof(fleetKey, otherSide, greetings))) {
+    throw new ServingError('invalid-token', { detail: 'The process lacks the fleet key.' });
+  }
+  if (other.vmId === self.vmId) {
+    throw new ServingError('invalid-token', { detail: 'The process uses the id of this VM.' });
+  }
+  return { vmId: other.vmId, incarnation: other.incarnation };
+}
--- /dev/null
+++ b/src/plugins/peers/index.ts
@@ -0,0 +1,1 @@
+export { PeersPlugin } from './PeersPlugin';
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -1,5 +1,6 @@
 /** Abstract classes by which plug-ins meet. */
 export * from './ContractBook';
+export * from './ControlTraffic';
 export * from './DecisionLog';
 export * from './Fleet';
 export * from './HttpRoutes';
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,4 +1,5 @@
 /** Encoding of messages: HTTP towards callers and endpoints, frames between nodes. */
 export * from './CallerRoutes';
 export * from './eventStream';
+export * from './peerFrames';
 export * from './problem';
