Let the kernel know where its listeners are bound

Cause: with port 0 a bound address stood only in the log, so that nothing in the process could read it. Change: listeners note their address at the kernel by the name of the setting. Conclusion: the embedded mode can register its nodes without reading log lines.

--- a/src/kernel/Kernel.ts
+++ b/src/kernel/Kernel.ts
@@ -9,6 +9,7 @@
   ServingError,
   type Clock,
   type Incarnation,
+  type SettingName,
   type Settings,
 } from '../core';
 import type { Log } from './Log';
@@ -48,6 +49,8 @@
 
   private readonly stopping = new AbortController();
 
+  private readonly boundAddresses = new Map<string, string>();
+
   private currentState: NodeState = 'starting';
 
   constructor({ settings, clock, log, plugins = getRegisteredPlugins() }: KernelParameters) {
@@ -66,6 +69,16 @@
     return this.stopping.signal;
   }
 
+  /** Addresses that listeners are bound to, by the name of their setting. */
+  get addresses(): ReadonlyMap<string, string> {
+    return this.boundAddresses;
+  }
+
+  /** Notes where a listener is bound, which the settings leave open when they say port 0. */
+  noteAddress(setting: SettingName, address: string): void {
+    this.boundAddresses.set(setting, address);
+  }
+
   /** Adds a service; several may stand under one key. */
   provide<T>(key: ServiceKey<T>, instance: T): void {
     this.services.set(key, [...(this.services.get(key) ?? []), instance]);
--- a/src/plugins/http/HttpPlugin.ts
+++ b/src/plugins/http/HttpPlugin.ts
@@ -37,9 +37,12 @@
     const operator = createAdaptorServer({ fetch: createOperatorApp(this.kernel).fetch }) as Server;
     this.servers = [caller, operator];
     const { callerAddress, operatorAddress } = this.kernel.settings;
+    this.kernel.noteAddress('callerAddress', await listen(caller, callerAddress));
+    this.kernel.noteAddress('operatorAddress', await listen(operator, operatorAddress));
+    const { addresses } = this.kernel;
     this.kernel.log.info('listening', {
-      callerAddress: await listen(caller, callerAddress),
-      operatorAddress: await listen(operator, operatorAddress),
+      callerAddress: addresses.get('callerAddress'),
+      operatorAddress: addresses.get('operatorAddress'),
     });
   }
 
--- a/src/plugins/peers/PeersPlugin.ts
+++ b/src/plugins/peers/PeersPlugin.ts
@@ -43,7 +43,9 @@
     await once(server, 'listening');
     server.on('error', (cause) => this.kernel.log.error('peer listener failed', { cause }));
     const bound = server.address() as AddressInfo;
-    this.kernel.log.info('peers listening', { peerAddress: `${host}:${bound.port}` });
+    const boundAddress = `${host}:${bound.port}`;
+    this.kernel.noteAddress('peerAddress', boundAddress);
+    this.kernel.log.info('peers listening', { peerAddress: boundAddress });
     this.kernel.runTask('close idle peer links', async (signal) => this.closeIdleLinks(signal));
   }
 
