Route generations by predicted length and let them wait at the node

Cause: the router counted its own requests only. It sent generations to engines without regard to memory, never let them wait, and gave way to no rank.

Change: src/decisions gets the length estimator, the routing policies with their registry, admission, prefix affinity and the node's reservations on top of a lagging report. EndpointRouter keeps one waiting queue in rank and deadline order, which is served on arrival, release and newer reports. Fleet gets onReports, so that nothing polls for them. Calls of services are assigned at once and never join the queue.

--- /dev/null
+++ b/src/decisions/ReserveByQuantilePolicy.ts
@@ -0,0 +1,236 @@
+/**
+ * Reserves memory for the predicted length of each generation, so that engines don't have to
+ * preempt what they run.
+ *
+ * A generation is sent only to an engine whose memory, with everything promised there, has room
+ * for its prompt and the predicted quantile of its output. Otherwise it waits at the node, where
+ * it holds no memory. Among engines with room, two are drawn in proportion to their free memory,
+ * which keeps nodes that hold the same report from all choosing the same engine.
+ */
+import type { EndpointView, PassedOver, RoutingContext, RoutingRequest } from './EndpointView';
+import { predictMemory, type MemoryPrediction, type OthersAssumption } from './predictMemory';
+import { computeExtraWaitMs, computeSavedPrefillMs } from './prefixAffinity';
+import type { RoutingOptions } from './options';
+import type { SeededRandom } from './SeededRandom';
+import {
+  getServedClause,
+  registerRoutingPolicy,
+  RoutingPolicy,
+  type PolicyChoice,
+} from './RoutingPolicy';
+
+/** Parts of the policy that the bench switches off one at a time. @internal */
+export interface ReservationParts {
+  /** Reserves the predicted output; otherwise only the prompt. */
+  readonly predictsLength: boolean;
+  /** Adds own reservations to a lagging report. */
+  readonly addsOwnWork: boolean;
+  /** Adds the growth of other nodes' work and what they send between reports. */
+  readonly expectsOthers: boolean;
+  /** Draws two engines by free memory; otherwise takes the one with most free memory. */
+  readonly spreads: boolean;
+  readonly followsPrefix: boolean;
+  readonly prefersRegion: boolean;
+  /** Lets work wait at the node; otherwise it is sent to the engine with most free memory. */
+  readonly waitsForRoom: boolean;
+}
+
+export const ALL_PARTS: ReservationParts = {
+  predictsLength: true,
+  addsOwnWork: true,
+  expectsOthers: true,
+  spreads: true,
+  followsPrefix: true,
+  prefersRegion: true,
+  waitsForRoom: true,
+};
+
+interface Candidate {
+  readonly endpoint: EndpointView;
+  readonly memory: MemoryPrediction;
+  readonly isNear: boolean;
+}
+
+function isKnown({ endpoint }: Candidate): boolean {
+  return endpoint.report !== undefined;
+}
+
+function findFreest(candidates: ReadonlyArray<Candidate>): Candidate {
+  return candidates.reduce((best, candidate) =>
+    candidate.memory.freeTokens > best.memory.freeTokens ? candidate : best,
+  );
+}
+
+function explainCandidate(
+  { freeTokens }: MemoryPrediction,
+  neededTokens: number,
+  isNear: boolean,
+): string {
+  if (freeTokens < neededTokens) {
+    return `room for ${Math.round(freeTokens)} tokens, ${Math.round(neededTokens)} needed`;
+  }
+  return isNear ? 'less free memory, or not drawn' : 'in another region';
+}
+
+/** @public */
+export class ReserveByQuantilePolicy extends RoutingPolicy {
+  static override readonly type = 'reserve-by-quantile';
+
+  constructor(
+    random: SeededRandom,
+    options: Partial<RoutingOptions> = {},
+    private readonly parts: ReservationParts = ALL_PARTS,
+  ) {
+    super(random, options);
+  }
+
+  protected override choose(
+    request: RoutingRequest,
+    usable: ReadonlyArray<EndpointView>,
+    context: RoutingContext,
+  ): PolicyChoice {
+    const neededTokens = this.predictNeed(request);
+    const others = this.assumeOthers(request, usable);
+    const candidates = usable.map((endpoint) => ({
+      endpoint,
+      memory: this.predict(endpoint, context, others),
+      isNear: endpoint.vm.region === request.region || !this.parts.prefersRegion,
+    }));
+    const roomy = candidates.filter(
+      (candidate) => !isKnown(candidate) || candidate.memory.freeTokens >= neededTokens,
+    );
+    const near = roomy.filter(({ isNear }) => isNear);
+    const eligible = near.length > 0 ? near : roomy;
+    if (eligible.length > 0) return this.pick(request, candidates, eligible, neededTokens);
+    return this.handleFull(request, candidates, neededTokens);
+  }
+
+  private predictNeed({ promptTokens, forecast }: RoutingRequest): number {
+    if (!forecast || !this.parts.predictsLength) return promptTokens;
+    return promptTokens + forecast.predictRemainingTokens(0, this.options.reserveQuantile);
+  }
+
+  private predict(
+    endpoint: EndpointView,
+    { nowMs }: RoutingContext,
+    others: OthersAssumption,
+  ): MemoryPrediction {
+    const { addsOwnWork, predictsLength } = this.parts;
+    const reservations = addsOwnWork
+      ? endpoint.reservations.map((reservation) =>
+          predictsLength ? reservation : { ...reservation, forecast: undefined },
+        )
+      : [];
+    return predictMemory({ ...endpoint, reservations }, nowMs, others, this.options);
+  }
+
+  /** Takes the node's own work as typical of what other nodes have under way. */
+  private assumeOthers(
+    request: RoutingRequest,
+    usable: ReadonlyArray<EndpointView>,
+  ): OthersAssumption {
+    if (!this.parts.expectsOthers || !this.parts.predictsLength) {
+      return { remainingTokens: 0, promptTokens: 0 };
+    }
+    const own = usable.flatMap(({ reservations }) => reservations);
+    const remaining = own.map(
+      ({ forecast, producedTokens }) =>
+        forecast?.predictRemainingTokens(producedTokens, this.options.typicalQuantile) ?? 0,
+    );
+    const { forecast, promptTokens } = request;
+    const first = forecast?.predictRemainingTokens(0, this.options.typicalQuantile) ?? 0;
+    const sum = (values: ReadonlyArray<number>): number => values.reduce((a, b) => a + b, 0);
+    return {
+      remainingTokens: (sum(remaining) + first) / (own.length + 1),
+      promptTokens: (sum(own.map((held) => held.promptTokens)) + promptTokens) / (own.length + 1),
+    };
+  }
+
+  private pick(
+    request: RoutingRequest,
+    candidates: ReadonlyArray<Candidate>,
+    eligible: ReadonlyArray<Candidate>,
+    neededTokens: number,
+  ): PolicyChoice {
+    const drawn = this.parts.spreads ? this.drawByFreeMemory(eligible) : findFreest(eligible);
+    const chosen = this.parts.followsPrefix ? this.followPrefix(request, eligible, drawn) : drawn;
+    const why =
+      chosen === drawn ? 'room for the predicted length' : 'room, and the start of its prompt';
+    return {
+      outcome: 'route',
+      chosen: chosen.endpoint,
+      reason: `The engine has ${why}.`,
+      clause: getServedClause(request),
+      passedOver: this.explain(candidates, neededTokens, chosen),
+      measured: {
+        neededTokens: Math.round(neededTokens),
+        freeTokens: Math.round(chosen.memory.freeTokens),
+        reportAgeMs: Math.round(chosen.endpoint.reportAgeMs),
+        ownOutstanding: chosen.endpoint.reservations.length,
+      },
+    };
+  }
+
+  private drawByFreeMemory(eligible: ReadonlyArray<Candidate>): Candidate {
+    const weights = eligible.map(({ memory }) => Math.max(1, memory.freeTokens));
+    const first = eligible[this.random.nextWeightedIndex(weights)] as Candidate;
+    const second = eligible[this.random.nextWeightedIndex(weights)] as Candidate;
+    return findFreest([first, second]);
+  }
+
+  /** The saved prefill must outweigh the time lost beside more running work. */
+  private followPrefix(
+    request: RoutingRequest,
+    eligible: ReadonlyArray<Candidate>,
+    drawn: Candidate,
+  ): Candidate {
+    if (drawn.endpoint.holdsPrefix) return drawn;
+    const holder = eligible.find(({ endpoint }) => endpoint.holdsPrefix);
+    if (!holder) return drawn;
+    const outputTokens = request.forecast?.predictRemainingTokens(0, 0.5) ?? 0;
+    const extraRunning = holder.memory.running - drawn.memory.running;
+    const extraWaitMs = computeExtraWaitMs(extraRunning, outputTokens, this.options);
+    return computeSavedPrefillMs(request.promptTokens, this.options) > extraWaitMs ? holder : drawn;
+  }
+
+  private handleFull(
+    request: RoutingRequest,
+    candidates: ReadonlyArray<Candidate>,
+    neededTokens: number,
+  ): PolicyChoice {
+    const freest = findFreest(candidates);
+    // A generation that fits into no engine at all, even an empty one, would wait for ever.
+    const isAlone = freest.memory.running === 0;
+    if (isAlone || !this.parts.waitsForRoom) {
+      return this.pick(request, candidates, [freest], neededTokens);
+    }
+    return {
+      outcome: 'wait',
+      reason: `No engine has room for the predicted length of ${request.kind.name}.`,
+      clause: `${request.clausePath}.maxWaitMs`,
+      passedOver: this.explain(candidates, neededTokens),
+      measured: {
+        neededTokens: Math.round(neededTokens),
+        freeTokens: Math.round(freest.memory.freeTokens),
+      },
+      neededTokens,
+      freeTokens: freest.memory.freeTokens,
+    };
+  }
+
+  private explain(
+    candidates: ReadonlyArray<Candidate>,
+    neededTokens: number,
+    chosen?: Candidate,
+  ): ReadonlyArray<PassedOver> {
+    return candidates
+      .slice(0, this.options.maxPassedOver + 1)
+      .filter((candidate) => candidate !== chosen)
+      .map(({ endpoint, memory, isNear }) => ({
+        candidate: endpoint.endpointId,
+        reason: explainCandidate(memory, neededTokens, isNear),
+      }));
+  }
+}
+
+registerRoutingPolicy(ReserveByQuantilePolicy);
--- /dev/null
+++ b/src/decisions/admission.ts
@@ -0,0 +1,107 @@
+/**
+ * Order of waiting work, and when waiting is pointless.
+ *
+ * A request whose expected wait is longer than its contract allows is refused at once, with the
+ * time after which a retry is worthwhile, so that its caller doesn't wait for a refusal.
+ */
+import type { RoutingOptions } from './options';
+
+/** What the order of waiting work depends on. @public */
+export interface WaitingWork {
+  readonly rank: number;
+  readonly deadlineMs: number;
+  /** Order of arrival, which decides between equal ranks and deadlines. */
+  readonly arrival: number;
+}
+
+/** Rank first, then deadline; an earlier arrival wins a tie. */
+export function compareWaitingWork(a: WaitingWork, b: WaitingWork): number {
+  return a.rank - b.rank || a.deadlineMs - b.deadlineMs || a.arrival - b.arrival;
+}
+
+/** @public */
+export interface ExpectedWaitInput {
+  /** Tokens of waiting work that is served earlier. */
+  readonly tokensAhead: number;
+  readonly neededTokens: number;
+  readonly freeTokens: number;
+  /** Rate at which this node's room becomes free; undefined while nothing has ended. */
+  readonly freedTokensPerMs: number | undefined;
+}
+
+/** Expected wait; undefined while nothing is known of the rate. */
+export function expectWaitMs({
+  tokensAhead,
+  neededTokens,
+  freeTokens,
+  freedTokensPerMs,
+}: ExpectedWaitInput): number | undefined {
+  if (freedTokensPerMs === undefined || freedTokensPerMs <= 0) return undefined;
+  return Math.max(0, tokensAhead + neededTokens - Math.max(0, freeTokens)) / freedTokensPerMs;
+}
+
+/** @public */
+export type AdmissionVerdict =
+  | { readonly admitted: true; readonly expectedWaitMs: number | undefined }
+  | {
+      readonly admitted: false;
+      readonly reason: string;
+      readonly clause: string;
+      readonly retryAfterMs: number;
+      readonly measured: Readonly<Record<string, number>>;
+    };
+
+/** Decides whether a request that finds no room may wait. */
+export function decideAdmission(
+  input: ExpectedWaitInput,
+  allowed: { readonly clausePath: string; readonly maxWaitMs: number },
+  { minRetryAfterMs }: Pick<RoutingOptions, 'minRetryAfterMs'>,
+): AdmissionVerdict {
+  const expectedWaitMs = expectWaitMs(input);
+  if (allowed.maxWaitMs > 0 && (expectedWaitMs ?? 0) <= allowed.maxWaitMs) {
+    return { admitted: true, expectedWaitMs };
+  }
+  const clause = `${allowed.clausePath}.maxWaitMs`;
+  const expected = Math.round(expectedWaitMs ?? 0);
+  const wait = expectedWaitMs === undefined ? 'some wait' : `a wait of ${expected} ms`;
+  return {
+    admitted: false,
+    reason: `No engine has room, and ${wait} is expected where ${clause} allows ${allowed.maxWaitMs} ms.`,
+    clause,
+    retryAfterMs: Math.max(minRetryAfterMs, expected - allowed.maxWaitMs),
+    measured: {
+      tokensAhead: input.tokensAhead,
+      neededTokens: input.neededTokens,
+      freeTokens: Math.round(input.freeTokens),
+      expectedWaitMs: expected,
+      maxWaitMs: allowed.maxWaitMs,
+    },
+  };
+}
+
+/**
+ * Smoothed rate at which this node's own work gives room back. Tokens and intervals are smoothed
+ * apart, so that a burst of releases isn't taken for a high rate.
+ */
+export class FreedRoomRate {
+  private lastMs: number | undefined;
+
+  private smoothedTokens = 0;
+
+  private smoothedIntervalMs = 0;
+
+  constructor(private readonly options: Pick<RoutingOptions, 'rateSmoothing'>) {}
+
+  get tokensPerMs(): number | undefined {
+    return this.smoothedIntervalMs > 0 ? this.smoothedTokens / this.smoothedIntervalMs : undefined;
+  }
+
+  note(freedTokens: number, nowMs: number): void {
+    const { lastMs } = this;
+    this.lastMs = nowMs;
+    if (lastMs === undefined) return;
+    const { rateSmoothing } = this.options;
+    this.smoothedTokens += rateSmoothing * (freedTokens - this.smoothedTokens);
+    this.smoothedIntervalMs += rateSmoothing * (nowMs - lastMs - this.smoothedIntervalMs);
+  }
+}
--- a/src/plugins/fleet/KnownFleet.ts
+++ b/src/plugins/fleet/KnownFleet.ts
@@ -36,6 +36,8 @@
 
   private readonly nodeStates = new Map<VmId, Heard<AgedNodeState>>();
 
+  private readonly reportListeners = new Set<() => void>();
+
   constructor(
     private readonly published: PublishedState,
     private readonly clock: Clock,
@@ -73,11 +75,18 @@
   }
 
   mergeReports(reports: ReadonlyArray<AgedReport>): void {
+    let hasNewer = false;
     reports.forEach(({ endpointId, report, ageMs }) => {
       const heardAtMs = this.clock.nowMs() - ageMs;
       if (heardAtMs <= (this.reports.get(endpointId)?.heardAtMs ?? -Infinity)) return;
       this.reports.set(endpointId, { value: report, heardAtMs });
+      hasNewer = true;
     });
+    if (hasNewer) this.reportListeners.forEach((listener) => listener());
+  }
+
+  onReports(listener: () => void): void {
+    this.reportListeners.add(listener);
   }
 
   mergeNodeStates(states: ReadonlyArray<AgedNodeState>): void {
--- a/src/plugins/routing/EndpointRouter.ts
+++ b/src/plugins/routing/EndpointRouter.ts
@@ -1,71 +1,307 @@
 /**
- * Assignment of work to endpoints by this node's own in-flight counts.
+ * Assignment of work to endpoints.
+ *
+ * Calls of services are decided at once and never wait. Generations join one queue in rank order;
+ * it is served when a request arrives, when room is released and when newer reports come in.
  */
-import { ServingError, type EndpointId } from '../../core';
+import { ServingError, type Clock, type EndpointId, type GenerationKind } from '../../core';
+import {
+  FreedRoomRate,
+  InFlightReservations,
+  LeastOutstandingPolicy,
+  LengthEstimator,
+  RecentPrefixes,
+  ReserveByQuantilePolicy,
+  ROUTING_OPTIONS,
+  SeededRandom,
+  decideAdmission,
+  type EndpointView,
+  type LengthForecast,
+  type LengthKey,
+  type RoutingContext,
+  type RoutingPolicy,
+  type RoutingRequest,
+  type RoutingVerdict,
+} from '../../decisions';
 import {
   Router,
   type Assignment,
   type DecisionLog,
   type Fleet,
-  type FleetEndpoint,
   type RoutedWork,
 } from '../../services';
+import { recordVerdict } from './recordVerdict';
+import { WaitingQueue } from './WaitingQueue';
+import { WaitingRequest } from './WaitingRequest';
+
+/** @internal */
+export interface EndpointRouterParameters {
+  readonly fleet: Fleet;
+  readonly decisions: DecisionLog;
+  readonly clock: Clock;
+  /** Seed of the random choices of this node. */
+  readonly seed: number;
+  /** Aborted when the node stops. */
+  readonly stopSignal: AbortSignal;
+  /** Policy for generations. */
+  readonly policy?: RoutingPolicy;
+}
 
-function serves(endpoint: FleetEndpoint, { clause: { kind } }: RoutedWork): boolean {
-  return kind.type === 'call'
-    ? endpoint.vm.service === kind.service
-    : (endpoint.vm.models ?? []).includes(kind.model);
+function createCancelledError(work: RoutedWork): ServingError {
+  return new ServingError('overloaded', {
+    detail: 'The request was cancelled while it waited for an engine.',
+    clause: `${work.clause.path}.maxWaitMs`,
+  });
+}
+
+function createLengthKey(work: RoutedWork, kind: GenerationKind): LengthKey {
+  return {
+    customer: work.inForce.contract.customer,
+    kindOfWork: kind.name,
+    maxOutputTokens: kind.maxOutputTokens,
+  };
 }
 
 /** @internal */
 export class EndpointRouter extends Router {
-  private readonly outstanding = new Map<EndpointId, number>();
+  private readonly fleet: Fleet;
+
+  private readonly decisions: DecisionLog;
+
+  private readonly clock: Clock;
+
+  private readonly stopSignal: AbortSignal;
+
+  private readonly callPolicy: RoutingPolicy;
+
+  private readonly generationPolicy: RoutingPolicy;
+
+  private readonly estimator = new LengthEstimator();
+
+  private readonly reservations = new InFlightReservations();
+
+  private readonly prefixes = new RecentPrefixes();
 
-  constructor(
-    private readonly fleet: Fleet,
-    private readonly decisions: DecisionLog,
-  ) {
+  private readonly freedRoom = new FreedRoomRate(ROUTING_OPTIONS);
+
+  private readonly queue = new WaitingQueue();
+
+  private arrivals = 0;
+
+  constructor({ fleet, decisions, clock, seed, stopSignal, policy }: EndpointRouterParameters) {
     super();
+    this.fleet = fleet;
+    this.decisions = decisions;
+    this.clock = clock;
+    this.stopSignal = stopSignal;
+    const random = new SeededRandom(seed);
+    this.callPolicy = new LeastOutstandingPolicy(random);
+    this.generationPolicy = policy ?? new ReserveByQuantilePolicy(random);
+    fleet.onReports(() => this.serveWaiting());
   }
 
-  async assign(work: RoutedWork): Promise<Assignment> {
-    const candidates = this.fleet.listEndpoints().filter((endpoint) => serves(endpoint, work));
-    const usable = candidates
-      .filter(({ assignable }) => assignable.allowed)
-      .filter(({ endpointId }) => !work.excluded.includes(endpointId))
-      .sort((a, b) => this.count(a) - this.count(b));
-    const [chosen] = usable;
-    this.decisions.record({
-      requestId: work.requestId,
-      customer: work.inForce.contract.customer,
-      kindOfWork: work.clause.kind.name,
-      contractRevision: work.inForce.revision,
-      clause: work.clause.path,
-      step: chosen ? 'route' : 'refuse',
-      chosen: chosen?.endpointId,
-      passedOver: candidates
-        .filter((candidate) => candidate !== chosen)
-        .map(({ endpointId, assignable }) => ({
-          candidate: endpointId,
-          reason: assignable.allowed ? 'more work outstanding' : assignable.reason,
-        })),
-      reason: chosen ? 'least work outstanding' : 'no endpoint may be assigned',
+  /** Requests that wait for room. */
+  get waitingCount(): number {
+    return this.queue.size;
+  }
+
+  /** Requests that hold a reservation. */
+  get reservedCount(): number {
+    return this.reservations.size;
+  }
+
+  async assign(work: RoutedWork, signal: AbortSignal): Promise<Assignment> {
+    const { kind } = work.clause;
+    if (kind.type === 'call') return this.assignCall(work);
+    return this.assignGeneration(work, kind, AbortSignal.any([signal, this.stopSignal]));
+  }
+
+  private assignCall(work: RoutedWork): Assignment {
+    const verdict = this.decide(this.callPolicy, work, undefined, this.fleet.self.region);
+    recordVerdict(this.decisions, work, verdict);
+    if (verdict.outcome === 'route') return this.reserve(work, verdict.endpointId, undefined);
+    throw new ServingError('no-endpoint', { detail: verdict.reason, clause: verdict.clause });
+  }
+
+  private async assignGeneration(
+    work: RoutedWork,
+    kind: GenerationKind,
+    signal: AbortSignal,
+  ): Promise<Assignment> {
+    if (signal.aborted) throw createCancelledError(work);
+    const waiting = this.createWaiting(work, kind);
+    this.queue.add(waiting);
+    try {
+      this.serveWaiting();
+      const waitMs = waiting.deadlineMs - this.clock.nowMs();
+      await this.clock.sleep(waitMs, AbortSignal.any([signal, waiting.settledSignal]));
+    } finally {
+      this.queue.remove(waiting);
+    }
+    if (signal.aborted) {
+      waiting.assignment?.release({ complete: false, outputTokens: 0 });
+      throw createCancelledError(work);
+    }
+    if (waiting.assignment) return waiting.assignment;
+    throw waiting.error ?? this.refuseLate(waiting);
+  }
+
+  private createWaiting(work: RoutedWork, kind: GenerationKind): WaitingRequest {
+    const forecast = this.estimator.getForecast(createLengthKey(work, kind));
+    this.arrivals += 1;
+    return new WaitingRequest({
+      work,
+      kind,
+      forecast,
+      neededTokens:
+        work.promptTokens + forecast.predictRemainingTokens(0, ROUTING_OPTIONS.reserveQuantile),
+      arrivedAtMs: this.clock.nowMs(),
+      arrival: this.arrivals,
     });
-    if (!chosen) {
-      throw new ServingError('no-endpoint', {
-        detail: `No endpoint serves ${work.clause.kind.name}.`,
-        clause: work.clause.path,
-      });
+  }
+
+  /** Serves waiting requests in order; the first of a model that finds no room holds up the rest. */
+  private serveWaiting(): void {
+    const fullModels = new Map<string, { readonly freeTokens: number; tokensAhead: number }>();
+    this.queue.list().forEach((waiting) => {
+      const { model } = waiting.kind;
+      const full = fullModels.get(model) ?? this.tryToRoute(waiting);
+      if (!full) return;
+      fullModels.set(model, full);
+      if (!waiting.isAdmitted) this.admit(waiting, full);
+      full.tokensAhead += waiting.neededTokens;
+    });
+  }
+
+  /** Returns the room that was found when it isn't enough. */
+  private tryToRoute(waiting: WaitingRequest) {
+    const { work, forecast } = waiting;
+    const { homeRegion } = work.inForce.contract;
+    const verdict = this.decide(this.generationPolicy, work, forecast, homeRegion);
+    if (verdict.outcome === 'wait') {
+      if (!waiting.isAdmitted) recordVerdict(this.decisions, work, verdict);
+      return { freeTokens: verdict.freeTokens, tokensAhead: 0 };
     }
-    this.outstanding.set(chosen.endpointId, this.count(chosen) + 1);
+    const waitedMs = Math.round(this.clock.nowMs() - waiting.arrivedAtMs);
+    recordVerdict(this.decisions, work, verdict, { waitedMs });
+    this.queue.remove(waiting);
+    if (verdict.outcome === 'route') {
+      waiting.assign(this.reserve(work, verdict.endpointId, forecast));
+    } else {
+      const { reason, clause } = verdict;
+      waiting.refuse(new ServingError('no-endpoint', { detail: reason, clause }));
+    }
+    return undefined;
+  }
+
+  private admit(
+    waiting: WaitingRequest,
+    { freeTokens, tokensAhead }: { readonly freeTokens: number; readonly tokensAhead: number },
+  ): void {
+    const { work, kind, neededTokens } = waiting;
+    const verdict = decideAdmission(
+      { tokensAhead, neededTokens, freeTokens, freedTokensPerMs: this.freedRoom.tokensPerMs },
+      { clausePath: work.clause.path, maxWaitMs: kind.maxWaitMs },
+      ROUTING_OPTIONS,
+    );
+    if (verdict.admitted) {
+      waiting.admit();
+      return;
+    }
+    this.queue.remove(waiting);
+    waiting.refuse(this.refuse(work, verdict));
+  }
+
+  private refuseLate({ work, kind, neededTokens }: WaitingRequest): ServingError {
+    const clause = `${work.clause.path}.maxWaitMs`;
+    return this.refuse(work, {
+      reason: `No engine had room within the ${kind.maxWaitMs} ms that ${clause} allows.`,
+      clause,
+      retryAfterMs: ROUTING_OPTIONS.minRetryAfterMs,
+      measured: { neededTokens, maxWaitMs: kind.maxWaitMs },
+    });
+  }
+
+  private refuse(
+    work: RoutedWork,
+    verdict: {
+      readonly reason: string;
+      readonly clause: string;
+      readonly retryAfterMs: number;
+      readonly measured: Readonly<Record<string, number>>;
+    },
+  ): ServingError {
+    const { reason, clause, retryAfterMs } = verdict;
+    recordVerdict(this.decisions, work, { ...verdict, outcome: 'refuse', passedOver: [] });
+    return new ServingError('overloaded', { detail: reason, clause, retryAfterMs });
+  }
+
+  private decide(
+    policy: RoutingPolicy,
+    work: RoutedWork,
+    forecast: LengthForecast | undefined,
+    region: string,
+  ): RoutingVerdict {
+    const request: RoutingRequest = {
+      customer: work.inForce.contract.customer,
+      kind: work.clause.kind,
+      clausePath: work.clause.path,
+      region,
+      promptTokens: work.promptTokens,
+      excluded: work.excluded,
+      forecast,
+    };
+    return policy.decide(request, this.listViews(work.prefixHash), this.getContext());
+  }
+
+  private listViews(prefixHash: string | undefined): ReadonlyArray<EndpointView> {
+    const holders = this.prefixes.find(prefixHash);
+    return this.fleet.listEndpoints().map((endpoint) => ({
+      ...endpoint,
+      reservations: this.reservations.list(endpoint.endpointId),
+      holdsPrefix: holders.includes(endpoint.endpointId),
+    }));
+  }
+
+  private getContext(): RoutingContext {
+    const decidingNodes = this.fleet.listNodes().filter(({ state }) => state === 'serving').length;
+    return { nowMs: this.clock.nowMs(), decidingNodes: Math.max(1, decidingNodes) };
+  }
+
+  private reserve(
+    work: RoutedWork,
+    endpointId: EndpointId,
+    forecast: LengthForecast | undefined,
+  ): Assignment {
+    const endpoint = this.fleet.findEndpoint(endpointId);
+    if (!endpoint) throw new ServingError('no-endpoint', { detail: `${endpointId} is gone.` });
+    const handle = this.reservations.add({
+      endpointId,
+      startedAtMs: this.clock.nowMs(),
+      rank: work.clause.kind.rank,
+      promptTokens: work.promptTokens,
+      producedTokens: 0,
+      forecast,
+    });
+    if (work.prefixHash !== undefined && forecast) this.prefixes.note(work.prefixHash, endpointId);
     return {
-      endpoint: chosen,
-      noteTokens: () => {},
-      release: () => this.outstanding.set(chosen.endpointId, this.count(chosen) - 1),
+      endpoint,
+      noteTokens: (outputTokens) => this.reservations.noteTokens(endpointId, handle, outputTokens),
+      release: (outcome) => {
+        const released = this.reservations.release(endpointId, handle);
+        if (released) this.handleRelease(work, outcome);
+      },
     };
   }
 
-  private count({ endpointId }: FleetEndpoint): number {
-    return this.outstanding.get(endpointId) ?? 0;
+  private handleRelease(
+    work: RoutedWork,
+    { complete, outputTokens }: Parameters<Assignment['release']>[0],
+  ): void {
+    const { kind } = work.clause;
+    if (kind.type === 'call') return;
+    if (complete) this.estimator.observe(createLengthKey(work, kind), outputTokens);
+    this.freedRoom.note(work.promptTokens + outputTokens, this.clock.nowMs());
+    this.serveWaiting();
   }
 }
--- a/src/services/Fleet.ts
+++ b/src/services/Fleet.ts
@@ -67,6 +67,9 @@
   /** Takes node states that are newer than those held. */
   abstract mergeNodeStates(states: ReadonlyArray<AgedNodeState>): void;
 
+  /** Calls the listener after newer reports were taken, so that waiting work can be looked at. */
+  abstract onReports(listener: () => void): void;
+
   abstract listReports(): ReadonlyArray<AgedReport>;
 
   abstract listNodeStates(): ReadonlyArray<AgedNodeState>;
