Add generations and metrics as plug-ins

Cause: the node could not run a model for a caller yet. Change: a task for each request takes a place of the limits, an engine from the router, and relays the engine's events in order. Resume and cancel work on any node with the signed token. Metrics are kept in a registry for each kernel. Conclusion: the interfaces can be merged and reviewed; behaviour isn't shown yet.

--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -146,6 +146,12 @@
     mayRepeat: true,
     reason: 'The engine stopped in the middle of the generation; what came before is all there is.',
   },
+  'position-gap': {
+    status: 502,
+    run: 'run',
+    mayRepeat: true,
+    reason: 'The engine skipped a part of the generation; what came before is all there is.',
+  },
   'slow-reader': {
     status: 408,
     run: 'run',
--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -4,6 +4,8 @@
 import './plugins/published';
 import './plugins/fleet';
 import './plugins/explain';
+import './plugins/metrics';
 import './plugins/routing';
+import './plugins/generations';
 import './plugins/calls';
 import './plugins/http';
--- /dev/null
+++ b/src/plugins/generations/StreamMeter.ts
@@ -0,0 +1,101 @@
+/**
+ * Times of one generation: first token, gaps, stalls and preemptions.
+ *
+ * Only time spent waiting for the engine counts; time spent waiting for a slow caller does not.
+ */
+import type { Clock, EndpointReport } from '../../core';
+import type { Fleet, FleetEndpoint, MetricLabels, ServingMetrics } from '../../services';
+import type { GenerationOptions } from './options';
+
+/** @internal */
+export interface MeterParameters {
+  readonly clock: Clock;
+  readonly options: GenerationOptions;
+  readonly metrics: ServingMetrics | undefined;
+  readonly labels: MetricLabels;
+  readonly fleet: Fleet;
+  readonly endpoint: FleetEndpoint;
+  /** Arrival of the request; undefined where the first token was measured elsewhere. */
+  readonly arrivedAtMs: number | undefined;
+}
+
+/** @internal */
+export class StreamMeter {
+  private tokens = 0;
+
+  private stallMs = 0;
+
+  /** Undefined while the caller, not the engine, is waited for. */
+  private waitingSinceMs: number | undefined;
+
+  private preemptionsBefore: number | undefined;
+
+  private pendingStall:
+    { readonly preemptionsBefore: number; readonly deadlineMs: number } | undefined;
+
+  constructor(private readonly parameters: MeterParameters) {
+    this.waitingSinceMs = parameters.clock.nowMs();
+    this.preemptionsBefore = this.findReport()?.preemptions;
+  }
+
+  get tokenCount(): number {
+    return this.tokens;
+  }
+
+  getSilentMs(): number {
+    return this.waitingSinceMs === undefined
+      ? 0
+      : this.parameters.clock.nowMs() - this.waitingSinceMs;
+  }
+
+  /** Report of the engine when it is recent enough to show that the engine lives. */
+  findReport(): EndpointReport | undefined {
+    const { fleet, endpoint, options } = this.parameters;
+    const found = fleet.findEndpoint(endpoint.endpointId);
+    return found && found.reportAgeMs <= options.reportMaxAgeMs ? found.report : undefined;
+  }
+
+  noteToken(): void {
+    const { clock, metrics, labels, options, arrivedAtMs } = this.parameters;
+    const gapMs = this.getSilentMs();
+    if (this.tokens > 0) metrics?.observeTokenGap(labels, gapMs);
+    else if (arrivedAtMs !== undefined) {
+      metrics?.observeFirstToken(labels, clock.nowMs() - arrivedAtMs);
+    }
+    if (this.tokens > 0 && gapMs >= options.stallReportMs) this.noteStall(gapMs);
+    if (this.pendingStall) this.settleStall(this.pendingStall);
+    this.tokens += 1;
+    this.waitingSinceMs = undefined;
+  }
+
+  /** The caller has taken the token; the engine is waited for again. */
+  noteWaiting(): void {
+    this.waitingSinceMs = this.parameters.clock.nowMs();
+  }
+
+  finish(): void {
+    if (this.pendingStall) this.settleStall(this.pendingStall);
+    this.parameters.metrics?.observeStall(this.parameters.labels, this.stallMs);
+  }
+
+  private noteStall(gapMs: number): void {
+    const { clock, options } = this.parameters;
+    this.stallMs += gapMs;
+    if (this.preemptionsBefore === undefined) return;
+    this.pendingStall ??= {
+      preemptionsBefore: this.preemptionsBefore,
+      deadlineMs: clock.nowMs() + options.preemptionReportLagMs,
+    };
+  }
+
+  /** A stall during which the engine's counter rose is taken for a preemption. */
+  private settleStall(stall: NonNullable<typeof this.pendingStall>): void {
+    const { clock, metrics, labels } = this.parameters;
+    const report = this.findReport();
+    const isPreempted = (report?.preemptions ?? 0) > stall.preemptionsBefore;
+    if (isPreempted) metrics?.countPreemption(labels);
+    if (!isPreempted && clock.nowMs() < stall.deadlineMs) return;
+    this.preemptionsBefore = report?.preemptions;
+    this.pendingStall = undefined;
+  }
+}
--- /dev/null
+++ b/src/plugins/generations/index.ts
@@ -0,0 +1,1 @@
+export { GenerationsPlugin } from './GenerationsPlugin';
--- /dev/null
+++ b/src/plugins/generations/superviseDeparture.ts
@@ -0,0 +1,70 @@
+/**
+ * What becomes of a generation whose caller goes away, by the contract's `whenCallerLeaves`.
+ *
+ * `cancel` waits for a grace period, so that a resume on another node comes first; the engine then
+ * refuses the cancel and the generation is treated as one to be finished. While the engine goes on,
+ * this node reads and drops its tokens, so that the place within the limits and the reservation
+ * last as long as the generation.
+ */
+import type { Clock, GenerationKind } from '../../core';
+import type { Log } from '../../kernel';
+import type { CancelOutcome } from './EngineClient';
+import type { StartingReader } from './EngineReader';
+import type { GenerationOptions } from './options';
+
+/** @internal */
+export interface Departure {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly options: GenerationOptions;
+  readonly reader: StartingReader;
+  readonly callerGone: AbortSignal;
+  /** A drain doesn't wait for a generation without a caller: the engine finishes it by itself. */
+  readonly draining: AbortSignal;
+  readonly whenCallerLeaves: GenerationKind['whenCallerLeaves'];
+}
+
+/** Resolves when the first of the signals aborts. @internal */
+export async function waitForAny(signals: ReadonlyArray<AbortSignal>): Promise<void> {
+  const over = new AbortController();
+  await new Promise<void>((resolve) => {
+    if (signals.some((signal) => signal.aborted)) resolve();
+    signals.forEach((signal) =>
+      signal.addEventListener('abort', () => resolve(), { once: true, signal: over.signal }),
+    );
+  });
+  over.abort();
+}
+
+async function tryCancel({ reader, log }: Departure): Promise<CancelOutcome> {
+  try {
+    return await reader.cancelUnattended();
+  } catch (thrown) {
+    log.warn('cancel failed', { endpoint: reader.endpoint.endpointId, cause: thrown });
+    return 'unknown';
+  }
+}
+
+/** Returns when the generation has ended or nothing more is to be done for it. @internal */
+export async function superviseDeparture(departure: Departure, ended: AbortSignal): Promise<void> {
+  const { callerGone, clock, draining, log, options, reader } = departure;
+  await waitForAny([callerGone, ended]);
+  if (ended.aborted) return;
+  if (departure.whenCallerLeaves === 'cancel') {
+    await clock.sleep(options.leaveGraceMs, ended);
+    if (ended.aborted) return;
+    const outcome = await tryCancel(departure);
+    log.info('caller left', { endpoint: reader.endpoint.endpointId, cancel: outcome });
+    if (outcome === 'cancelled') {
+      reader.stop();
+      return;
+    }
+  }
+  const timeout = new AbortController();
+  await Promise.race([
+    clock.sleep(options.unattendedMaxMs, timeout.signal),
+    waitForAny([ended, draining]),
+  ]);
+  timeout.abort();
+  reader.stop();
+}
--- /dev/null
+++ b/src/plugins/metrics/index.ts
@@ -0,0 +1,1 @@
+export { MetricsPlugin } from './MetricsPlugin';
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -2,6 +2,7 @@
 export * from './ContractBook';
 export * from './DecisionLog';
 export * from './Fleet';
+export * from './Generations';
 export * from './HttpRoutes';
 export * from './LimitLeases';
 export * from './Operations';
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,4 +1,5 @@
 /** Encoding of messages: HTTP towards callers and endpoints, frames between nodes. */
 export * from './CallerRoutes';
+export * from './createDrainingError';
 export * from './eventStream';
 export * from './problem';
