--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -19,3 +19,5 @@
 export * from './predictMemory';
 export * from './prefixAffinity';
 export * from './admission';
+export * from './relay';
+export * from './restart';
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -3,6 +3,7 @@
 export * from './ControlTraffic';
 export * from './DecisionLog';
 export * from './Fleet';
+export * from './Generations';
 export * from './HttpRoutes';
 export * from './LimitLeases';
 export * from './Operations';
