--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -1,7 +1,9 @@
 /** Abstract classes by which plug-ins meet. */
 export * from './ContractBook';
+export * from './ControlTraffic';
 export * from './DecisionLog';
 export * from './Fleet';
+export * from './Generations';
 export * from './HttpRoutes';
 export * from './LimitLeases';
 export * from './Operations';
