--- /dev/null
+++ b/src/decisions/rendezvous.ts
@@ -0,0 +1,18 @@
+/**
+ * Rendezvous hashing: nodes with the same list choose the same candidates, and a change of the list
+ * moves only the keys of the candidates that came or went.
+ */
+import { hashText } from './hashText';
+
+/** The candidates in the order of preference for a key. */
+export function rankByRendezvous<T>(
+  key: string,
+  candidates: ReadonlyArray<T>,
+  getId: (candidate: T) => string,
+): ReadonlyArray<T> {
+  return candidates
+    .map((candidate) => ({ candidate, id: getId(candidate) }))
+    .map(({ candidate, id }) => ({ candidate, id, weight: hashText(`${key}\n${id}`) }))
+    .sort((a, b) => b.weight - a.weight || (a.id < b.id ? -1 : 1))
+    .map(({ candidate }) => candidate);
+}
