--- a/src/plugins/limits/HomeHistory.ts
+++ b/src/plugins/limits/HomeHistory.ts
@@ -5,7 +5,7 @@
  * wait until they have ended.
  */
 import type { Clock, VmId } from '../../core';
-import { pickMember } from '../../decisions';
+import { pickByRendezvous } from '../../decisions';
 
 interface NodeSet {
   readonly members: ReadonlyArray<VmId>;
@@ -38,7 +38,7 @@
   }
 
   getHome(customer: string): VmId | undefined {
-    return pickMember(customer, this.sets[0]?.members ?? []);
+    return pickByRendezvous(customer, this.sets[0]?.members ?? []);
   }
 
   /** Time until slices granted by an earlier home have ended; 0 when `self` was home all along. */
@@ -47,7 +47,7 @@
     return this.sets.reduce((longest, { members }, index) => {
       const successor = this.sets[index - 1];
       const endedMs = successor ? successor.sinceMs : undefined;
-      if (endedMs === undefined || pickMember(customer, members) === self) return longest;
+      if (endedMs === undefined || pickByRendezvous(customer, members) === self) return longest;
       return Math.max(longest, endedMs + this.keptMs - nowMs);
     }, 0);
   }
