--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { CallCommand } from './CallCommand';
 import { EXIT_CODE_HELP, EXIT_CODES, type CliCommand } from './CliCommand';
 import { ContractCommand } from './ContractCommand';
+import { EmbeddedCommand } from './EmbeddedCommand';
 import { ServeCommand } from './ServeCommand';
 import { WhyCommand } from './WhyCommand';
 
@@ -15,6 +16,7 @@
   new ContractCommand(),
   new WhyCommand(),
   new CallCommand(),
+  new EmbeddedCommand(),
 ];
 
 async function main(): Promise<void> {
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -25,5 +25,4 @@
 export * from './hashText';
 export * from './neighbours';
 export * from './reading';
-export * from './rendezvous';
 export * from './reportChange';
