--- /dev/null
+++ b/src/decisions/relay.test.ts
@@ -0,0 +1,23 @@
+import fc from 'fast-check';
+import { decideRelay } from './relay';
+
+// Guards against a token that reaches the caller twice, out of order, or after one that is missing.
+test('relays a contiguous prefix of any arrivals', () => {
+  fc.assert(
+    fc.property(fc.nat(5), fc.array(fc.integer({ min: -1, max: 12 })), (first, arrivals) => {
+      const relayed: number[] = [];
+      for (const position of arrivals) {
+        const verdict = decideRelay(first + relayed.length, position);
+        if (verdict.action === 'stop') break;
+        if (verdict.action === 'relay') relayed.push(position);
+      }
+      expect(relayed).toEqual(relayed.map((_, index) => first + index));
+    }),
+    { seed: 1, numRuns: 500 },
+  );
+});
+
+// Guards against an event without an id that is counted as a token.
+test.each([NaN, -1, 0.5])('stops at position %p', (position) => {
+  expect(decideRelay(0, position).action).toBe('stop');
+});
--- a/src/plugins/generations/EngineGenerations.ts
+++ b/src/plugins/generations/EngineGenerations.ts
@@ -55,6 +55,12 @@
   readonly onToken: (outputTokens: number) => void;
 }
 
+/** How an answer without an error ended, as a label of the metrics. */
+function describeOutcome({ gone }: GenerationReceiver): string {
+  if (!gone.aborted) return 'complete';
+  return gone.reason instanceof ServingError ? gone.reason.kind : 'caller-left';
+}
+
 /** A request whose generation was started once is never reported as not run. */
 function keepRunOutcome(failure: ServingError, startedGenerations: number): ServingError {
   if (startedGenerations === 0 || getErrorAnswer(failure.kind).run !== 'not-run') return failure;
@@ -93,7 +99,7 @@
     const place = await limits?.acquire(order.inForce, 'generation', arrivedAtMs + kind.maxWaitMs);
     try {
       await this.runAttempts(order, receiver, labels, arrivedAtMs);
-      this.countAnswer(labels, receiver.gone.aborted ? 'caller-left' : 'complete');
+      this.countAnswer(labels, describeOutcome(receiver));
     } catch (thrown) {
       const error = ServingError.from(thrown);
       this.countAnswer(labels, error.kind);
@@ -135,7 +141,7 @@
         },
         onToken: () => {},
       });
-      this.countAnswer(labels, 'resumed');
+      this.countAnswer(labels, receiver.gone.aborted ? describeOutcome(receiver) : 'resumed');
     } finally {
       ended.abort();
     }
--- a/src/plugins/generations/options.ts
+++ b/src/plugins/generations/options.ts
@@ -16,13 +16,16 @@
   stallReportMs: 1_000,
   /** A first token that is later than this is reported; the target is 1,400 ms. */
   firstTokenReportMs: 2_000,
-  /** A silent connection is given up after this time. */
-  silenceMaxMs: 30_000,
+  /**
+   * A silent connection is replaced after this time. With `maxReconnections` further ones, a hung
+   * engine is given up after four times as long.
+   */
+  silenceMaxMs: 10_000,
   /**
    * The same while reports show that the engine lives: a preempted generation may wait for minutes,
    * and giving it up would lose a long report.
    */
-  silenceMaxWithReportMs: 300_000,
+  silenceMaxWithReportMs: 75_000,
   /** Oldest report that shows that an engine lives. */
   reportMaxAgeMs: 5_000,
   /** Stalls recorded as decisions for one generation; further ones are only measured. */
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -114,7 +114,7 @@
     return { contentType: this.registry.contentType, text: await this.registry.metrics() };
   }
 
-  /** Ends the observers that the process defaults install. */
+  /** Drops the metrics of a kernel that has been disposed of. */
   close(): void {
     this.registry.clear();
   }
