--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -3,7 +3,9 @@
  */
 import './plugins/published';
 import './plugins/fleet';
+import './plugins/peers';
 import './plugins/explain';
+import './plugins/limits';
 import './plugins/metrics';
 import './plugins/routing';
 import './plugins/generations';
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -2,4 +2,5 @@
 export * from './CallerRoutes';
 export * from './createDrainingError';
 export * from './eventStream';
+export * from './peerFrames';
 export * from './problem';
