Relay closing events once and measure stalls beyond the threshold

Change: closing events are held until the end of the stream. Fault tests run kernels on 127.0.0.1 against an engine whose faults stand at chosen positions.

--- a/src/plugins/generations/EngineClient.ts
+++ b/src/plugins/generations/EngineClient.ts
@@ -11,7 +11,7 @@
 
 /** @internal */
 export interface EngineEvent {
-  /** NaN when the engine sent none. */
+  /** NaN for the events that close a stream after its last token. */
   readonly position: number;
   readonly data: string;
 }
--- a/src/plugins/generations/EngineGenerations.ts
+++ b/src/plugins/generations/EngineGenerations.ts
@@ -50,7 +50,6 @@
   readonly receiver: GenerationReceiver;
   readonly meter: StreamMeter;
   readonly token: string;
-  readonly firstPosition: number;
   readonly about: StallWatch['about'];
   readonly onToken: (outputTokens: number) => void;
 }
@@ -132,7 +131,6 @@
         receiver,
         meter: this.createMeter(endpoint, labels, undefined),
         token: claim.token,
-        firstPosition: after === undefined ? 0 : after + 1,
         about: {
           requestId: claim.requestId,
           inForce: claim.inForce,
@@ -272,7 +270,6 @@
           startedBy: getDecidingVm(requestId),
           kindOfWork: clause.kind.name,
         }),
-        firstPosition: 0,
         about: { requestId, inForce, kindOfWork: clause.kind.name, clause: clause.path },
         onToken: (outputTokens) => assignment.noteTokens(outputTokens),
       });
@@ -288,19 +285,21 @@
     const ended = new AbortController();
     const { clock } = this.kernel;
     const watch: StallWatch = { ...relay, clock, options: this.options, decisions: this.decisions };
-    let position = relay.firstPosition;
+    let eventId: string | undefined;
     this.running.add(reader);
     void watchStall(watch, ended.signal);
     receiver.begin(token);
     try {
-      for await (const { data } of reader.read()) {
-        meter.noteToken();
-        onToken(meter.tokenCount);
+      for await (const event of reader.read()) {
+        if (!Number.isNaN(event.position)) {
+          meter.noteToken();
+          onToken(meter.tokenCount);
+          eventId = formatEventId(token, event.position);
+        }
         if (!receiver.gone.aborted) {
-          const behind = receiver.write({ eventId: formatEventId(token, position), data });
+          const behind = receiver.write({ eventId, data: event.data });
           if (behind) await behind;
         }
-        position += 1;
         meter.noteWaiting();
       }
     } finally {
--- a/src/plugins/generations/EngineReader.ts
+++ b/src/plugins/generations/EngineReader.ts
@@ -27,6 +27,12 @@
   readonly callerGone: AbortSignal;
 }
 
+/** Events without a position that may stand before the end: the finish reason and the usage. */
+const MAX_CLOSING_EVENTS = 4;
+
+/** How an engine marks a cancelled generation, whose length says nothing about the work. */
+const ABORTED = '"finish_reason":"abort"';
+
 /** Failures of a later attachment that may pass while the engine lives. */
 function mayPass({ kind }: ServingError): boolean {
   return kind === 'endpoint-unreachable' || kind === 'overloaded';
@@ -56,7 +62,7 @@
     this.generationId = parameters.generationId;
   }
 
-  /** Whether the engine has ended the generation itself. */
+  /** Whether the engine has ended the generation itself, without a cancel. */
   get isComplete(): boolean {
     return this.hasEnded;
   }
@@ -74,12 +80,17 @@
       if (this.isStopped) return;
       try {
         const connection = await this.attach(attachments === 0);
+        const closing: EngineEvent[] = [];
         for await (const event of connection.events) {
           if (event.data === END_OF_STREAM) {
-            this.checkEnd(event);
+            this.noteEnd(event, closing);
+            yield* closing;
             return;
           }
-          if (this.accept(event)) {
+          // Held until the end, because a broken connection brings them again.
+          if (Number.isNaN(event.position) && closing.length < MAX_CLOSING_EVENTS) {
+            closing.push(event);
+          } else if (this.accept(event)) {
             breaks = 0;
             yield event;
           }
@@ -127,13 +138,13 @@
   }
 
   /** An end that stands after positions which never came is a gap too. */
-  private checkEnd({ position }: EngineEvent): void {
+  private noteEnd({ position }: EngineEvent, closing: ReadonlyArray<EngineEvent>): void {
     if (position > this.nextPosition) {
       throw new ServingError('position-gap', {
         detail: `The engine ended at ${position} where ${this.nextPosition} was due.`,
       });
     }
-    this.hasEnded = true;
+    this.hasEnded = !closing.some(({ data }) => data.includes(ABORTED));
   }
 
   private rethrowFinal(thrown: unknown, isFirst: boolean): void {
--- a/src/plugins/generations/StreamMeter.ts
+++ b/src/plugins/generations/StreamMeter.ts
@@ -80,7 +80,7 @@
 
   private noteStall(gapMs: number): void {
     const { clock, options } = this.parameters;
-    this.stallMs += gapMs;
+    this.stallMs += gapMs - options.stallReportMs;
     if (this.preemptionsBefore === undefined) return;
     this.pendingStall ??= {
       preemptionsBefore: this.preemptionsBefore,
--- a/src/services/Generations.ts
+++ b/src/services/Generations.ts
@@ -29,9 +29,10 @@
   readonly token: string;
 }
 
-/** One event of the engine, unchanged, with the id after which a caller can resume. @public */
+/** One event of the engine, unchanged. @public */
 export interface GenerationEvent {
-  readonly eventId: string;
+  /** Id after which a caller can resume; undefined before the first token. */
+  readonly eventId: string | undefined;
   readonly data: string;
 }
 
--- a/tests/ServingFixture.ts
+++ b/tests/ServingFixture.ts
@@ -117,8 +117,7 @@
     await kernel.start();
     const checks = kernel.getAll(ReadinessCheck);
     await waitUntil('node ready', () => checks.every((check) => !check.findObstacle()));
-    const listening = logLines.find(({ event }) => event === 'listening');
-    const url = `http://${String(listening?.callerAddress)}`;
+    const url = `http://${kernel.addresses.get('callerAddress')}`;
     this.listVm(vmId, 'entry', url);
     return {
       kernel,
