Give every event of the engine a position

A node refuses an event without a position, since it can't tell whether something was lost before it. The separate event with the finish reason and the closing [DONE] had none.

The finish reason now stands in the event of the last token, and [DONE] carries the position after it. A cancelled generation ends with an error event instead of [DONE].

--- a/stand-ins/ModelEngine.ts
+++ b/stand-ins/ModelEngine.ts
@@ -273,7 +273,8 @@
     await generation.waitForEnd(this.stopping.signal);
     const outputTokens = generation.emittedTokens;
     const text = getOutputText(facts.generationId, outputTokens);
-    const reason = generation.endReason ?? 'abort';
+    const reason = generation.getFinishReason(outputTokens - 1);
+    if (!reason) return context.json({ error: { message: 'the generation was cancelled' } }, 500);
     const body = format.formatWhole(facts, text, reason, { promptTokens, outputTokens });
     return context.body(body, 200, {
       'content-type': 'application/json',
@@ -304,7 +305,7 @@
     }
     const nowMs = performance.now();
     const wasRunning = this.scheduler.cancel(generation.facts.generationId, nowMs);
-    if (wasRunning || !generation.endReason) generation.end('abort', nowMs);
+    if (wasRunning || !generation.endReason) generation.end('cancelled', nowMs);
     return context.body(null, 204);
   }
 
--- a/stand-ins/engine/CompletionFormat.ts
+++ b/stand-ins/engine/CompletionFormat.ts
@@ -2,6 +2,7 @@
  * The two forms of the widely used completions format.
  */
 import { z } from 'zod';
+import type { FinishReason } from './EngineSequence';
 
 /** Fields of a request that both forms have. */
 const commonFields = {
@@ -39,9 +40,6 @@
   readonly createdAtSeconds: number;
 }
 
-/** Why an output ended; `abort` is a cancelled generation. @public */
-export type EndReason = 'stop' | 'length' | 'abort';
-
 /** @public */
 export interface CompletionUsage {
   readonly promptTokens: number;
@@ -64,20 +62,21 @@
 
   protected abstract createWholeChoice(text: string): object;
 
-  formatToken(facts: CompletionFacts, text: string, position: number): string {
-    const choice = { index: 0, ...this.createPieceChoice(text, position), finish_reason: null };
-    return this.format(facts, this.objectNames.piece, { choices: [choice] });
-  }
-
-  formatEnd(facts: CompletionFacts, reason: EndReason): string {
-    const choice = { index: 0, ...this.createPieceChoice('', 1), finish_reason: reason };
+  /** @param reason null for every token but the last. */
+  formatToken(
+    facts: CompletionFacts,
+    text: string,
+    position: number,
+    reason: FinishReason | null,
+  ): string {
+    const choice = { index: 0, ...this.createPieceChoice(text, position), finish_reason: reason };
     return this.format(facts, this.objectNames.piece, { choices: [choice] });
   }
 
   formatWhole(
     facts: CompletionFacts,
     text: string,
-    reason: EndReason,
+    reason: FinishReason,
     { promptTokens, outputTokens }: CompletionUsage,
   ): string {
     const choice = { index: 0, ...this.createWholeChoice(text), finish_reason: reason };
--- a/stand-ins/engine/EngineGeneration.ts
+++ b/stand-ins/engine/EngineGeneration.ts
@@ -4,7 +4,11 @@
  * The text follows from the id and the position, so only the number of tokens is kept.
  */
 import { ChangeSignal } from '../ChangeSignal';
-import type { CompletionFacts, CompletionFormat, EndReason } from './CompletionFormat';
+import type { CompletionFacts, CompletionFormat } from './CompletionFormat';
+import type { FinishReason } from './EngineSequence';
+
+/** Why a generation ended. @public */
+export type EndReason = FinishReason | 'cancelled';
 
 /** What a test may ask about a generation. @public */
 export interface GenerationView {
@@ -52,6 +56,12 @@
     return this.reason;
   }
 
+  /** The reason that stands in the event of a token; null for every token but the last. */
+  getFinishReason(position: number): FinishReason | null {
+    if (position !== this.emitted - 1 || this.reason === 'cancelled') return null;
+    return this.reason ?? null;
+  }
+
   /** Infinite while the generation runs. */
   get endedAtMs(): number {
     return this.endAtMs;
--- a/stand-ins/engine/streamGeneration.ts
+++ b/stand-ins/engine/streamGeneration.ts
@@ -6,6 +6,8 @@
 import type { EngineGeneration } from './EngineGeneration';
 import { getOutputToken } from './outputTokens';
 
+const CANCELLED = { error: { message: 'the generation was cancelled' } } as const;
+
 async function write(outgoing: ServerResponse, text: string, signal: AbortSignal): Promise<void> {
   if (outgoing.write(text)) return;
   // The reader is slow; the generation goes on without it.
@@ -21,13 +23,19 @@
   const { facts, format } = generation;
   let position = fromPosition;
   while (await generation.waitForToken(position, signal)) {
-    const data = format.formatToken(facts, getOutputToken(facts.generationId, position), position);
+    const text = getOutputToken(facts.generationId, position);
+    const reason = generation.getFinishReason(position);
+    const data = format.formatToken(facts, text, position, reason);
     await write(outgoing, `id: ${position}\ndata: ${data}\n\n`, signal);
     position += 1;
   }
   if (signal.aborted || !generation.endReason) return;
-  await write(outgoing, `data: ${format.formatEnd(facts, generation.endReason)}\n\n`, signal);
-  outgoing.end('data: [DONE]\n\n');
+  // Without a proper end, nobody takes a cancelled generation for a whole one.
+  outgoing.end(
+    generation.endReason === 'cancelled'
+      ? `event: error\ndata: ${JSON.stringify(CANCELLED)}\n\n`
+      : `id: ${position}\ndata: [DONE]\n\n`,
+  );
 }
 
 /** Attaches a reader and serves it until the generation ends or the reader goes away. */
