--- a/src/plugins/generations/EngineGenerations.ts
+++ b/src/plugins/generations/EngineGenerations.ts
@@ -50,11 +50,16 @@
   readonly receiver: GenerationReceiver;
   readonly meter: StreamMeter;
   readonly token: string;
-  readonly firstPosition: number;
   readonly about: StallWatch['about'];
   readonly onToken: (outputTokens: number) => void;
 }
 
+/** How an answer without an error ended, as a label of the metrics. */
+function describeOutcome({ gone }: GenerationReceiver): string {
+  if (!gone.aborted) return 'complete';
+  return gone.reason instanceof ServingError ? gone.reason.kind : 'caller-left';
+}
+
 /** A request whose generation was started once is never reported as not run. */
 function keepRunOutcome(failure: ServingError, startedGenerations: number): ServingError {
   if (startedGenerations === 0 || getErrorAnswer(failure.kind).run !== 'not-run') return failure;
@@ -93,7 +98,7 @@
     const place = await limits?.acquire(order.inForce, 'generation', arrivedAtMs + kind.maxWaitMs);
     try {
       await this.runAttempts(order, receiver, labels, arrivedAtMs);
-      this.countAnswer(labels, receiver.gone.aborted ? 'caller-left' : 'complete');
+      this.countAnswer(labels, describeOutcome(receiver));
     } catch (thrown) {
       const error = ServingError.from(thrown);
       this.countAnswer(labels, error.kind);
@@ -126,7 +131,6 @@
         receiver,
         meter: this.createMeter(endpoint, labels, undefined),
         token: claim.token,
-        firstPosition: after === undefined ? 0 : after + 1,
         about: {
           requestId: claim.requestId,
           inForce: claim.inForce,
@@ -135,7 +139,7 @@
         },
         onToken: () => {},
       });
-      this.countAnswer(labels, 'resumed');
+      this.countAnswer(labels, receiver.gone.aborted ? describeOutcome(receiver) : 'resumed');
     } finally {
       ended.abort();
     }
@@ -266,7 +270,6 @@
           startedBy: getDecidingVm(requestId),
           kindOfWork: clause.kind.name,
         }),
-        firstPosition: 0,
         about: { requestId, inForce, kindOfWork: clause.kind.name, clause: clause.path },
         onToken: (outputTokens) => assignment.noteTokens(outputTokens),
       });
@@ -282,19 +285,21 @@
     const ended = new AbortController();
     const { clock } = this.kernel;
     const watch: StallWatch = { ...relay, clock, options: this.options, decisions: this.decisions };
-    let position = relay.firstPosition;
+    let eventId: string | undefined;
     this.running.add(reader);
     void watchStall(watch, ended.signal);
     receiver.begin(token);
     try {
-      for await (const { data } of reader.read()) {
-        meter.noteToken();
-        onToken(meter.tokenCount);
+      for await (const event of reader.read()) {
+        if (!Number.isNaN(event.position)) {
+          meter.noteToken();
+          onToken(meter.tokenCount);
+          eventId = formatEventId(token, event.position);
+        }
         if (!receiver.gone.aborted) {
-          const behind = receiver.write({ eventId: formatEventId(token, position), data });
+          const behind = receiver.write({ eventId, data: event.data });
           if (behind) await behind;
         }
-        position += 1;
         meter.noteWaiting();
       }
     } finally {
