Send a call of a service over exactly one connection

Cause: AbortSignal.timeout takes only whole milliseconds, so every call with a deadline from the system clock failed with ERR_OUT_OF_RANGE. The time to send was not checked after the connection stood, an answer of any size was read, and undici could have opened a second connection whose failure would have passed as "never connected".

Change: SingleConnection opens one connection, checks the time to send when it stands and refuses a second one. Answers over maxAnswerBytes fail. Time limits are rounded up to whole milliseconds. sendOnce takes the latest moment to send.

A reset that comes with the end of the handshake appears as a refused connection; nothing was written then.

--- /dev/null
+++ b/src/plugins/calls/UndiciServiceCalls.test.ts
@@ -0,0 +1,86 @@
+import { RawService, type RawBehaviour } from '../../../tests/RawService';
+import { SystemClock, type EndpointId } from '../../core';
+import type { FleetEndpoint, Router, ServiceCall } from '../../services';
+import { UndiciServiceCalls } from './UndiciServiceCalls';
+
+const clock = new SystemClock();
+const calls = new UndiciServiceCalls({} as Router, clock);
+const services: RawService[] = [];
+
+afterEach(async () => {
+  await Promise.all(services.splice(0).map(async (service) => service.stop()));
+});
+
+async function startService(behaviour: RawBehaviour): Promise<[RawService, FleetEndpoint]> {
+  const service = new RawService();
+  service.behaviour = behaviour;
+  services.push(service);
+  const url = await service.start();
+  return [service, { endpointId: 'credits-1' as EndpointId, vm: { url } } as FleetEndpoint];
+}
+
+function createCall(method: string): ServiceCall {
+  const body = method === 'GET' ? new Uint8Array() : new Uint8Array(300_000);
+  return { method, path: '/credit', headers: {}, body };
+}
+
+const FAILURES: ReadonlyArray<RawBehaviour> = [
+  'reset on accept',
+  'close on accept',
+  'stop listening and reset on accept',
+  'reset in the request',
+  'reset after the request',
+  'close after the request',
+  'stop listening and reset after the request',
+  'reset in the answer head',
+  'close in the answer body',
+  'malformed answer',
+  'too large an answer',
+  'no answer',
+];
+
+// Guards against a second send by the HTTP client, also for methods that it takes for idempotent,
+// and against `not-run` for a call that may have been sent.
+test.each(
+  FAILURES.flatMap((behaviour) => ['GET', 'POST'].map((method) => ({ behaviour, method }))),
+)('sends $method once: $behaviour', async ({ behaviour, method }) => {
+  const [service, endpoint] = await startService(behaviour);
+  const sent = calls.sendOnce(endpoint, createCall(method), clock.nowMs() + 400);
+  // A reset that comes with the end of the handshake looks like a refused connection.
+  const kinds = behaviour.endsWith('reset on accept')
+    ? /^(outcome-unknown|endpoint-unreachable)$/
+    : /^outcome-unknown$/;
+  await expect(sent).rejects.toMatchObject({ kind: expect.stringMatching(kinds) });
+  await clock.sleep(50);
+  if (behaviour.endsWith('reset on accept')) expect(service.requests).toEqual([]);
+  expect(service.connections).toBe(1);
+  expect(service.requests.length).toBeLessThanOrEqual(1);
+});
+
+// Guards against `unknown` where nothing can have been sent.
+test('refused connection is not run', async () => {
+  const [service, endpoint] = await startService('answer');
+  await service.stop();
+  const sent = calls.sendOnce(endpoint, createCall('POST'), clock.nowMs() + 5_000);
+  await expect(sent).rejects.toMatchObject({ kind: 'endpoint-unreachable' });
+});
+
+// Guards against a send by a node that was paused while it connected.
+test('sends nothing past the time to send', async () => {
+  const [service, endpoint] = await startService('answer');
+  const nowMs = clock.nowMs();
+  const sent = calls.sendOnce(endpoint, createCall('POST'), nowMs + 5_000, nowMs);
+  await expect(sent).rejects.toMatchObject({ kind: 'endpoint-unreachable' });
+  expect(service.requests).toEqual([]);
+});
+
+// Guards against a changed answer.
+test('hands on status, headers and body', async () => {
+  const [, endpoint] = await startService('answer');
+  const answer = await calls.sendOnce(endpoint, createCall('POST'), clock.nowMs() + 5_000);
+  expect(answer).toEqual({
+    status: 201,
+    headers: { 'x-run': '1' },
+    body: new TextEncoder().encode('run 1'),
+  });
+});
--- a/src/plugins/calls/UndiciServiceCalls.ts
+++ b/src/plugins/calls/UndiciServiceCalls.ts
@@ -1,7 +1,7 @@
 /**
  * Calls to plain services over HTTP.
  */
-import { Client, buildConnector } from 'undici';
+import { Client } from 'undici';
 import { ServingError, type Clock, type EndpointId } from '../../core';
 import {
   ServiceCalls,
@@ -12,6 +12,7 @@
   type ServiceCall,
 } from '../../services';
 import { CALL_OPTIONS } from './options';
+import { SingleConnection } from './SingleConnection';
 
 type CallContext = Parameters<Operations['run']>[2];
 
@@ -45,18 +46,18 @@
     endpoint: FleetEndpoint,
     call: ServiceCall,
     deadlineMs: number,
+    sendDeadlineMs: number = deadlineMs,
   ): Promise<ServiceAnswer> {
-    let isConnected = false;
-    const connect = buildConnector({ timeout: CALL_OPTIONS.connectTimeoutMs });
+    const signal = AbortSignal.timeout(Math.max(1, Math.ceil(deadlineMs - this.clock.nowMs())));
     // A connection of its own: one kept alive may be closed by the service at the moment of use,
     // and then nobody knows whether the call was run.
+    const connection = new SingleConnection(
+      () => !signal.aborted && this.clock.nowMs() < sendDeadlineMs,
+    );
     const client = new Client(endpoint.vm.url, {
       pipelining: 1,
-      connect: (options, callback) =>
-        connect(options, (...result) => {
-          isConnected = result[0] === null;
-          callback(...result);
-        }),
+      maxResponseSize: CALL_OPTIONS.maxAnswerBytes,
+      connect: connection.connect,
     });
     try {
       const response = await client.request({
@@ -64,16 +65,17 @@
         path: call.path,
         headers: call.headers,
         body: call.body.length > 0 ? call.body : null,
-        signal: AbortSignal.timeout(Math.max(1, deadlineMs - this.clock.nowMs())),
+        signal,
       });
       const body = new Uint8Array(await response.body.arrayBuffer());
       return { status: response.statusCode, headers: copyHeaders(response.headers), body };
     } catch (thrown) {
-      throw new ServingError(isConnected ? 'outcome-unknown' : 'endpoint-unreachable', {
+      throw new ServingError(connection.wasUsed ? 'outcome-unknown' : 'endpoint-unreachable', {
         detail: `${endpoint.endpointId} failed.`,
         cause: thrown,
       });
     } finally {
+      connection.end();
       await client.destroy();
     }
   }
@@ -107,7 +109,7 @@
     excluded: ReadonlyArray<EndpointId>,
     deadlineMs: number,
   ): ReturnType<Router['assign']> {
-    const signal = AbortSignal.timeout(Math.max(1, deadlineMs - this.clock.nowMs()));
+    const signal = AbortSignal.timeout(Math.max(1, Math.ceil(deadlineMs - this.clock.nowMs())));
     return this.router.assign(
       { ...context, promptTokens: 0, prefixHash: undefined, excluded },
       signal,
--- a/src/services/ServiceCalls.ts
+++ b/src/services/ServiceCalls.ts
@@ -25,13 +25,15 @@
 export abstract class ServiceCalls {
   /**
    * Sends the call once, on a connection of its own, without any retry.
-   * @param deadlineMs on this node's monotonic clock.
+   * @param deadlineMs latest end of the answer, on this node's monotonic clock.
+   * @param sendDeadlineMs latest moment at which the call may be sent; `deadlineMs` by default.
    * @throws ServingError `endpoint-unreachable` when nothing was sent, else `outcome-unknown`.
    */
   abstract sendOnce(
     endpoint: FleetEndpoint,
     call: ServiceCall,
     deadlineMs: number,
+    sendDeadlineMs?: number,
   ): Promise<ServiceAnswer>;
 
   /** Routes and sends a call that may be repeated, within the attempts of its contract. */
