Say a decision's reason with one full stop

Cause: reasons that end with a full stop were followed by another. Change: describeDecision drops the stop of the reason.

--- a/src/decisions/describeDecision.ts
+++ b/src/decisions/describeDecision.ts
@@ -39,9 +39,13 @@
 /** One sentence or a few for one decision. */
 export function describeDecision(decision: Decision): string {
   const time = new Date(decision.wallMs).toISOString();
-  return `${time} ${describeStep(decision)}: ${decision.reason}.${describeClause(
-    decision,
-  )}${describeMeasured(decision.measured)}${describePassedOver(decision)}`;
+  const reason = decision.reason.replace(/\.$/, '');
+  const details = [
+    describeClause(decision),
+    describeMeasured(decision.measured),
+    describePassedOver(decision),
+  ];
+  return `${time} ${describeStep(decision)}: ${reason}.${details.join('')}`;
 }
 
 function formatSeconds(ms: number): string {
