Measure the memory of the state that each node holds

Cause: the capacity page needs slopes for contracts, VM records, limit ledgers and kept decisions. Change: bench/stateCost.ts with least squares over four sizes, run by npm run bench:state.

--- /dev/null
+++ b/bench/stateCost.ts
@@ -0,0 +1,187 @@
+/**
+ * Memory and time of the state that each node holds: contracts, VM records, slices of limits and
+ * kept decisions. Prints a slope for each, for docs/CAPACITY.md.
+ *
+ * Run by `npm run bench:state`; needs `--expose-gc`, which the script passes.
+ */
+import { pack } from 'msgpackr';
+import type { Contract, CustomerId, PublishedRecord, RequestId } from '../src/core';
+import { SystemClock } from '../src/core';
+import { Log, Plugin } from '../src/kernel';
+import { TestKernel } from '../src/kernel/TestKernel';
+import { KeptDecisions } from '../src/plugins/explain/KeptDecisions';
+import { FleetPlugin } from '../src/plugins/fleet';
+import { LimitLedger } from '../src/plugins/limits/LimitLedger';
+import { PublishedBook } from '../src/plugins/published/PublishedBook';
+import { PublishedContracts } from '../src/plugins/published/PublishedContracts';
+import { PublishedState, type DecisionLog } from '../src/services';
+import { formatLine, type Measured } from './fitLine';
+import recupContract from '../examples/recup.json';
+
+const KILOBYTE = 1_024;
+const clock = new SystemClock();
+const quietLog = new Log({ level: 'error', fields: {}, write: () => {} });
+
+function getHeapBytes(): number {
+  globalThis.gc?.();
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+interface Cost {
+  readonly kilobytes: number;
+  readonly ms: number;
+}
+
+/** Builds state and measures what it holds and how long it took. */
+function measure(build: () => unknown): Cost {
+  const before = getHeapBytes();
+  const startedMs = clock.nowMs();
+  const state = build();
+  const ms = clock.nowMs() - startedMs;
+  const kilobytes = (getHeapBytes() - before) / KILOBYTE;
+  // Keeps the state reachable until it has been measured.
+  if (state === undefined) throw new Error('nothing was built');
+  return { kilobytes, ms };
+}
+
+function createContractRecords(count: number): ReadonlyArray<PublishedRecord> {
+  return Array.from({ length: count }, (_, index) => ({
+    key: `contracts/team-${index}`,
+    revision: index + 1,
+    body: JSON.stringify({
+      ...recupContract,
+      customer: `team-${index}`,
+      keyHashes: [index.toString(16).padStart(64, '0')],
+    }),
+  }));
+}
+
+function createVmRecords(count: number): ReadonlyArray<PublishedRecord> {
+  return Array.from({ length: count }, (_, index) => ({
+    key: `vms/engine-${index}`,
+    revision: index + 1,
+    body: JSON.stringify({
+      vmId: `engine-${index}`,
+      role: 'engine',
+      url: `http://10.0.${index % 250}.7:8000`,
+      dataCentre: `centre-${index % 14}`,
+      region: `region-${index % 6}`,
+      state: 'live',
+      models: [`model-${index % 37}`],
+      checksFence: true,
+    }),
+  }));
+}
+
+class BookPlugin extends Plugin {
+  static override readonly type = 'book';
+
+  override setUp(): void {
+    this.kernel.provide(PublishedState, new PublishedBook(this.kernel.clock));
+  }
+}
+
+function holdContracts(records: ReadonlyArray<PublishedRecord>): unknown {
+  const book = new PublishedBook(clock);
+  const contracts = new PublishedContracts(book, quietLog);
+  book.merge(records);
+  return { book, contracts };
+}
+
+async function holdVms(records: ReadonlyArray<PublishedRecord>): Promise<Cost> {
+  const kernel = new TestKernel([BookPlugin, FleetPlugin]);
+  await kernel.start();
+  return measure(() => kernel.get(PublishedState).merge(records));
+}
+
+function holdLedgers(count: number): unknown {
+  const { limits } = recupContract as unknown as Contract;
+  return Array.from({ length: count }, (_, index) => {
+    const ledger = new LimitLedger(clock);
+    const request = {
+      customer: `team-${index}` as CustomerId,
+      generationsInUse: 1,
+      generationsWanted: 1,
+      permitsWanted: 2,
+    };
+    const circumstances = { limits, reachableNodes: 370, listedNodes: 370, uncertainMs: 0 };
+    ledger.grant('entry-1/0123456789abcdef', request, circumstances);
+    return ledger;
+  });
+}
+
+function holdDecisions(count: number): DecisionLog {
+  const decisions = new KeptDecisions(new TestKernel([]));
+  for (let index = 0; index < count; index++) {
+    decisions.record({
+      requestId: `entry-1~${index.toString(16).padStart(16, '0')}` as RequestId,
+      customer: `team-${index % 100}` as CustomerId,
+      kindOfWork: 'audit-summary',
+      contractRevision: 7,
+      clause: 'kindsOfWork[0].model',
+      step: 'route',
+      chosen: 'engine-1',
+      passedOver: Array.from({ length: 5 }, (_, each) => ({
+        candidate: `engine-${each + index}`,
+        reason: `room for ${index} tokens, 44 needed`,
+      })),
+      reason: 'The engine has room for the predicted length.',
+      measured: { neededTokens: 44, freeTokens: index, waitedMs: index },
+    });
+  }
+  return decisions;
+}
+
+function report(name: string, costs: ReadonlyArray<readonly [number, Cost]>): void {
+  const kilobytes = costs.map(([count, cost]): Measured => [count, cost.kilobytes]);
+  const ms = costs.map(([count, cost]): Measured => [count, cost.ms]);
+  process.stdout.write(`${formatLine(`${name}, memory`, 'KB', kilobytes)}\n`);
+  process.stdout.write(`${formatLine(`${name}, time to take in`, 'ms', ms)}\n`);
+}
+
+function measureLeaseMessage(): void {
+  const request = {
+    customer: 'recup-brisbane',
+    generationsInUse: 1,
+    generationsWanted: 1,
+    permitsWanted: 2,
+  };
+  const reply = { generations: 1, permits: 2, leaseMs: 5_000, retryAfterMs: 0 };
+  const requestBytes = pack({ id: 100_000, type: 'limit.lease', body: request }).length;
+  const replyBytes = pack({ id: 100_000, reply }).length;
+  process.stdout.write(`lease: request ${requestBytes} bytes, reply ${replyBytes} bytes\n`);
+}
+
+async function main(): Promise<void> {
+  const contractCounts = [1_000, 2_000, 5_000, 11_000];
+  measure(() => holdContracts(createContractRecords(500)));
+  report(
+    'contract',
+    contractCounts.map((count) => {
+      const records = createContractRecords(count);
+      const { ms } = measure(() => holdContracts(records));
+      // The text of the records is part of what a node holds.
+      const { kilobytes } = measure(() => holdContracts(createContractRecords(count)));
+      return [count, { kilobytes, ms }] as const;
+    }),
+  );
+  const vmCosts: Array<readonly [number, Cost]> = [];
+  for (const count of [200, 400, 800, 1_570]) {
+    vmCosts.push([count, await holdVms(createVmRecords(count))]);
+  }
+  report('VM record', vmCosts);
+  report(
+    'ledger of a customer',
+    contractCounts.map((count) => [count, measure(() => holdLedgers(count))] as const),
+  );
+  report(
+    'kept decision',
+    [500, 1_000, 2_000, 4_000].map(
+      (count) => [count, measure(() => holdDecisions(count))] as const,
+    ),
+  );
+  measureLeaseMessage();
+}
+
+void main();
--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -13,10 +13,12 @@
   ['format', ['prettier', '--check', '.']],
   ['lint', ['eslint', '.', '--max-warnings', '0']],
   ['types', ['tsc']],
+  ['build', ['npm', 'run', '--silent', 'build:binary']],
 ];
 
 function run(args) {
-  return spawnSync('npx', ['--no-install', ...args], { stdio: 'inherit' }).status === 0;
+  const [command, ...rest] = args[0] === 'npm' ? args : ['npx', '--no-install', ...args];
+  return spawnSync(command, rest, { stdio: 'inherit' }).status === 0;
 }
 
 function readKnownRed() {
