Run calls that must not be repeated at most once

Cause: a repeat of a credit, booking or charge after a slow reply, a restart or a lost connection could run it twice; nothing issued or checked operation keys.

Change: OperationRules decides what an owner and a witness may answer. The operations plug-in issues signed tickets with an owner and up to two witnesses, runs them at the owner after every witness has granted them, closes them at the witnesses when the owner can't be reached, and repeats the first outcome. The witness chooses the id of a reservation, so that a reservation message delivered again late can't reopen a forgotten ticket. Every `not-run` ends the ticket; a caller that wants another try asks for a new key.

--- /dev/null
+++ b/src/decisions/OperationRules.ts
@@ -0,0 +1,203 @@
+/**
+ * What an owner and a witness may answer about an operation.
+ *
+ * Three facts make `not-run` true: only the owner's process dispatches, it dispatches only after
+ * every witness of the ticket has granted it, and a witness that has closed a reservation never
+ * grants it. A process that doesn't hold a ticket says nothing about it. The methods are pure;
+ * tests replace single ones to show that each is needed.
+ */
+import type { KeptOutcome } from './operationOutcome';
+import type { NodeProcess, OperationTicket, Reservation } from './operationTicket';
+
+/** @public */
+export type OwnerState =
+  | { readonly state: 'open' }
+  | { readonly state: 'running'; readonly fingerprint: string }
+  | {
+      readonly state: 'ended';
+      /** Undefined when the ticket was closed before any call used it. */
+      readonly fingerprint: string | undefined;
+      readonly outcome: KeptOutcome;
+    };
+
+/** @public */
+export interface OwnerView {
+  readonly self: NodeProcess;
+  readonly ticket: OperationTicket;
+  /** The owner's entry for the ticket, if it holds one. */
+  readonly entry: { readonly deadlineMs: number; readonly current: OwnerState } | undefined;
+  readonly fingerprint: string;
+  readonly nowMs: number;
+}
+
+/** @public */
+export type OwnerVerdict =
+  | { readonly verdict: 'start'; readonly deadlineMs: number }
+  | { readonly verdict: 'join' }
+  | { readonly verdict: 'repeat'; readonly outcome: KeptOutcome }
+  | { readonly verdict: 'expire'; readonly reason: string }
+  | { readonly verdict: 'reused'; readonly reason: string }
+  | { readonly verdict: 'elsewhere'; readonly reason: string };
+
+/** @public */
+export interface DispatchView {
+  readonly nowMs: number;
+  readonly ticketDeadlineMs: number;
+  /** Time limit of the call that came. */
+  readonly callDeadlineMs: number;
+}
+
+/** Which of the two deadlines has passed. @public */
+export type Lateness = 'ticket' | 'call';
+
+/** @public */
+export type WitnessState =
+  | { readonly state: 'open' }
+  | { readonly state: 'granted'; readonly fingerprint: string }
+  | { readonly state: 'closed' }
+  | {
+      readonly state: 'ended';
+      readonly fingerprint: string | undefined;
+      readonly outcome: KeptOutcome;
+    };
+
+/** @public */
+export interface WitnessView {
+  readonly self: NodeProcess;
+  readonly reservation: Reservation;
+  /** The witness's entry for the reservation, if it holds one. */
+  readonly entry: { readonly owner: NodeProcess; readonly current: WitnessState } | undefined;
+  /** Process that sent the message. */
+  readonly from: NodeProcess;
+}
+
+/** `next` is what the witness must keep before it replies. @public */
+export interface GrantVerdict {
+  readonly granted: boolean;
+  readonly reason: string;
+  readonly next?: WitnessState;
+}
+
+/** @public */
+export type CloseVerdict =
+  | { readonly verdict: 'closed'; readonly reason: string; readonly next?: WitnessState }
+  | { readonly verdict: 'ended'; readonly outcome: KeptOutcome }
+  | { readonly verdict: 'reused'; readonly reason: string }
+  | { readonly verdict: 'unknown'; readonly reason: string };
+
+const OPEN = { state: 'open' } as const;
+
+const REUSED = {
+  verdict: 'reused',
+  reason: 'The key was used with another body, path or kind of work.',
+} as const;
+
+/** @public */
+export class OperationRules {
+  /** A restarted node has a new incarnation and is another process. */
+  isSameProcess(one: NodeProcess, other: NodeProcess): boolean {
+    return one.vmId === other.vmId && one.incarnation === other.incarnation;
+  }
+
+  /** Whether this process may speak for a ticket that names it. */
+  mayVouch(named: NodeProcess, self: NodeProcess, isHeld: boolean): boolean {
+    return isHeld && this.isSameProcess(named, self);
+  }
+
+  /** Witnesses that must all grant the ticket before it is dispatched. */
+  listGrantors(ticket: OperationTicket): ReadonlyArray<Reservation> {
+    return ticket.witnesses;
+  }
+
+  /** What the owner does with a call. */
+  judgeCall({ self, ticket, entry, fingerprint, nowMs }: OwnerView): OwnerVerdict {
+    if (!this.mayVouch(ticket.owner, self, entry !== undefined)) {
+      return { verdict: 'elsewhere', reason: 'This process does not hold the ticket.' };
+    }
+    const current = entry?.current ?? OPEN;
+    if (current.state === 'open') {
+      const deadlineMs = entry?.deadlineMs ?? Infinity;
+      return nowMs < deadlineMs
+        ? { verdict: 'start', deadlineMs }
+        : { verdict: 'expire', reason: 'The key expired before the call came.' };
+    }
+    if (current.fingerprint !== undefined && current.fingerprint !== fingerprint) return REUSED;
+    return current.state === 'running'
+      ? { verdict: 'join' }
+      : { verdict: 'repeat', outcome: current.outcome };
+  }
+
+  /**
+   * Why an operation may not be dispatched once it is granted; undefined when it may. The grant may
+   * have taken long, or the process may have been paused. Times are on the owner's own clock.
+   */
+  findLateness({ nowMs, ticketDeadlineMs, callDeadlineMs }: DispatchView): Lateness | undefined {
+    if (nowMs >= ticketDeadlineMs) return 'ticket';
+    return nowMs >= callDeadlineMs ? 'call' : undefined;
+  }
+
+  /** What a witness answers to an owner that wants to dispatch. */
+  judgeGrant(view: WitnessView, fingerprint: string): GrantVerdict {
+    const { self, reservation, entry, from } = view;
+    if (!this.mayVouch(reservation, self, entry !== undefined)) {
+      return { granted: false, reason: 'The witness does not hold the reservation.' };
+    }
+    if (entry && !this.isSameProcess(entry.owner, from)) {
+      return { granted: false, reason: 'Only the owner of the ticket may dispatch it.' };
+    }
+    const current = entry?.current ?? OPEN;
+    if (current.state === 'open') {
+      return {
+        granted: true,
+        reason: 'The ticket was open.',
+        next: { state: 'granted', fingerprint },
+      };
+    }
+    // The same message delivered twice; the owner dispatches once however often it is told.
+    if (current.state === 'granted' && current.fingerprint === fingerprint) {
+      return { granted: true, reason: 'The ticket was granted before.' };
+    }
+    return { granted: false, reason: 'The ticket was closed at the witness.' };
+  }
+
+  /** What a witness answers to a node that can't reach the owner. */
+  judgeClose({ self, reservation, entry }: WitnessView, fingerprint: string): CloseVerdict {
+    if (!this.mayVouch(reservation, self, entry !== undefined)) {
+      return { verdict: 'unknown', reason: 'The witness does not hold the reservation.' };
+    }
+    const current = entry?.current ?? OPEN;
+    if (current.state === 'open' || current.state === 'closed') {
+      return {
+        verdict: 'closed',
+        reason: 'It was closed at the witness because its owner could not be reached.',
+        next: { state: 'closed' },
+      };
+    }
+    if (current.fingerprint !== undefined && current.fingerprint !== fingerprint) return REUSED;
+    return current.state === 'ended'
+      ? { verdict: 'ended', outcome: current.outcome }
+      : { verdict: 'unknown', reason: 'Its owner may have dispatched it and cannot be reached.' };
+  }
+
+  /** Whether a witness keeps an outcome that an owner reports. The first one stays. */
+  mayKeepOutcome({ self, reservation, entry, from }: WitnessView): boolean {
+    return (
+      entry !== undefined &&
+      this.mayVouch(reservation, self, true) &&
+      this.isSameProcess(entry.owner, from) &&
+      (entry.current.state === 'open' || entry.current.state === 'granted')
+    );
+  }
+
+  /**
+   * Joins the replies of all witnesses. An outcome or one closed reservation settles the matter,
+   * since the owner needs every grant.
+   */
+  joinCloseVerdicts(verdicts: ReadonlyArray<CloseVerdict>): CloseVerdict {
+    const order = ['ended', 'reused', 'closed', 'unknown'] as const;
+    const best = order
+      .map((wanted) => verdicts.find(({ verdict }) => verdict === wanted))
+      .find((found) => found !== undefined);
+    return best ?? { verdict: 'unknown', reason: 'The ticket has no witness.' };
+  }
+}
--- /dev/null
+++ b/src/decisions/operationOutcome.ts
@@ -0,0 +1,44 @@
+/**
+ * How an operation ended, as owner and witnesses keep it for repeats.
+ */
+import { z } from 'zod';
+
+/** Bytes of a body, whatever buffer they are a view of. @public */
+export const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
+/** Kinds with which an operation can end without an answer. @public */
+export const failedOperationKindSchema = z.enum([
+  'operation-closed',
+  'operation-key-expired',
+  'outcome-unknown',
+]);
+
+/** The first answer, or the reason why there is none. Never changes once kept. @public */
+export const keptOutcomeSchema = z.discriminatedUnion('state', [
+  z
+    .object({
+      state: z.literal('answered'),
+      answer: z
+        .object({
+          status: z.number().int(),
+          headers: z.record(z.string(), z.string()).readonly(),
+          body: bytesSchema,
+        })
+        .readonly(),
+    })
+    .readonly(),
+  z
+    .object({
+      state: z.literal('failed'),
+      kind: failedOperationKindSchema,
+      detail: z.string(),
+    })
+    .readonly(),
+]);
+export type KeptOutcome = z.infer<typeof keptOutcomeSchema>;
+export type FailedOutcome = Extract<KeptOutcome, { readonly state: 'failed' }>;
+
+/** Bytes that the outcome takes in a table. */
+export function countOutcomeBytes(outcome: KeptOutcome): number {
+  return outcome.state === 'answered' ? outcome.answer.body.byteLength : 0;
+}
--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -6,4 +6,5 @@
 import './plugins/explain';
 import './plugins/routing';
 import './plugins/calls';
+import './plugins/operations';
 import './plugins/http';
--- /dev/null
+++ b/src/plugins/operations/BoundedTable.ts
@@ -0,0 +1,63 @@
+/**
+ * Entries that are forgotten at their own deadline. A full table refuses new entries and never
+ * evicts one: an evicted ticket could no longer be answered for.
+ */
+import type { Clock } from '../../core';
+
+/** @internal */
+export interface ExpiringEntry {
+  readonly forgetAtMs: number;
+  readonly keptBytes: number;
+}
+
+/** @internal */
+export class BoundedTable<K, V extends ExpiringEntry> {
+  private readonly entries = new Map<K, V>();
+
+  private totalBytes = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly limits: { readonly maxEntries: number; readonly maxKeptBytes: number },
+  ) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  get keptBytes(): number {
+    return this.totalBytes;
+  }
+
+  get isFull(): boolean {
+    if (this.hasRoom()) return false;
+    this.sweep();
+    return !this.hasRoom();
+  }
+
+  /** An entry past its deadline counts as forgotten even before it is removed. */
+  find(key: K): V | undefined {
+    const entry = this.entries.get(key);
+    return entry && entry.forgetAtMs > this.clock.nowMs() ? entry : undefined;
+  }
+
+  set(key: K, entry: V): void {
+    this.totalBytes += entry.keptBytes - (this.entries.get(key)?.keptBytes ?? 0);
+    this.entries.set(key, entry);
+  }
+
+  /** Removes forgotten entries. */
+  sweep(): void {
+    const nowMs = this.clock.nowMs();
+    [...this.entries]
+      .filter(([, entry]) => entry.forgetAtMs <= nowMs)
+      .forEach(([key, entry]) => {
+        this.totalBytes -= entry.keptBytes;
+        this.entries.delete(key);
+      });
+  }
+
+  private hasRoom(): boolean {
+    return this.size < this.limits.maxEntries && this.totalBytes < this.limits.maxKeptBytes;
+  }
+}
--- /dev/null
+++ b/src/plugins/operations/OperationLedger.ts
@@ -0,0 +1,88 @@
+/**
+ * The tickets that this process has issued, with what became of them.
+ */
+import type { Clock, OperationId } from '../../core';
+import { countOutcomeBytes, type KeptOutcome, type OwnerState } from '../../decisions';
+import { BoundedTable, type ExpiringEntry } from './BoundedTable';
+import type { OperationOptions } from './options';
+
+/** @internal */
+export interface OwnerEntry extends ExpiringEntry {
+  /** Latest dispatch, on this node's clock. */
+  readonly deadlineMs: number;
+  readonly current: OwnerState;
+}
+
+/** @internal */
+export class OperationLedger {
+  private readonly table: BoundedTable<OperationId, OwnerEntry>;
+
+  private runningCount = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly options: OperationOptions,
+  ) {
+    this.table = new BoundedTable(clock, options);
+  }
+
+  /** Whether another ticket can be issued. */
+  get hasRoom(): boolean {
+    return !this.table.isFull;
+  }
+
+  /** Whether another operation can be dispatched and its answer kept. */
+  get canRun(): boolean {
+    return (
+      this.runningCount < this.options.maxRunning &&
+      this.table.keptBytes < this.options.maxKeptBytes
+    );
+  }
+
+  get size(): number {
+    return this.table.size;
+  }
+
+  find(operationId: OperationId): OwnerEntry | undefined {
+    return this.table.find(operationId);
+  }
+
+  add(operationId: OperationId, deadlineMs: number): void {
+    this.table.set(operationId, {
+      deadlineMs,
+      forgetAtMs: deadlineMs + this.options.retentionMs,
+      keptBytes: 0,
+      current: { state: 'open' },
+    });
+  }
+
+  /** Binds the ticket to one call. A running entry is not forgotten. */
+  begin(operationId: OperationId, fingerprint: string, deadlineMs: number): void {
+    this.runningCount += 1;
+    this.table.set(operationId, {
+      deadlineMs,
+      forgetAtMs: Infinity,
+      keptBytes: 0,
+      current: { state: 'running', fingerprint },
+    });
+  }
+
+  /** Keeps the outcome for repeats until the retention after the deadline has passed. */
+  end(operationId: OperationId, fingerprint: string | undefined, outcome: KeptOutcome): void {
+    const entry = this.table.find(operationId);
+    if (entry?.current.state === 'running') this.runningCount -= 1;
+    const nowMs = this.clock.nowMs();
+    const deadlineMs = entry?.deadlineMs ?? nowMs;
+    this.table.set(operationId, {
+      deadlineMs,
+      // The outcome of a call that outlasted the ticket is kept as long as any other.
+      forgetAtMs: Math.max(deadlineMs, nowMs) + this.options.retentionMs,
+      keptBytes: countOutcomeBytes(outcome),
+      current: { state: 'ended', fingerprint, outcome },
+    });
+  }
+
+  sweep(): void {
+    this.table.sweep();
+  }
+}
--- /dev/null
+++ b/src/plugins/operations/OperationsPlugin.ts
@@ -0,0 +1,98 @@
+/**
+ * Calls that may not be repeated: credits, bookings and charges.
+ */
+import { OperationRules } from '../../decisions';
+import { Plugin, registerPlugin, type Kernel } from '../../kernel';
+import { HttpRoutes, Operations, PeerHandler } from '../../services';
+import { OperationLedger } from './OperationLedger';
+import { OperationOwner } from './OperationOwner';
+import { OperationRoutes } from './OperationRoutes';
+import { OPERATION_OPTIONS, type OperationOptions } from './options';
+import { FindHandler, RunHandler } from './ownerHandlers';
+import { TicketedOperations } from './TicketedOperations';
+import { WitnessClient } from './WitnessClient';
+import { CloseHandler, GrantHandler, OutcomeHandler, ReserveHandler } from './witnessHandlers';
+import { WitnessLedger } from './WitnessLedger';
+
+/** @internal */
+export class OperationsPlugin extends Plugin {
+  static override readonly type: string = 'operations';
+
+  readonly ledger: OperationLedger;
+
+  readonly witnessLedger: WitnessLedger;
+
+  private readonly witnesses: WitnessClient;
+
+  private readonly owner: OperationOwner;
+
+  private readonly options: OperationOptions;
+
+  /** Tests pass other rules to show that each rule is needed. */
+  constructor(
+    kernel: Kernel,
+    options: OperationOptions = OPERATION_OPTIONS,
+    private readonly rules: OperationRules = new OperationRules(),
+  ) {
+    super(kernel);
+    this.options = options;
+    const self = { vmId: kernel.settings.vmId, incarnation: kernel.incarnation };
+    this.ledger = new OperationLedger(kernel.clock, options);
+    this.witnessLedger = new WitnessLedger(self, kernel.clock, rules, options);
+    const { ledger, witnessLedger } = this;
+    this.witnesses = new WitnessClient({ kernel, rules, options, witnessLedger });
+    this.owner = new OperationOwner({ kernel, rules, ledger, witnesses: this.witnesses });
+  }
+
+  override setUp(): void {
+    const { kernel, rules, options, ledger, witnessLedger, owner, witnesses } = this;
+    const operations = new TicketedOperations({
+      kernel,
+      rules,
+      options,
+      ledger,
+      witnessLedger,
+      owner,
+      witnesses,
+    });
+    kernel.provide(Operations, operations);
+    kernel.provide(HttpRoutes, new OperationRoutes(operations));
+    [
+      new RunHandler(kernel, operations, owner),
+      new FindHandler(operations),
+      new ReserveHandler(kernel, witnessLedger),
+      new GrantHandler(witnessLedger),
+      new CloseHandler(witnessLedger),
+      new OutcomeHandler(witnessLedger),
+    ].forEach((handler) => kernel.provide(PeerHandler, handler));
+  }
+
+  override async start(): Promise<void> {
+    this.kernel.runTask('forget operations', async (signal) => {
+      while (!signal.aborted) {
+        await this.kernel.clock.sleep(this.options.sweepIntervalMs, signal);
+        this.ledger.sweep();
+        this.witnessLedger.sweep();
+      }
+    });
+  }
+
+  /** Waits for operations and for their outcomes to reach the witnesses. */
+  override async drain(): Promise<void> {
+    await this.owner.waitUntilIdle();
+    await this.witnesses.waitUntilIdle();
+  }
+
+  /** A call that came after the drain had ended finishes, and its outcome is reported. */
+  override async dispose(): Promise<void> {
+    this.owner.stop();
+    const timeout = new AbortController();
+    await Promise.race([
+      this.owner.waitUntilIdle(),
+      this.kernel.clock.sleep(this.options.disposeTimeoutMs, timeout.signal),
+    ]);
+    timeout.abort();
+  }
+}
+
+registerPlugin(OperationsPlugin);
--- /dev/null
+++ b/src/plugins/operations/WitnessLedger.ts
@@ -0,0 +1,107 @@
+/**
+ * The reservations that other nodes hold at this process, and its answers about them.
+ */
+import { createOperationId, type Clock, type Incarnation, type OperationId } from '../../core';
+import {
+  countOutcomeBytes,
+  type CloseVerdict,
+  type GrantVerdict,
+  type KeptOutcome,
+  type NodeProcess,
+  type OperationRules,
+  type Reservation,
+  type WitnessState,
+  type WitnessView,
+} from '../../decisions';
+import { BoundedTable, type ExpiringEntry } from './BoundedTable';
+import type { OperationOptions } from './options';
+
+interface WitnessEntry extends ExpiringEntry {
+  readonly owner: NodeProcess;
+  readonly current: WitnessState;
+}
+
+/** @internal */
+export class WitnessLedger {
+  private readonly table: BoundedTable<OperationId, WitnessEntry>;
+
+  constructor(
+    private readonly self: NodeProcess & { readonly incarnation: Incarnation },
+    private readonly clock: Clock,
+    private readonly rules: OperationRules,
+    private readonly options: OperationOptions,
+  ) {
+    this.table = new BoundedTable(clock, options);
+  }
+
+  get size(): number {
+    return this.table.size;
+  }
+
+  /** Undefined when the table is full. */
+  reserve(owner: NodeProcess, remainingMs: number): Reservation | undefined {
+    if (this.table.isFull) return undefined;
+    const reservationId = createOperationId();
+    this.table.set(reservationId, {
+      owner,
+      current: { state: 'open' },
+      keptBytes: 0,
+      forgetAtMs: this.clock.nowMs() + remainingMs + this.options.retentionMs,
+    });
+    return { ...this.self, reservationId };
+  }
+
+  grant(from: NodeProcess, reservation: Reservation, fingerprint: string): GrantVerdict {
+    const verdict = this.rules.judgeGrant(this.view(from, reservation), fingerprint);
+    if (verdict.next) this.change(reservation, verdict.next, from);
+    return verdict;
+  }
+
+  close(from: NodeProcess, reservation: Reservation, fingerprint: string): CloseVerdict {
+    const verdict = this.rules.judgeClose(this.view(from, reservation), fingerprint);
+    if (verdict.verdict === 'closed' && verdict.next) this.change(reservation, verdict.next, from);
+    return verdict;
+  }
+
+  /** Returns whether the outcome is kept here, now or from an earlier report. */
+  keepOutcome(
+    from: NodeProcess,
+    reservation: Reservation,
+    fingerprint: string | undefined,
+    outcome: KeptOutcome,
+  ): boolean {
+    const entry = this.table.find(reservation.reservationId);
+    if (entry?.current.state === 'ended') return true;
+    const isOverBytes =
+      countOutcomeBytes(outcome) + this.table.keptBytes > this.options.maxKeptBytes;
+    if (isOverBytes || !this.rules.mayKeepOutcome(this.view(from, reservation))) return false;
+    this.change(reservation, { state: 'ended', fingerprint, outcome }, from);
+    return true;
+  }
+
+  /** State of a reservation, without a change. */
+  find(reservation: Reservation): WitnessState | undefined {
+    const entry = this.table.find(reservation.reservationId);
+    const mayVouch = this.rules.mayVouch(reservation, this.self, entry !== undefined);
+    return mayVouch ? entry?.current : undefined;
+  }
+
+  sweep(): void {
+    this.table.sweep();
+  }
+
+  private view(from: NodeProcess, reservation: Reservation): WitnessView {
+    const entry = this.table.find(reservation.reservationId);
+    return { self: this.self, reservation, entry, from };
+  }
+
+  private change({ reservationId }: Reservation, next: WitnessState, from: NodeProcess): void {
+    const entry = this.table.find(reservationId);
+    this.table.set(reservationId, {
+      owner: entry?.owner ?? from,
+      forgetAtMs: entry?.forgetAtMs ?? this.clock.nowMs() + this.options.retentionMs,
+      keptBytes: next.state === 'ended' ? countOutcomeBytes(next.outcome) : 0,
+      current: next,
+    });
+  }
+}
--- /dev/null
+++ b/src/plugins/operations/index.ts
@@ -0,0 +1,1 @@
+export { OperationsPlugin } from './OperationsPlugin';
--- /dev/null
+++ b/src/plugins/operations/operationModel.test.ts
@@ -0,0 +1,79 @@
+import fc from 'fast-check';
+import { modelRunArbitrary, OperationModel, type ModelRun } from '../../../tests/operationModel';
+import {
+  OperationRules,
+  type CloseVerdict,
+  type NodeProcess,
+  type Reservation,
+} from '../../decisions';
+
+class WithoutGrant extends OperationRules {
+  override listGrantors(): ReadonlyArray<Reservation> {
+    return [];
+  }
+}
+
+/** Takes a ticket of the predecessor on the same VM for a new one of its own. */
+function vouchForPredecessor(named: NodeProcess, self: NodeProcess): boolean {
+  return named.vmId === self.vmId && named.incarnation !== self.incarnation;
+}
+
+class WithoutOwnerIncarnation extends OperationRules {
+  override mayVouch(named: NodeProcess, self: NodeProcess, isHeld: boolean): boolean {
+    const isOwner = !('reservationId' in named);
+    return (isOwner && vouchForPredecessor(named, self)) || super.mayVouch(named, self, isHeld);
+  }
+}
+
+class WithoutWitnessIncarnation extends OperationRules {
+  override mayVouch(named: NodeProcess, self: NodeProcess, isHeld: boolean): boolean {
+    const isWitness = 'reservationId' in named;
+    return (isWitness && vouchForPredecessor(named, self)) || super.mayVouch(named, self, isHeld);
+  }
+}
+
+class WithoutDeadline extends OperationRules {
+  override findLateness(): undefined {}
+}
+
+class WithoutClosing extends OperationRules {
+  override judgeClose(...view: Parameters<OperationRules['judgeClose']>): CloseVerdict {
+    const verdict = super.judgeClose(...view);
+    return verdict.verdict === 'closed' ? { ...verdict, next: undefined } : verdict;
+  }
+}
+
+async function search(rules: OperationRules): Promise<fc.RunDetails<[ModelRun]>> {
+  const property = fc.asyncProperty(modelRunArbitrary, async (run) => {
+    const faults = await new OperationModel(run, rules).findFaults();
+    if (faults.length > 0) throw new Error(faults.join('; '));
+  });
+  return fc.check(property, { seed: 20_261, numRuns: 3_000 });
+}
+
+// Guards against a second run, a false `not-run`, a changed answer and a late dispatch.
+test('keeps its promises in any interleaving', async () => {
+  const details = await search(new OperationRules());
+  expect(details.failed ? fc.defaultReportMessage(details) : undefined).toBeUndefined();
+}, 300_000);
+
+// Guards against a model that is too weak to notice a missing mechanism.
+test.each([
+  { name: 'witness grant', rules: new WithoutGrant() },
+  { name: 'incarnation check at the owner', rules: new WithoutOwnerIncarnation() },
+  { name: 'incarnation check at the witness', rules: new WithoutWitnessIncarnation() },
+  { name: 'deadline check after the grant', rules: new WithoutDeadline() },
+  { name: 'closing at the witness', rules: new WithoutClosing() },
+])(
+  'fails without $name',
+  async ({ rules }) => {
+    const details = await search(rules);
+    if (process.env.SHOW_COUNTEREXAMPLES) {
+      process.stdout.write(`${fc.defaultReportMessage(details)}
+${String(details.errorInstance)}
+`);
+    }
+    expect(details.failed).toBe(true);
+  },
+  300_000,
+);
--- /dev/null
+++ b/tests/SimulatedFleet.ts
@@ -0,0 +1,382 @@
+/**
+ * Nodes with the operations plug-in on a network whose every message the test delivers, drops,
+ * duplicates or delays. The order depends on nothing but the test's choices.
+ */
+import { pack, unpack } from 'msgpackr';
+import {
+  checkContract,
+  findKindByName,
+  settingsSchema,
+  ServingError,
+  type Contract,
+  type CustomerId,
+  type RequestId,
+  type VmId,
+} from '../src/core';
+import type { OperationRules } from '../src/decisions';
+import { Kernel, Log } from '../src/kernel';
+import { OperationsPlugin } from '../src/plugins/operations';
+import type { OperationOptions } from '../src/plugins/operations/options';
+import {
+  ContractBook,
+  DecisionLog,
+  Fleet,
+  Operations,
+  PeerHandler,
+  Peers,
+  Router,
+  ServiceCalls,
+  type Assignment,
+  type FleetEndpoint,
+  type Peer,
+} from '../src/services';
+import { SimulatedClock } from './SimulatedClock';
+
+export const CUSTOMER = 'cafe' as CustomerId;
+
+const START_MS = 1_000_000;
+const SILENT_LOG = new Log({ level: 'error', fields: {}, write: () => {} });
+const DATA_CENTRES = [
+  { dataCentre: 'brisbane', region: 'seq' },
+  { dataCentre: 'gold-coast', region: 'seq' },
+  { dataCentre: 'cairns', region: 'fnq' },
+] as const;
+
+function createContract(customer: string): Contract {
+  const verdict = checkContract({
+    customer,
+    keyHashes: ['0'.repeat(64)],
+    homeRegion: 'seq',
+    limits: { concurrentGenerations: 1, requestsPerSecond: 1 },
+    kindsOfWork: ['credit', 'charge'].map((name) => ({
+      name,
+      type: 'call',
+      service: 'credits',
+      repeatable: false,
+      rank: 0,
+      answerWithinMs: 2_000,
+    })),
+  });
+  if (!verdict.accepted) throw new Error(JSON.stringify(verdict.faults));
+  return verdict.contract;
+}
+
+const CONTRACTS = new Map(
+  [CUSTOMER, 'other-cafe'].map((customer) => [customer, createContract(customer)]),
+);
+
+/** The contract in force, with its clause for a kind of work. */
+export function createCallContext(
+  kindOfWork = 'credit',
+  customer: string = CUSTOMER,
+): Parameters<Operations['run']>[2] {
+  const contract = CONTRACTS.get(customer);
+  const clause = contract && findKindByName(contract, kindOfWork);
+  if (!contract || clause?.kind.type !== 'call') throw new Error(`There is no call ${kindOfWork}.`);
+  return {
+    requestId: 'entry-1~0000000000000000' as RequestId,
+    inForce: { contract, revision: 1 },
+    clause: { kind: clause.kind, path: clause.path },
+  };
+}
+
+/** A message on its way: a request or reply between nodes, or to or from the service. */
+export interface Transit {
+  readonly label: string;
+  readonly from: string;
+  readonly to: string;
+  /** Whether the receiver can take it now. */
+  readonly isDeliverable: () => boolean;
+  readonly deliver: () => void;
+  readonly drop: () => void;
+  readonly mayDuplicate: boolean;
+}
+
+/** One start of a node. */
+export interface SimulatedProcess {
+  readonly vmId: VmId;
+  readonly kernel: Kernel;
+  readonly clock: SimulatedClock;
+  readonly operations: Operations;
+  isPaused: boolean;
+  isDead: boolean;
+}
+
+export interface SimulationParameters {
+  readonly nodeCount: number;
+  readonly options: OperationOptions;
+  readonly rules?: OperationRules;
+  readonly createServiceCalls: (fleet: SimulatedFleet, process: SimulatedProcess) => ServiceCalls;
+  readonly endpointUrl?: string;
+}
+
+class SimulatedPeers extends Peers {
+  constructor(
+    private readonly fleet: SimulatedFleet,
+    private readonly self: SimulatedProcess,
+  ) {
+    super();
+  }
+
+  async call(vmId: VmId, type: string, body: unknown, deadlineMs: number): Promise<unknown> {
+    const { self } = this;
+    const reply = new Promise<unknown>((resolve, reject) => {
+      this.fleet.sendRequest(self, vmId, type, pack(body), (frame, error) =>
+        error ? reject(error) : resolve(frame && unpack(frame)),
+      );
+    });
+    const timeout = self.clock.sleep(deadlineMs - self.clock.nowMs()).then(() => {
+      throw new ServingError('peer-unreachable', { detail: 'No reply came in time.' });
+    });
+    return Promise.race([reply, timeout]);
+  }
+
+  send(vmId: VmId, type: string, body: unknown): void {
+    this.fleet.sendRequest(this.self, vmId, type, pack(body), () => {});
+  }
+
+  listLinked(): ReadonlyArray<Peer> {
+    return [];
+  }
+}
+
+export class SimulatedFleet {
+  readonly processes: SimulatedProcess[] = [];
+
+  readonly decisions: string[] = [];
+
+  private queue: ReadonlyArray<Transit> = [];
+
+  private elapsedMs = START_MS;
+
+  /** Looks at each message when it is sent; what it returns is done instead of a delivery. */
+  intercept: (transit: Transit) => 'drop' | 'duplicate' | 'hold' | undefined = () => undefined;
+
+  private held: ReadonlyArray<Transit> = [];
+
+  constructor(readonly parameters: SimulationParameters) {}
+
+  async start(): Promise<void> {
+    for (let index = 0; index < this.parameters.nodeCount; index++) {
+      this.processes.push(await this.startProcess(index));
+    }
+  }
+
+  get inTransit(): ReadonlyArray<Transit> {
+    return this.queue.filter((transit) => transit.isDeliverable());
+  }
+
+  get nowMs(): number {
+    return this.elapsedMs;
+  }
+
+  async restart(index: number): Promise<void> {
+    this.kill(index);
+    this.processes[index] = await this.startProcess(index);
+  }
+
+  kill(index: number): void {
+    this.get(index).isDead = true;
+  }
+
+  get(index: number): SimulatedProcess {
+    const found = this.processes[index];
+    if (!found) throw new Error(`There is no node ${index}.`);
+    return found;
+  }
+
+  advance(byMs: number): void {
+    this.elapsedMs += byMs;
+    this.processes.forEach(({ clock }) => clock.advance(byMs));
+  }
+
+  fireTimers(): void {
+    this.processes
+      .filter((node) => !node.isPaused && !node.isDead)
+      .forEach(({ clock }) => clock.fireTimers());
+  }
+
+  /** Lets every continuation run that waits for nothing outside. */
+  async flush(): Promise<void> {
+    await new Promise<void>((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
+  take(pick: number): Transit | undefined {
+    const deliverable = this.inTransit;
+    const chosen = deliverable[pick % Math.max(1, deliverable.length)];
+    this.queue = this.queue.filter((transit) => transit !== chosen);
+    return chosen;
+  }
+
+  enqueue(transit: Transit): void {
+    const action = this.intercept(transit);
+    if (action === 'drop') transit.drop();
+    else if (action === 'hold') this.held = [...this.held, transit];
+    else this.queue = [...this.queue, transit, ...(action === 'duplicate' ? [transit] : [])];
+  }
+
+  releaseHeld(): void {
+    this.queue = [...this.queue, ...this.held];
+    this.held = [];
+  }
+
+  /** Delivers everything and lets time pass until the promise has settled. */
+  async settle<T>(promise: Promise<T>, isBusy: () => boolean = () => false): Promise<T> {
+    let isSettled = false;
+    const noteSettled = (): void => {
+      isSettled = true;
+    };
+    promise.then(noteSettled, noteSettled);
+    await this.flush();
+    while (!isSettled) {
+      await this.step(isBusy);
+    }
+    return promise;
+  }
+
+  /** Delivers everything that is in transit, and what follows from it. */
+  async deliverAll(): Promise<void> {
+    await this.flush();
+    for (let transit = this.take(0); transit; transit = this.take(0)) {
+      transit.deliver();
+      await this.flush();
+    }
+  }
+
+  sendRequest(
+    from: SimulatedProcess,
+    to: VmId,
+    type: string,
+    frame: Uint8Array,
+    answer: (reply: Uint8Array | undefined, error?: ServingError) => void,
+  ): void {
+    const target = (): SimulatedProcess | undefined =>
+      this.processes.find(({ vmId, isDead }) => vmId === to && !isDead);
+    this.enqueue({
+      label: type,
+      from: from.vmId,
+      to,
+      mayDuplicate: true,
+      isDeliverable: () => !target()?.isPaused,
+      drop: () => {},
+      deliver: () => {
+        const receiver = target();
+        if (receiver) void this.handle(from, receiver, type, frame, answer);
+      },
+    });
+  }
+
+  private async step(isBusy: () => boolean): Promise<void> {
+    const transit = this.take(0);
+    if (transit) transit.deliver();
+    else if (isBusy()) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1);
+      });
+    } else {
+      this.advance(100);
+      this.fireTimers();
+    }
+    await this.flush();
+  }
+
+  private async handle(
+    from: SimulatedProcess,
+    receiver: SimulatedProcess,
+    type: string,
+    frame: Uint8Array,
+    answer: (reply: Uint8Array | undefined, error?: ServingError) => void,
+  ): Promise<void> {
+    const peer = { vmId: from.vmId, incarnation: from.kernel.incarnation };
+    const handler = receiver.kernel.getAll(PeerHandler).find((found) => found.type === type);
+    let reply: Uint8Array | undefined;
+    let error: ServingError | undefined;
+    try {
+      reply = pack(await handler?.handle(peer, handler.schema.parse(unpack(frame))));
+    } catch (thrown) {
+      error = ServingError.from(thrown);
+    }
+    if (receiver.isDead) return;
+    this.enqueue({
+      label: `${type} reply`,
+      from: receiver.vmId,
+      to: from.vmId,
+      mayDuplicate: true,
+      isDeliverable: () => !from.isPaused,
+      drop: () => {},
+      deliver: () => {
+        if (!from.isDead) answer(reply, error);
+      },
+    });
+  }
+
+  private async startProcess(index: number): Promise<SimulatedProcess> {
+    const { options, rules } = this.parameters;
+    const place = DATA_CENTRES[index % DATA_CENTRES.length];
+    class SimulatedPlugin extends OperationsPlugin {
+      constructor(kernel: Kernel) {
+        super(kernel, options, rules);
+      }
+    }
+    const clock = new SimulatedClock(this.elapsedMs);
+    const kernel = new Kernel({
+      settings: settingsSchema.parse({
+        vmId: `entry-${index + 1}`,
+        ...place,
+        callerAddress: '127.0.0.1:0',
+        peerAddress: '127.0.0.1:0',
+        operatorAddress: '127.0.0.1:0',
+        configurationUrl: 'http://127.0.0.1:9',
+        vmListUrl: 'http://127.0.0.1:9',
+        fleetKey: 'test-fleet-key-0001',
+      }),
+      clock,
+      log: SILENT_LOG,
+      plugins: [SimulatedPlugin],
+    });
+    this.provideFakes(kernel);
+    await kernel.start();
+    const started: SimulatedProcess = {
+      vmId: kernel.settings.vmId,
+      kernel,
+      clock,
+      operations: kernel.get(Operations),
+      isPaused: false,
+      isDead: false,
+    };
+    kernel.provide(Peers, new SimulatedPeers(this, started));
+    kernel.provide(ServiceCalls, this.parameters.createServiceCalls(this, started));
+    return started;
+  }
+
+  private provideFakes(kernel: Kernel): void {
+    const endpoint = {
+      endpointId: 'credits-1',
+      vm: { url: this.parameters.endpointUrl ?? 'http://127.0.0.1:9' },
+    } as FleetEndpoint;
+    const listNodes = (): ReadonlyArray<unknown> =>
+      this.processes.map((node) => ({
+        vm: { ...node.kernel.settings, state: 'live' },
+        incarnation: node.kernel.incarnation,
+        state: node.kernel.state,
+      }));
+    kernel.provide(Fleet, { listNodes } as unknown as Fleet);
+    kernel.provide(ContractBook, {
+      find: (customer: string) => ({ contract: CONTRACTS.get(customer), revision: 1 }),
+    } as unknown as ContractBook);
+    kernel.provide(Router, {
+      assign: async (): Promise<Assignment> => ({
+        endpoint,
+        noteTokens: () => {},
+        release: () => {},
+      }),
+    });
+    kernel.provide(DecisionLog, {
+      record: ({ step, reason }: { readonly step: string; readonly reason: string }) => {
+        this.decisions.push(`${kernel.settings.vmId} ${step}: ${reason}`);
+      },
+    } as unknown as DecisionLog);
+  }
+}
