--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -26,3 +26,7 @@
 export * from './neighbours';
 export * from './reading';
 export * from './reportChange';
+export * from './OperationRules';
+export * from './operationOutcome';
+export * from './operationTicket';
+export * from './witnessChoice';
