--- a/src/plugins/generations/EngineClient.ts
+++ b/src/plugins/generations/EngineClient.ts
@@ -11,7 +11,7 @@
 
 /** @internal */
 export interface EngineEvent {
-  /** NaN for the events that close a stream after its last token. */
+  /** NaN when the engine sent none. */
   readonly position: number;
   readonly data: string;
 }
--- a/src/plugins/generations/EngineGenerations.ts
+++ b/src/plugins/generations/EngineGenerations.ts
@@ -101,7 +101,7 @@
       this.countAnswer(labels, describeOutcome(receiver));
     } catch (thrown) {
       const error = ServingError.from(thrown);
-      this.countAnswer(labels, error.kind);
+      this.countAnswer(labels, receiver.gone.aborted ? describeOutcome(receiver) : error.kind);
       throw error;
     } finally {
       place?.release();
@@ -206,6 +206,8 @@
         await this.runOnce(order, receiver, assignment, reader, meter);
         return;
       } catch (thrown) {
+        // A cancel after the caller has left ends the stream with an error; nobody is to be told.
+        if (receiver.gone.aborted) return;
         const failure = ServingError.from(thrown, 'engine-lost');
         excluded = [...excluded, endpoint.endpointId];
         startedGenerations += reader.isStarted ? 1 : 0;
@@ -254,7 +256,8 @@
         reader,
         callerGone: receiver.gone,
         draining: this.draining.signal,
-        whenCallerLeaves: clause.kind.whenCallerLeaves,
+        decisions: this.decisions,
+        order,
       },
       ended.signal,
     );
@@ -285,18 +288,15 @@
     const ended = new AbortController();
     const { clock } = this.kernel;
     const watch: StallWatch = { ...relay, clock, options: this.options, decisions: this.decisions };
-    let eventId: string | undefined;
     this.running.add(reader);
     void watchStall(watch, ended.signal);
     receiver.begin(token);
     try {
       for await (const event of reader.read()) {
-        if (!Number.isNaN(event.position)) {
-          meter.noteToken();
-          onToken(meter.tokenCount);
-          eventId = formatEventId(token, event.position);
-        }
+        meter.noteToken();
+        onToken(meter.tokenCount);
         if (!receiver.gone.aborted) {
+          const eventId = formatEventId(token, event.position);
           const behind = receiver.write({ eventId, data: event.data });
           if (behind) await behind;
         }
--- a/src/plugins/generations/EngineReader.ts
+++ b/src/plugins/generations/EngineReader.ts
@@ -27,12 +27,6 @@
   readonly callerGone: AbortSignal;
 }
 
-/** Events without a position that may stand before the end: the finish reason and the usage. */
-const MAX_CLOSING_EVENTS = 4;
-
-/** How an engine marks a cancelled generation, whose length says nothing about the work. */
-const ABORTED = '"finish_reason":"abort"';
-
 /** Failures of a later attachment that may pass while the engine lives. */
 function mayPass({ kind }: ServingError): boolean {
   return kind === 'endpoint-unreachable' || kind === 'overloaded';
@@ -62,7 +56,7 @@
     this.generationId = parameters.generationId;
   }
 
-  /** Whether the engine has ended the generation itself, without a cancel. */
+  /** Whether the engine has ended the generation itself. */
   get isComplete(): boolean {
     return this.hasEnded;
   }
@@ -80,17 +74,12 @@
       if (this.isStopped) return;
       try {
         const connection = await this.attach(attachments === 0);
-        const closing: EngineEvent[] = [];
         for await (const event of connection.events) {
           if (event.data === END_OF_STREAM) {
-            this.noteEnd(event, closing);
-            yield* closing;
+            this.noteEnd(event);
             return;
           }
-          // Held until the end, because a broken connection brings them again.
-          if (Number.isNaN(event.position) && closing.length < MAX_CLOSING_EVENTS) {
-            closing.push(event);
-          } else if (this.accept(event)) {
+          if (this.accept(event)) {
             breaks = 0;
             yield event;
           }
@@ -137,14 +126,14 @@
     return verdict.action === 'relay';
   }
 
-  /** An end that stands after positions which never came is a gap too. */
-  private noteEnd({ position }: EngineEvent, closing: ReadonlyArray<EngineEvent>): void {
-    if (position > this.nextPosition) {
+  /** The end has the position after the last token, so that a lost one is noticed. */
+  private noteEnd({ position }: EngineEvent): void {
+    if (position !== this.nextPosition) {
       throw new ServingError('position-gap', {
         detail: `The engine ended at ${position} where ${this.nextPosition} was due.`,
       });
     }
-    this.hasEnded = !closing.some(({ data }) => data.includes(ABORTED));
+    this.hasEnded = true;
   }
 
   private rethrowFinal(thrown: unknown, isFirst: boolean): void {
--- a/src/plugins/generations/superviseDeparture.ts
+++ b/src/plugins/generations/superviseDeparture.ts
@@ -6,8 +6,10 @@
  * this node reads and drops its tokens, so that the place within the limits and the reservation
  * last as long as the generation.
  */
-import type { Clock, GenerationKind } from '../../core';
+import { match } from 'ts-pattern';
+import type { Clock } from '../../core';
 import type { Log } from '../../kernel';
+import type { DecisionLog, GenerationOrder } from '../../services';
 import type { CancelOutcome } from './EngineClient';
 import type { StartingReader } from './EngineReader';
 import type { GenerationOptions } from './options';
@@ -21,7 +23,8 @@
   readonly callerGone: AbortSignal;
   /** A drain doesn't wait for a generation without a caller: the engine finishes it by itself. */
   readonly draining: AbortSignal;
-  readonly whenCallerLeaves: GenerationKind['whenCallerLeaves'];
+  readonly decisions: DecisionLog;
+  readonly order: GenerationOrder;
 }
 
 /** Resolves when the first of the signals aborts. @internal */
@@ -45,16 +48,34 @@
   }
 }
 
+function recordCancel({ decisions, order, reader }: Departure, outcome: CancelOutcome): void {
+  const reason = match(outcome)
+    .with('cancelled', () => 'the caller left, and the contract cancels its generation')
+    .with('refused', () => 'the caller left and resumed elsewhere; the engine goes on')
+    .with('unknown', () => 'the caller left, but the engine could not be told to cancel')
+    .exhaustive();
+  decisions.record({
+    requestId: order.requestId,
+    customer: order.inForce.contract.customer,
+    kindOfWork: order.clause.kind.name,
+    contractRevision: order.inForce.revision,
+    clause: `${order.clause.path}.whenCallerLeaves`,
+    step: 'finish',
+    chosen: reader.endpoint.endpointId,
+    reason,
+  });
+}
+
 /** Returns when the generation has ended or nothing more is to be done for it. @internal */
 export async function superviseDeparture(departure: Departure, ended: AbortSignal): Promise<void> {
-  const { callerGone, clock, draining, log, options, reader } = departure;
+  const { callerGone, clock, draining, options, reader } = departure;
   await waitForAny([callerGone, ended]);
   if (ended.aborted) return;
-  if (departure.whenCallerLeaves === 'cancel') {
+  if (departure.order.clause.kind.whenCallerLeaves === 'cancel') {
     await clock.sleep(options.leaveGraceMs, ended);
     if (ended.aborted) return;
     const outcome = await tryCancel(departure);
-    log.info('caller left', { endpoint: reader.endpoint.endpointId, cancel: outcome });
+    recordCancel(departure, outcome);
     if (outcome === 'cancelled') {
       reader.stop();
       return;
--- a/src/services/Generations.ts
+++ b/src/services/Generations.ts
@@ -31,8 +31,8 @@
 
 /** One event of the engine, unchanged. @public */
 export interface GenerationEvent {
-  /** Id after which a caller can resume; undefined before the first token. */
-  readonly eventId: string | undefined;
+  /** Id after which a caller can resume. */
+  readonly eventId: string;
   readonly data: string;
 }
 
--- a/tests/FaultyEngine.ts
+++ b/tests/FaultyEngine.ts
@@ -210,7 +210,7 @@
     attachment.advance();
     if (fault === 'break') resetConnection(outgoing);
     else if (fault !== 'skip' && !outgoing.write(fault === 'repeat' ? text + text : text)) {
-      await Promise.race([once(outgoing, 'drain'), once(closed, 'abort')]);
+      await once(outgoing, 'drain', { signal: closed }).catch(() => {});
     }
   }
 }
--- a/tests/ServingFixture.ts
+++ b/tests/ServingFixture.ts
@@ -82,12 +82,13 @@
     private readonly vmList: VmList,
   ) {}
 
-  listVm(vmId: string, role: Vm['role'], url: string): void {
-    this.vmList.put({ ...PLACE, vmId: vmId as VmId, role, url, models: ['summary-1'] });
-  }
-
-  unlistVm(vmId: string): void {
-    this.vmList.remove(vmId as VmId);
+  listVm(
+    vmId: string,
+    role: Vm['role'],
+    url: string,
+    models: ReadonlyArray<string> = ['summary-1'],
+  ): void {
+    this.vmList.put({ ...PLACE, vmId: vmId as VmId, role, url, models });
   }
 
   async startNode(vmId: string): Promise<ServingNode> {
@@ -129,6 +130,12 @@
     };
   }
 
+  /** The metrics as an operator reads them. */
+  async readMetrics({ kernel }: ServingNode): Promise<{ readonly text: string }> {
+    const response = await fetch(`http://${kernel.addresses.get('operatorAddress')}/metrics`);
+    return { text: await response.text() };
+  }
+
   async stop(): Promise<void> {
     await Promise.all(this.nodes.map(async (node) => node.dispose()));
     await Promise.all([this.configuration.stop(), this.vmList.stop()]);
