Close the connection after a body over the limit

The rest of a refused body isn't read, so the HTTP server can't find the next request on the connection. The answer kept the connection alive all the same, and the server closed it after 500 ms: a request that followed on it was lost without an answer.

The refusal now says connection: close.

--- a/src/plugins/http/createCallerApp.ts
+++ b/src/plugins/http/createCallerApp.ts
@@ -49,6 +49,8 @@
           context as CallerContext,
           new ServingError('request-too-large', {
             detail: `The body is over ${HTTP_OPTIONS.maxBodyBytes} bytes.`,
+            // The rest of the body isn't read, so nothing else can follow on this connection.
+            headers: { connection: 'close' },
           }),
         ),
     }),
