Test the whole path over nodes as separate processes

Nothing tested the program itself: settings from the environment, listeners on ports that the system chooses, and nodes that read the platform.

Deployment starts the stand-ins in the test's process and each node as a process of its own, with a TCP relay in front of every peer listener and every endpoint, so that a test can kill, freeze or cut off any of them. Tests wait for conditions, never for fixed times.

--- /dev/null
+++ b/tests/DeployedNode.ts
@@ -0,0 +1,85 @@
+/**
+ * One node of a deployment: its process, its addresses and calls to it.
+ */
+import { getVariableName, type SettingName, type Settings, type Vm, type VmId } from '../src/core';
+import { ManagedProcess } from './ManagedProcess';
+
+/** Data centre and region of a VM. */
+export interface Place {
+  readonly dataCentre: string;
+  readonly region: string;
+}
+
+interface NodeAddresses {
+  readonly callerUrl: string;
+  readonly operatorUrl: string;
+  readonly peerAddress: string;
+}
+
+/** Calls that nothing answers end after this time, so that a test can tell. */
+const CALL_LIMIT_MS = 30_000;
+
+export class DeployedNode {
+  /** Starts the process and waits until it listens. */
+  static async start(settings: Settings): Promise<DeployedNode> {
+    const environment = Object.fromEntries(
+      Object.entries(settings).map(([name, value]) => [
+        getVariableName(name as SettingName),
+        value,
+      ]),
+    );
+    const process = new ManagedProcess(['dist/bramleyvane.cjs', 'serve'], environment);
+    const peers = await process.waitForLine('peers listening', (line) =>
+      Boolean(line.event === 'peers listening'),
+    );
+    const http = await process.waitForLine('listening', ({ event }) => event === 'listening');
+    return new DeployedNode(process, settings, {
+      callerUrl: `http://${String(http.callerAddress)}`,
+      operatorUrl: `http://${String(http.operatorAddress)}`,
+      peerAddress: String(peers.peerAddress),
+    });
+  }
+
+  private constructor(
+    readonly process: ManagedProcess,
+    readonly settings: Settings,
+    readonly addresses: NodeAddresses,
+  ) {}
+
+  get vmId(): VmId {
+    return this.settings.vmId;
+  }
+
+  /** @param peerAddress address of a relay, where the test can cut the link. */
+  describe(peerAddress = this.addresses.peerAddress): Vm {
+    const { vmId, dataCentre, region } = this.settings;
+    const url = this.addresses.callerUrl;
+    return { vmId, role: 'entry', url, peerAddress, dataCentre, region, state: 'live' };
+  }
+
+  /** A call of a customer. */
+  async call(apiKey: string, path: string, init: RequestInit = {}): Promise<Response> {
+    const headers = new Headers(init.headers);
+    headers.set('authorization', `Bearer ${apiKey}`);
+    const limit = AbortSignal.timeout(CALL_LIMIT_MS);
+    const signal = init.signal ? AbortSignal.any([init.signal, limit]) : limit;
+    return fetch(`${this.addresses.callerUrl}${path}`, { ...init, headers, signal });
+  }
+
+  /** A call of an operator. */
+  async ask(path: string): Promise<Response> {
+    return fetch(`${this.addresses.operatorUrl}${path}`);
+  }
+
+  async isReady(): Promise<boolean> {
+    return (await this.ask('/readyz')).ok;
+  }
+
+  hasLogged(event: string, fields: Readonly<Record<string, unknown>> = {}): boolean {
+    return this.process.lines.some(
+      (line) =>
+        line.event === event &&
+        Object.entries(fields).every(([name, value]) => line[name] === value),
+    );
+  }
+}
--- /dev/null
+++ b/tests/Deployment.ts
@@ -0,0 +1,191 @@
+/**
+ * A small deployment for process-level tests: stand-ins in the test's process, nodes as processes of
+ * their own.
+ */
+import { settingsSchema, type Contract, type Vm, type VmId } from '../src/core';
+import {
+  ConfigurationService,
+  ModelEngine,
+  PlainService,
+  VmList,
+  type ModelEngineOptions,
+  type PlainServiceOptions,
+  type StandIn,
+} from '../stand-ins';
+import { DeployedNode, type Place } from './DeployedNode';
+import { NetworkRelay } from './NetworkRelay';
+import { waitUntil } from './waitUntil';
+
+export interface DeploymentOptions {
+  /** Places of the nodes, which are named `entry-1`, `entry-2` and so on. */
+  readonly nodes?: ReadonlyArray<Place>;
+  /** Engines, which are named `engine-1`, `engine-2` and so on. */
+  readonly engines?: ReadonlyArray<ModelEngineOptions>;
+  /** Services by name; a service `credits` runs on the VM `credits-1`. */
+  readonly services?: Readonly<Record<string, PlainServiceOptions>>;
+  readonly contracts?: ReadonlyArray<Contract>;
+}
+
+const BRISBANE: Place = { dataCentre: 'brisbane', region: 'seq' };
+const GOLD_COAST: Place = { dataCentre: 'gold-coast', region: 'seq' };
+
+const ANY_PORT = '127.0.0.1:0';
+
+function getAddress(url: string): string {
+  return new URL(url).host;
+}
+
+export class Deployment {
+  /** Starts everything and waits until every node is ready. */
+  static async start(options: DeploymentOptions = {}): Promise<Deployment> {
+    const [configuration, vmList] = await Promise.all([
+      ConfigurationService.start(),
+      VmList.start(),
+    ]);
+    const deployment = new Deployment(configuration, vmList);
+    try {
+      await deployment.fill(options);
+    } catch (thrown) {
+      await deployment.stop();
+      throw thrown;
+    }
+    return deployment;
+  }
+
+  private startedNodes: ReadonlyArray<DeployedNode> = [];
+
+  private startedEngines: ReadonlyArray<ModelEngine> = [];
+
+  private readonly startedServices = new Map<string, PlainService>();
+
+  /** Relays in front of endpoints and of the nodes' peer listeners, by VM. */
+  private readonly relays = new Map<string, NetworkRelay>();
+
+  private constructor(
+    readonly configuration: ConfigurationService,
+    readonly vmList: VmList,
+  ) {}
+
+  /** @throws RangeError when the deployment has no such node; counted from 1. */
+  getNode(number: number): DeployedNode {
+    const node = this.startedNodes[number - 1];
+    if (!node) throw new RangeError(`no node ${number}`);
+    return node;
+  }
+
+  getEngine(number: number): ModelEngine {
+    const engine = this.startedEngines[number - 1];
+    if (!engine) throw new RangeError(`no engine ${number}`);
+    return engine;
+  }
+
+  getService(name: string): PlainService {
+    const service = this.startedServices.get(name);
+    if (!service) throw new RangeError(`no service ${name}`);
+    return service;
+  }
+
+  /** The link to a VM: its peer listener for a node, its only listener for an endpoint. */
+  getLink(vmId: string): NetworkRelay {
+    const relay = this.relays.get(vmId);
+    if (!relay) throw new RangeError(`no link to ${vmId}`);
+    return relay;
+  }
+
+  get nodes(): ReadonlyArray<DeployedNode> {
+    return this.startedNodes;
+  }
+
+  get engines(): ReadonlyArray<ModelEngine> {
+    return this.startedEngines;
+  }
+
+  publish(contract: Contract): number {
+    return this.publishText(contract.customer, JSON.stringify(contract));
+  }
+
+  /** Publishes any text as the contract of a customer. */
+  publishText(customer: string, text: string): number {
+    return this.configuration.put(`contracts/${customer}`, text);
+  }
+
+  async addNode(place: Place): Promise<DeployedNode> {
+    const node = await DeployedNode.start(
+      settingsSchema.parse({
+        vmId: `entry-${this.startedNodes.length + 1}`,
+        ...place,
+        callerAddress: ANY_PORT,
+        peerAddress: ANY_PORT,
+        operatorAddress: ANY_PORT,
+        configurationUrl: this.configuration.url,
+        vmListUrl: this.vmList.url,
+        fleetKey: 'fleet-key-of-the-tests',
+        logLevel: 'debug',
+      }),
+    );
+    this.startedNodes = [...this.startedNodes, node];
+    const relay = await NetworkRelay.start(node.addresses.peerAddress);
+    this.relays.set(node.vmId, relay);
+    this.vmList.put(node.describe(relay.address));
+    return node;
+  }
+
+  async addEngine(options: ModelEngineOptions): Promise<ModelEngine> {
+    const engine = await ModelEngine.start(options);
+    this.startedEngines = [...this.startedEngines, engine];
+    const models = options.models ?? ['summary-1'];
+    const checksFence = options.checksFence ?? true;
+    const vmId = `engine-${this.startedEngines.length}`;
+    await this.list(vmId, engine, { role: 'engine', models, checksFence });
+    return engine;
+  }
+
+  async addService(service: string, options: PlainServiceOptions): Promise<PlainService> {
+    const standIn = await PlainService.start(options);
+    this.startedServices.set(service, standIn);
+    await this.list(`${service}-1`, standIn, { role: 'service', service });
+    return standIn;
+  }
+
+  async waitUntilReady(): Promise<void> {
+    await Promise.all(
+      this.startedNodes.map(async (node) =>
+        waitUntil(`${node.vmId} is ready`, async () => node.isReady()),
+      ),
+    );
+  }
+
+  /** Ends every process that was started and every stand-in. */
+  async stop(): Promise<void> {
+    await Promise.all(this.startedNodes.map(async ({ process }) => process.kill()));
+    await Promise.all([...this.relays.values()].map(async (relay) => relay.stop()));
+    const standIns: ReadonlyArray<StandIn> = [
+      this.configuration,
+      this.vmList,
+      ...this.startedEngines,
+      ...this.startedServices.values(),
+    ];
+    await Promise.all(standIns.map(async (standIn) => standIn.stop()));
+  }
+
+  private async fill(options: DeploymentOptions): Promise<void> {
+    options.contracts?.forEach((contract) => this.publish(contract));
+    for (const engine of options.engines ?? []) await this.addEngine(engine);
+    for (const [name, service] of Object.entries(options.services ?? {})) {
+      await this.addService(name, service);
+    }
+    for (const place of options.nodes ?? [BRISBANE, GOLD_COAST]) await this.addNode(place);
+    await this.waitUntilReady();
+  }
+
+  private async list(
+    vmId: string,
+    standIn: StandIn,
+    fields: Pick<Vm, 'role' | 'models' | 'service' | 'checksFence'>,
+  ): Promise<void> {
+    const relay = await NetworkRelay.start(getAddress(standIn.url));
+    this.relays.set(vmId, relay);
+    const url = `http://${relay.address}`;
+    this.vmList.put({ vmId: vmId as VmId, url, ...BRISBANE, ...fields, state: 'live' });
+  }
+}
