Test operations under faults against a service on raw TCP

Cause: the model test replaces the HTTP client and the service.

Change: a table of faults with the real HTTP client, three nodes on the simulated network and a service that resets, holds or refuses connections.

--- /dev/null
+++ b/src/plugins/operations/operationFaults.test.ts
@@ -0,0 +1,415 @@
+import { RawService } from '../../../tests/RawService';
+import { createCallContext, CUSTOMER, SimulatedFleet } from '../../../tests/SimulatedFleet';
+import { ServingError } from '../../core';
+import type { Router } from '../../services';
+import { UndiciServiceCalls } from '../calls/UndiciServiceCalls';
+import { OPERATION_OPTIONS, type OperationOptions } from './options';
+
+const FIRST = '201 run 1';
+const LIFETIME_MS = OPERATION_OPTIONS.ticketLifetimeMs;
+
+interface Variant {
+  readonly body?: string;
+  readonly path?: string;
+  readonly kind?: string;
+  readonly customer?: string;
+  readonly key?: string;
+}
+
+/** Three nodes with a key issued by node 0, and a service reached by the real HTTP client. */
+class Scene {
+  readonly service = new RawService();
+
+  key = '';
+
+  private constructor(
+    readonly fleet: SimulatedFleet,
+    readonly url: { readonly value: string },
+  ) {}
+
+  static async start(nodeCount = 3, options: Partial<OperationOptions> = {}): Promise<Scene> {
+    const url = { value: '' };
+    const fleet = new SimulatedFleet({
+      nodeCount,
+      options: { ...OPERATION_OPTIONS, ...options },
+      getEndpointUrl: () => url.value,
+      createServiceCalls: (_, { clock }) => new UndiciServiceCalls({} as Router, clock),
+    });
+    const scene = new Scene(fleet, url);
+    url.value = await scene.service.start();
+    await fleet.start();
+    scene.key = await scene.issue(0);
+    return scene;
+  }
+
+  async issue(node: number): Promise<string> {
+    const issued = this.fleet.get(node).operations.issueTicket(CUSTOMER, 'credit');
+    return (await this.fleet.settle(issued)).key;
+  }
+
+  /** What a caller is told: status and body, or the kind of the error. */
+  async send(node: number, variant: Variant = {}): Promise<string> {
+    return this.fleet.settle(this.begin(node, variant), () => this.service.isBusy);
+  }
+
+  async begin(node: number, variant: Variant = {}): Promise<string> {
+    const { body = 'a', path = '/credit', kind, customer, key = this.key } = variant;
+    const call = { method: 'POST', path, headers: {}, body: Buffer.from(body) };
+    try {
+      const context = createCallContext(kind, customer);
+      const answer = await this.fleet.get(node).operations.run(key, call, context);
+      return `${answer.status} ${Buffer.from(answer.body).toString()}`;
+    } catch (thrown) {
+      return ServingError.from(thrown).kind;
+    }
+  }
+
+  /** Holds the answer and returns when the service has the request. */
+  async beginHeld(node: number): Promise<Array<Promise<string>>> {
+    this.service.hold();
+    const sent = this.begin(node);
+    while (!this.service.isBusy) {
+      await this.fleet.deliverAll();
+      await new Promise((resolve) => {
+        setTimeout(resolve, 1);
+      });
+    }
+    return { sent };
+  }
+
+  dropLabelled(...labels: ReadonlyArray<string>): void {
+    this.fleet.intercept = ({ label }) => (labels.includes(label) ? 'drop' : undefined);
+  }
+
+  advance(byMs: number): void {
+    this.fleet.advance(byMs);
+    this.fleet.fireTimers();
+  }
+}
+
+let scene: Scene;
+
+afterEach(async () => scene.service.stop());
+
+/** Each row: what is done, what callers are told in order, and how often the service ran. */
+const FAULTS: ReadonlyArray<{
+  readonly name: string;
+  readonly act: () => Promise<ReadonlyArray<string>>;
+  readonly told: ReadonlyArray<string>;
+  readonly runs: number;
+}> = [
+  {
+    name: 'repeat at every node',
+    act: async () => [await scene.send(1), await scene.send(0), await scene.send(2)],
+    told: [FIRST, FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'concurrent repeats',
+    act: async () => {
+      const { sent } = await scene.beginHeld(0);
+      const repeats = [scene.begin(0), scene.begin(1)];
+      await scene.fleet.deliverAll();
+      scene.service.release();
+      return scene.fleet.settle(Promise.all([sent, ...repeats]), () => true);
+    },
+    told: [FIRST, FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'another body, path or kind',
+    act: async () => [
+      await scene.send(0),
+      await scene.send(1, { body: 'b' }),
+      await scene.send(0, { path: '/charge' }),
+      await scene.send(0, { kind: 'charge' }),
+    ],
+    told: [FIRST, ...new Array<string>(3).fill('operation-key-reused')],
+    runs: 1,
+  },
+  {
+    name: 'key of another customer, forged key',
+    act: async () => [
+      await scene.send(0, { customer: 'other-cafe' }),
+      await scene.send(1, { key: `${scene.key}x` }),
+      await scene.send(1, { key: `e30.${scene.key.split('.')[1] ?? ''}` }),
+      await scene.send(1, { key: 'nonsense' }),
+    ],
+    told: new Array<string>(4).fill('invalid-token'),
+    runs: 0,
+  },
+  {
+    name: 'expired key',
+    act: async () => {
+      scene.advance(LIFETIME_MS);
+      return [await scene.send(1), await scene.send(0)];
+    },
+    told: ['operation-key-expired', 'operation-key-expired'],
+    runs: 0,
+  },
+  {
+    name: 'repeat late, and after the retention',
+    act: async () => {
+      const first = await scene.send(0);
+      scene.advance(LIFETIME_MS + OPERATION_OPTIONS.retentionMs - 1_000);
+      const late = await scene.send(1);
+      scene.advance(2_000);
+      return [first, late, await scene.send(0), await scene.send(1)];
+    },
+    told: [FIRST, FIRST, 'outcome-unknown', 'outcome-unknown'],
+    runs: 1,
+  },
+  {
+    name: 'owner restarted before the call',
+    act: async () => {
+      await scene.fleet.restart(0);
+      return [await scene.send(0), await scene.send(1)];
+    },
+    told: ['operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'owner restarted after the answer',
+    act: async () => {
+      const first = await scene.send(0);
+      await scene.fleet.deliverAll();
+      await scene.fleet.restart(0);
+      return [first, await scene.send(0), await scene.send(2), await scene.send(1, { body: 'b' })];
+    },
+    told: [FIRST, FIRST, FIRST, 'operation-key-reused'],
+    runs: 1,
+  },
+  {
+    name: 'owner killed between grant and answer',
+    act: async () => {
+      await scene.beginHeld(0);
+      scene.fleet.kill(0);
+      return [await scene.send(1), await scene.send(2)];
+    },
+    told: ['outcome-unknown', 'outcome-unknown'],
+    runs: 1,
+  },
+  {
+    name: 'owner cut off while it runs',
+    act: async () => {
+      const { sent } = await scene.beginHeld(0);
+      scene.fleet.intercept = ({ from, to }) =>
+        from === 'entry-1' || to === 'entry-1' ? 'drop' : undefined;
+      const meanwhile = await scene.fleet.settle(scene.begin(1));
+      scene.service.release();
+      const told = await scene.fleet.settle(sent, () => scene.service.isBusy);
+      scene.fleet.intercept = () => undefined;
+      return [meanwhile, told, await scene.send(1)];
+    },
+    told: ['outcome-unknown', FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'owner and one witness lost after the answer',
+    act: async () => {
+      const first = await scene.send(0);
+      await scene.fleet.deliverAll();
+      scene.fleet.kill(0);
+      await scene.fleet.restart(1);
+      return [first, await scene.send(1)];
+    },
+    told: [FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'owner and all witnesses restarted',
+    act: async () => {
+      await scene.fleet.restart(0);
+      await scene.fleet.restart(1);
+      await scene.fleet.restart(2);
+      return [await scene.send(0), await scene.send(1)];
+    },
+    told: ['outcome-unknown', 'outcome-unknown'],
+    runs: 0,
+  },
+  {
+    name: 'witness restarted before the grant',
+    act: async () => {
+      await scene.fleet.restart(1);
+      return [await scene.send(0), await scene.send(2)];
+    },
+    told: ['operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'call lost on the way to the owner',
+    act: async () => {
+      scene.dropLabelled('operation.run');
+      const lost = await scene.send(1);
+      scene.dropLabelled();
+      return [lost, await scene.send(0), await scene.send(1)];
+    },
+    told: ['operation-closed', 'operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'call delayed until its ticket is closed',
+    act: async () => {
+      scene.fleet.intercept = ({ label }) => (label === 'operation.run' ? 'hold' : undefined);
+      const delayed = await scene.send(1);
+      scene.fleet.releaseHeld();
+      await scene.fleet.deliverAll();
+      return [delayed, await scene.send(0)];
+    },
+    told: ['operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'reply of the owner lost',
+    act: async () => {
+      scene.dropLabelled('operation.run reply');
+      return [await scene.send(1), await scene.send(0)];
+    },
+    told: [FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'reply to a grant lost',
+    act: async () => {
+      scene.dropLabelled('operation.grant reply');
+      const first = await scene.send(0);
+      await scene.fleet.deliverAll();
+      scene.fleet.kill(0);
+      return [first, await scene.send(1)];
+    },
+    told: ['operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'grant delayed past the close of the owner',
+    act: async () => {
+      scene.fleet.intercept = ({ label }) => (label === 'operation.grant' ? 'hold' : undefined);
+      const first = await scene.send(0);
+      scene.fleet.releaseHeld();
+      await scene.fleet.deliverAll();
+      return [first, await scene.send(0)];
+    },
+    told: ['operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'outcome reported only at the second attempt',
+    act: async () => {
+      scene.dropLabelled('operation.outcome');
+      const first = await scene.send(0);
+      scene.dropLabelled();
+      for (let round = 0; round < 20; round++) {
+        scene.advance(100);
+        await scene.fleet.deliverAll();
+      }
+      scene.fleet.kill(0);
+      return [first, await scene.send(1)];
+    },
+    told: [FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'every message delivered twice',
+    act: async () => {
+      scene.fleet.intercept = ({ mayDuplicate }) => (mayDuplicate ? 'duplicate' : undefined);
+      return [await scene.send(1), await scene.send(2)];
+    },
+    told: [FIRST, FIRST],
+    runs: 1,
+  },
+  {
+    name: 'owner paused past the deadline while the grant is out',
+    act: async () => {
+      const sent = scene.begin(0);
+      await scene.fleet.flush();
+      scene.fleet.advance(LIFETIME_MS);
+      return [await scene.fleet.settle(sent), await scene.send(1)];
+    },
+    told: ['operation-key-expired', 'operation-key-expired'],
+    runs: 0,
+  },
+  {
+    name: 'service refuses the connection, then is back',
+    act: async () => {
+      const { port } = new URL(scene.url.value);
+      await scene.service.stop();
+      const first = await scene.send(0);
+      await scene.service.start(Number(port));
+      return [first, await scene.send(0), await scene.send(1)];
+    },
+    told: ['operation-closed', 'operation-closed', 'operation-closed'],
+    runs: 0,
+  },
+  {
+    name: 'service resets after the request',
+    act: async () => {
+      scene.service.behaviour = 'reset after the request';
+      const first = await scene.send(1);
+      scene.service.behaviour = 'answer';
+      return [first, await scene.send(0), await scene.send(2)];
+    },
+    told: ['outcome-unknown', 'outcome-unknown', 'outcome-unknown'],
+    runs: 1,
+  },
+  {
+    name: 'drain of the owner',
+    act: async () => {
+      const { kernel } = scene.fleet.get(0);
+      const { sent } = await scene.beginHeld(0);
+      const drained = kernel.drain();
+      const refused = await scene
+        .issue(0)
+        .catch((thrown: unknown) => ServingError.from(thrown).kind);
+      const joined = scene.begin(0);
+      scene.service.release();
+      const told = await scene.fleet.settle(Promise.all([sent, joined]), () => true);
+      await scene.fleet.settle(drained);
+      scene.fleet.kill(0);
+      return [refused, ...told, await scene.send(1)];
+    },
+    told: ['draining', FIRST, FIRST, FIRST],
+    runs: 1,
+  },
+];
+
+// Guards against a second run, a false `not-run`, and a repeat that gets another answer.
+test.each(FAULTS)('$name', async ({ act, told, runs }) => {
+  scene = await Scene.start();
+  expect(await act()).toEqual(told);
+  expect(scene.service.requests).toHaveLength(runs);
+});
+
+// Guards against `not-run` from a restarted node whose ticket nobody witnessed.
+test('lone node issues without a witness', async () => {
+  scene = await Scene.start(1);
+  expect(await scene.send(0)).toBe(FIRST);
+  await scene.fleet.restart(0);
+  expect(await scene.send(0)).toBe('outcome-unknown');
+  expect(scene.service.requests).toHaveLength(1);
+});
+
+// Guards against unbounded tables, and against tickets evicted while they can be used.
+test('full table refuses new keys and keeps the old', async () => {
+  scene = await Scene.start(3, { maxEntries: 3 });
+  await scene.issue(0);
+  await scene.issue(0);
+  await expect(scene.issue(0)).rejects.toMatchObject({ kind: 'overloaded' });
+  expect(await scene.send(1)).toBe(FIRST);
+  scene.advance(LIFETIME_MS + OPERATION_OPTIONS.retentionMs + 10_000);
+  expect(await scene.issue(0)).toEqual(expect.any(String));
+});
+
+// Guards against a decision that nobody can explain afterwards.
+test('logs a line for each decision', async () => {
+  scene = await Scene.start();
+  await scene.send(1);
+  scene.fleet.kill(0);
+  await scene.send(1);
+  expect(scene.fleet.decisions).toEqual([
+    'entry-2 route: the node that issued the key runs the call',
+    expect.stringMatching(/^entry-1 admit: granted by entry-2, entry-3; dispatched once$/),
+    'entry-1 finish: the service answered',
+    'entry-2 route: the node that issued the key runs the call',
+    'entry-2 retry: The owner gave no reply. Asked the witnesses: ended.',
+  ]);
+});
--- a/tests/RawService.ts
+++ b/tests/RawService.ts
@@ -43,9 +43,9 @@
     this.accept(socket);
   });
 
-  async start(): Promise<string> {
+  async start(port = 0): Promise<string> {
     await new Promise<void>((resolve) => {
-      this.server.listen(0, '127.0.0.1', resolve);
+      this.server.listen(port, '127.0.0.1', resolve);
     });
     return `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
   }
@@ -57,6 +57,11 @@
     });
   }
 
+  /** Whether a connection is open. */
+  get isBusy(): boolean {
+    return this.sockets.size > 0;
+  }
+
   /** Answers wait until `release`. */
   hold(): void {
     this.isHolding = true;
--- a/tests/SimulatedFleet.ts
+++ b/tests/SimulatedFleet.ts
@@ -107,7 +107,7 @@
   readonly options: OperationOptions;
   readonly rules?: OperationRules;
   readonly createServiceCalls: (fleet: SimulatedFleet, process: SimulatedProcess) => ServiceCalls;
-  readonly endpointUrl?: string;
+  readonly getEndpointUrl?: () => string;
 }
 
 class SimulatedPeers extends Peers {
@@ -352,10 +352,6 @@
   }
 
   private provideFakes(kernel: Kernel): void {
-    const endpoint = {
-      endpointId: 'credits-1',
-      vm: { url: this.parameters.endpointUrl ?? 'http://127.0.0.1:9' },
-    } as FleetEndpoint;
     const listNodes = (): ReadonlyArray<unknown> =>
       this.processes.map((node) => ({
         vm: { ...node.kernel.settings, state: 'live' },
@@ -368,7 +364,10 @@
     } as unknown as ContractBook);
     kernel.provide(Router, {
       assign: async (): Promise<Assignment> => ({
-        endpoint,
+        endpoint: {
+          endpointId: 'credits-1',
+          vm: { url: this.parameters.getEndpointUrl?.() },
+        } as FleetEndpoint,
         noteTokens: () => {},
         release: () => {},
       }),
