--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -3,8 +3,12 @@
  */
 import './plugins/published';
 import './plugins/fleet';
+import './plugins/peers';
 import './plugins/explain';
+import './plugins/limits';
+import './plugins/metrics';
 import './plugins/routing';
+import './plugins/generations';
 import './plugins/calls';
 import './plugins/operations';
 import './plugins/http';
--- /dev/null
+++ b/src/plugins/generations/superviseDeparture.ts
@@ -0,0 +1,91 @@
+/**
+ * What becomes of a generation whose caller goes away, by the contract's `whenCallerLeaves`.
+ *
+ * `cancel` waits for a grace period, so that a resume on another node comes first; the engine then
+ * refuses the cancel and the generation is treated as one to be finished. While the engine goes on,
+ * this node reads and drops its tokens, so that the place within the limits and the reservation
+ * last as long as the generation.
+ */
+import { match } from 'ts-pattern';
+import type { Clock } from '../../core';
+import type { Log } from '../../kernel';
+import type { DecisionLog, GenerationOrder } from '../../services';
+import type { CancelOutcome } from './EngineClient';
+import type { StartingReader } from './EngineReader';
+import type { GenerationOptions } from './options';
+
+/** @internal */
+export interface Departure {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly options: GenerationOptions;
+  readonly reader: StartingReader;
+  readonly callerGone: AbortSignal;
+  /** A drain doesn't wait for a generation without a caller: the engine finishes it by itself. */
+  readonly draining: AbortSignal;
+  readonly decisions: DecisionLog;
+  readonly order: GenerationOrder;
+}
+
+/** Resolves when the first of the signals aborts. @internal */
+export async function waitForAny(signals: ReadonlyArray<AbortSignal>): Promise<void> {
+  const over = new AbortController();
+  await new Promise<void>((resolve) => {
+    if (signals.some((signal) => signal.aborted)) resolve();
+    signals.forEach((signal) =>
+      signal.addEventListener('abort', () => resolve(), { once: true, signal: over.signal }),
+    );
+  });
+  over.abort();
+}
+
+async function tryCancel({ reader, log }: Departure): Promise<CancelOutcome> {
+  try {
+    return await reader.cancelUnattended();
+  } catch (thrown) {
+    log.warn('cancel failed', { endpoint: reader.endpoint.endpointId, cause: thrown });
+    return 'unknown';
+  }
+}
+
+function recordCancel({ decisions, order, reader }: Departure, outcome: CancelOutcome): void {
+  const reason = match(outcome)
+    .with('cancelled', () => 'the caller left, and the contract cancels its generation')
+    .with('refused', () => 'the caller left and resumed elsewhere; the engine goes on')
+    .with('unknown', () => 'the caller left, but the engine could not be told to cancel')
+    .exhaustive();
+  decisions.record({
+    requestId: order.requestId,
+    customer: order.inForce.contract.customer,
+    kindOfWork: order.clause.kind.name,
+    contractRevision: order.inForce.revision,
+    clause: `${order.clause.path}.whenCallerLeaves`,
+    step: 'finish',
+    chosen: reader.endpoint.endpointId,
+    reason,
+  });
+}
+
+/** Returns when the generation has ended or nothing more is to be done for it. @internal */
+export async function superviseDeparture(departure: Departure, ended: AbortSignal): Promise<void> {
+  const { callerGone, clock, draining, options, reader } = departure;
+  await waitForAny([callerGone, ended]);
+  if (ended.aborted) return;
+  if (departure.order.clause.kind.whenCallerLeaves === 'cancel') {
+    await clock.sleep(options.leaveGraceMs, ended);
+    if (ended.aborted) return;
+    const outcome = await tryCancel(departure);
+    recordCancel(departure, outcome);
+    if (outcome === 'cancelled') {
+      reader.stop();
+      return;
+    }
+  }
+  const timeout = new AbortController();
+  await Promise.race([
+    clock.sleep(options.unattendedMaxMs, timeout.signal),
+    waitForAny([ended, draining]),
+  ]);
+  timeout.abort();
+  reader.stop();
+}
