Exchange state between nodes by gossip and limit the readers

Cause: every node read the platform itself, knew only itself, and took an answer for fresh from the moment that it was handled.

Change: one task for each neighbour asks once a second for what is new. Ages travel only in replies, and the asking node adds the whole time since it asked; a read counts its age from the question too. Replies carry what the neighbour is not known to hold. Records are compared by digests, pulled by bucket, and pushed when they change. A claim about a source is adopted only by a node that holds the same records. Two readers in each data centre read; others take over when nothing reaches them. The VM list is compared with the records held, and an older list is ignored. A drain wins over what the same incarnation said before. The manual clock removes its abort listeners, and the kernel's signal has no limit of listeners.

--- a/src/core/Clock.ts
+++ b/src/core/Clock.ts
@@ -62,10 +62,12 @@
   async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted || delayMs <= 0) return;
     const deadlineMs = this.currentMs + delayMs;
+    const wait = new AbortController();
     await new Promise<void>((resolve) => {
       this.sleepers = [...this.sleepers, { deadlineMs, wake: resolve }];
-      signal?.addEventListener('abort', () => resolve(), { once: true });
+      signal?.addEventListener('abort', () => resolve(), { once: true, signal: wait.signal });
     });
+    wait.abort();
   }
 
   /** Moves time forward and wakes every sleeper whose deadline has passed. */
--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -4,6 +4,7 @@
 import './plugins/published';
 import './plugins/fleet';
 import './plugins/peers';
+import './plugins/gossip';
 import './plugins/explain';
 import './plugins/routing';
 import './plugins/calls';
--- a/src/kernel/Kernel.ts
+++ b/src/kernel/Kernel.ts
@@ -4,6 +4,7 @@
  * Plug-ins meet only through the abstract classes under which they provide services here. Several
  * kernels can live in one process, as in the embedded mode and in tests.
  */
+import { setMaxListeners } from 'node:events';
 import {
   createIncarnation,
   ServingError,
@@ -54,6 +55,8 @@
     this.settings = settings;
     this.clock = clock;
     this.log = log;
+    // Every task and every link listens to this signal, so their number has no fixed bound.
+    setMaxListeners(0, this.stopping.signal);
     this.plugins = plugins.map((PluginType) => new PluginType(this));
   }
 
--- a/src/plugins/fleet/KnownFleet.ts
+++ b/src/plugins/fleet/KnownFleet.ts
@@ -83,8 +83,17 @@
   mergeNodeStates(states: ReadonlyArray<AgedNodeState>): void {
     states.forEach((state) => {
       const heardAtMs = this.clock.nowMs() - state.ageMs;
-      if (heardAtMs <= (this.nodeStates.get(state.vmId)?.heardAtMs ?? -Infinity)) return;
-      this.nodeStates.set(state.vmId, { value: state, heardAtMs });
+      const held = this.nodeStates.get(state.vmId);
+      // Ages are estimates, and a drain is never taken back: it wins over what the same
+      // incarnation said about the same time.
+      const isSameRun = held?.value.incarnation === state.incarnation;
+      const hasDrained = isSameRun && held.value.state === 'draining';
+      const startsDrain = isSameRun && !hasDrained && state.state === 'draining';
+      if (!startsDrain && heardAtMs <= (held?.heardAtMs ?? -Infinity)) return;
+      this.nodeStates.set(state.vmId, {
+        value: hasDrained ? held.value : state,
+        heardAtMs: Math.max(heardAtMs, held?.heardAtMs ?? -Infinity),
+      });
     });
   }
 
@@ -138,7 +147,10 @@
 
   private apply(record: PublishedRecord): void {
     const vmId = record.key.slice(PREFIX.length);
-    if (record.body === null) this.vms.delete(vmId);
-    else this.vms.set(vmId, vmSchema.parse(JSON.parse(record.body)));
+    if (record.body === null) {
+      this.vms.delete(vmId);
+      this.reports.delete(vmId as EndpointId);
+      this.nodeStates.delete(vmId as VmId);
+    } else this.vms.set(vmId, vmSchema.parse(JSON.parse(record.body)));
   }
 }
--- /dev/null
+++ b/src/plugins/gossip/NeighbourTask.ts
@@ -0,0 +1,101 @@
+/**
+ * The task that exchanges state with one neighbour once a round.
+ */
+import type { VmId } from '../../core';
+import type { Kernel } from '../../kernel';
+import { Gossip, Peers } from '../../services';
+import { packedGossipReplySchema, unpackGossipReply } from '../../wire';
+import type { GossipExchange, TakenReply } from './GossipExchange';
+import type { NeighbourSet } from './NeighbourSet';
+import { GOSSIP_OPTIONS } from './options';
+import type { RecordPull } from './RecordPull';
+
+/** @internal */
+export const GOSSIP_TYPE = 'gossip';
+
+/** @internal */
+export interface NeighbourTaskParameters {
+  readonly kernel: Kernel;
+  readonly exchange: GossipExchange;
+  readonly pull: RecordPull;
+  readonly neighbours: NeighbourSet;
+}
+
+/** @internal */
+export class NeighbourTask {
+  private isStopped = false;
+
+  /** Ends the wait between two rounds. */
+  private pause = new AbortController();
+
+  private isHurried = false;
+
+  constructor(
+    private readonly vmId: VmId,
+    private readonly parameters: NeighbourTaskParameters,
+  ) {}
+
+  stop(): void {
+    this.isStopped = true;
+    this.pause.abort();
+  }
+
+  /** Starts the next round now, because the neighbour has news. */
+  hurry(): void {
+    this.isHurried = true;
+    this.pause.abort();
+  }
+
+  async run(signal: AbortSignal): Promise<void> {
+    const stop = (): void => this.stop();
+    signal.addEventListener('abort', stop, { once: true });
+    try {
+      // Rounds with different neighbours start at different moments of the interval.
+      await this.sleep(Math.random() * GOSSIP_OPTIONS.firstRoundJitterMs);
+      while (!this.isStopped) {
+        this.isHurried = false;
+        await this.runRound();
+        const share = 1 + GOSSIP_OPTIONS.jitterShare * (2 * Math.random() - 1);
+        await this.sleep(GOSSIP_OPTIONS.intervalMs * share);
+      }
+    } finally {
+      signal.removeEventListener('abort', stop);
+    }
+  }
+
+  private async runRound(): Promise<void> {
+    const { kernel, exchange, neighbours } = this.parameters;
+    const askedAtMs = kernel.clock.nowMs();
+    try {
+      const packed = await kernel
+        .get(Peers)
+        .call(
+          this.vmId,
+          GOSSIP_TYPE,
+          exchange.createRequest(this.vmId),
+          askedAtMs + GOSSIP_OPTIONS.callTimeoutMs,
+        );
+      const reply = unpackGossipReply(packedGossipReplySchema.parse(packed));
+      const taken = exchange.take(this.vmId, reply, askedAtMs);
+      neighbours.noteResult(this.vmId, true);
+      if (taken.isUrgent) kernel.getAll(Gossip).forEach((gossip) => gossip.spreadNow());
+      await this.pullDiffering(taken);
+    } catch (thrown) {
+      neighbours.noteResult(this.vmId, false);
+      kernel.log.debug('gossip round failed', { peer: this.vmId, cause: thrown });
+    }
+  }
+
+  private async pullDiffering({ differing }: TakenReply): Promise<void> {
+    const { exchange, pull } = this.parameters;
+    for (const claim of differing) {
+      if (await pull.run(this.vmId, claim.source)) exchange.adopt(claim);
+    }
+  }
+
+  private async sleep(delayMs: number): Promise<void> {
+    if (this.isHurried || this.isStopped) return;
+    this.pause = new AbortController();
+    await this.parameters.kernel.clock.sleep(delayMs, this.pause.signal);
+  }
+}
--- /dev/null
+++ b/src/plugins/gossip/RecordPush.ts
@@ -0,0 +1,83 @@
+/**
+ * Sends changed records to the neighbours at once; each forwards what is new to it.
+ *
+ * A push may be lost. The digests find what is then missing.
+ */
+import { z } from 'zod';
+import { publishedRecordSchema, type PublishedRecord, type VmId } from '../../core';
+import { PeerHandler, type Peer, type Peers, type PublishedState } from '../../services';
+import { getPackedBytes } from '../../wire';
+import { GOSSIP_OPTIONS } from './options';
+
+const PUSH_TYPE = 'published.push';
+
+const pushSchema = z.array(publishedRecordSchema).readonly();
+
+interface WaitingRecord {
+  readonly record: PublishedRecord;
+  readonly from: VmId | undefined;
+}
+
+/** @internal */
+export class RecordPush extends PeerHandler<typeof pushSchema> {
+  readonly type = PUSH_TYPE;
+
+  readonly schema = pushSchema;
+
+  private waiting: WaitingRecord[] = [];
+
+  /** The node whose records are being merged. */
+  private mergingFrom: VmId | undefined;
+
+  private isQuiet = false;
+
+  constructor(
+    private readonly published: PublishedState,
+    private readonly peers: () => Peers,
+    private readonly listNeighbours: () => ReadonlyArray<VmId>,
+  ) {
+    super();
+    published.onChange('', (record) => this.add(record));
+  }
+
+  async handle(from: Peer, records: ReadonlyArray<PublishedRecord>): Promise<void> {
+    this.mergeFrom(from.vmId, records);
+  }
+
+  /** Merges records and forwards those that are new to all neighbours but their sender. */
+  mergeFrom(vmId: VmId, records: ReadonlyArray<PublishedRecord>): void {
+    this.mergingFrom = vmId;
+    try {
+      this.published.merge(records);
+    } finally {
+      this.mergingFrom = undefined;
+    }
+  }
+
+  /** Merges records without forwarding them. */
+  mergeQuietly(records: ReadonlyArray<PublishedRecord>): void {
+    this.isQuiet = true;
+    try {
+      this.published.merge(records);
+    } finally {
+      this.isQuiet = false;
+    }
+  }
+
+  private add(record: PublishedRecord): void {
+    if (this.isQuiet) return;
+    if (this.waiting.length === 0) queueMicrotask(() => this.flush());
+    this.waiting.push({ record, from: this.mergingFrom });
+  }
+
+  private flush(): void {
+    const changes = this.waiting;
+    this.waiting = [];
+    const totalBytes = changes.reduce((bytes, { record }) => bytes + getPackedBytes(record), 0);
+    if (totalBytes > GOSSIP_OPTIONS.maxPushBytes) return;
+    this.listNeighbours().forEach((vmId) => {
+      const records = changes.filter(({ from }) => from !== vmId).map(({ record }) => record);
+      if (records.length > 0) this.peers().send(vmId, PUSH_TYPE, records);
+    });
+  }
+}
--- /dev/null
+++ b/src/plugins/gossip/index.ts
@@ -0,0 +1,1 @@
+export { GossipPlugin } from './GossipPlugin';
--- a/src/plugins/peers/PeerLink.ts
+++ b/src/plugins/peers/PeerLink.ts
@@ -34,6 +34,8 @@
 
   private readonly pending = new Map<number, PendingCall>();
 
+  private readonly ended = new AbortController();
+
   private nextId = 0;
 
   /** Requests of the peer whose handlers are running. */
@@ -122,6 +124,7 @@
 
   /** Fails every call that still waits; for when the link is lost. */
   failPending(): void {
+    this.ended.abort();
     const calls = [...this.pending.values()];
     this.pending.clear();
     calls.forEach(({ type, reject }) =>
@@ -168,7 +171,7 @@
     const { socket, clock } = this.parameters;
     if (this.lastReceivedMs > sinceMs || !this.isOpen) return;
     socket.ping();
-    await clock.sleep(PEER_OPTIONS.probeTimeoutMs);
+    await clock.sleep(PEER_OPTIONS.probeTimeoutMs, this.ended.signal);
     if (this.lastReceivedMs <= sinceMs) socket.terminate();
   }
 }
--- a/src/plugins/published/PublishedBook.ts
+++ b/src/plugins/published/PublishedBook.ts
@@ -21,6 +21,8 @@
 
   private readonly confirmedAtMs = new Map<PublishedSourceName, number>();
 
+  private readonly highestRevisions = new Map<PublishedSourceName, number>();
+
   private subscriptions: ReadonlyArray<Subscription> = [];
 
   constructor(private readonly clock: Clock) {
@@ -41,6 +43,8 @@
       const joined = joinRecords(held, offered);
       if (joined === held) return false;
       this.records.set(offered.key, joined);
+      const source = getSourceOfKey(offered.key);
+      this.highestRevisions.set(source, Math.max(this.getRevision(source), joined.revision));
       this.notify(joined);
       return true;
     });
@@ -61,11 +65,9 @@
     this.subscriptions = [...this.subscriptions, { prefix, listener }];
   }
 
-  /** Highest revision held from a source; a read continues after it. */
+  /** Highest revision held from a source. */
   getRevision(source: PublishedSourceName): number {
-    return [...this.records.values()]
-      .filter((record) => getSourceOfKey(record.key) === source)
-      .reduce((highest, record) => Math.max(highest, record.revision), 0);
+    return this.highestRevisions.get(source) ?? 0;
   }
 
   private notify(record: PublishedRecord): void {
--- a/src/plugins/published/PublishedPlugin.ts
+++ b/src/plugins/published/PublishedPlugin.ts
@@ -1,22 +1,32 @@
 /**
  * Contracts and the VM list: read from the platform, held in one ordered copy.
  */
+import type { PublishedSourceName } from '../../core';
 import { Plugin, registerPlugin } from '../../kernel';
-import { ContractBook, PublishedState, ReadinessCheck } from '../../services';
+import { ContractBook, PublishedState, ReadinessCheck, SourceProgress } from '../../services';
+import { CompleteRevisions } from './CompleteRevisions';
 import { PublishedBook } from './PublishedBook';
 import { PublishedContracts } from './PublishedContracts';
 import { ConfigurationSource, VmListSource } from './PublishedSource';
-import { readSource } from './readSource';
+import { SourceReader } from './SourceReader';
 
+const OBSTACLES: Readonly<Record<PublishedSourceName, string>> = {
+  configuration: 'the contracts have not been learnt yet',
+  'vm-list': 'the VM list has not been learnt yet',
+};
+
+/** Satisfied once a copy was complete; a later outage of the platform doesn't stop the node. */
 class PublishedReadiness extends ReadinessCheck {
-  constructor(private readonly book: PublishedBook) {
+  constructor(
+    private readonly progress: SourceProgress,
+    private readonly source: PublishedSourceName,
+  ) {
     super();
   }
 
   findObstacle(): string | undefined {
-    if (this.book.getRevision('configuration') === 0) return 'no contract has been learnt yet';
-    if (this.book.getRevision('vm-list') === 0) return 'the VM list has not been learnt yet';
-    return undefined;
+    const isComplete = this.progress.getCompleteRevision(this.source) !== undefined;
+    return isComplete ? undefined : OBSTACLES[this.source];
   }
 }
 
@@ -26,19 +36,26 @@
 
   private readonly book = new PublishedBook(this.kernel.clock);
 
+  private readonly progress = new CompleteRevisions();
+
   override setUp(): void {
     this.kernel.provide(PublishedState, this.book);
+    this.kernel.provide(SourceProgress, this.progress);
     this.kernel.provide(ContractBook, new PublishedContracts(this.book, this.kernel.log));
-    this.kernel.provide(ReadinessCheck, new PublishedReadiness(this.book));
+    this.kernel.provide(ReadinessCheck, new PublishedReadiness(this.progress, 'configuration'));
+    this.kernel.provide(ReadinessCheck, new PublishedReadiness(this.progress, 'vm-list'));
   }
 
   override async start(): Promise<void> {
     const { configurationUrl, vmListUrl } = this.kernel.settings;
-    [new ConfigurationSource(configurationUrl), new VmListSource(vmListUrl)].forEach((source) =>
-      this.kernel.runTask(`read ${source.name}`, async (signal) =>
-        readSource(this.kernel, this.book, source, signal),
-      ),
-    );
+    const sources = [
+      new ConfigurationSource(configurationUrl),
+      new VmListSource(vmListUrl, () => this.book.list('vms/')),
+    ];
+    sources.forEach((source) => {
+      const reader = new SourceReader(this.kernel, this.book, this.progress, source);
+      this.kernel.runTask(`read ${source.name}`, async (signal) => reader.run(signal));
+    });
   }
 }
 
--- a/src/plugins/published/PublishedSource.ts
+++ b/src/plugins/published/PublishedSource.ts
@@ -25,6 +25,9 @@
 export abstract class PublishedSource {
   abstract readonly name: PublishedSourceName;
 
+  /** Whether an answer holds everything, or only what changed after a revision. */
+  abstract readonly comesWhole: boolean;
+
   constructor(protected readonly baseUrl: string) {}
 
   /** Reads what changed after a revision, waiting up to `waitMs` for a change. */
@@ -60,6 +63,8 @@
 export class ConfigurationSource extends PublishedSource {
   readonly name = 'configuration';
 
+  readonly comesWhole = false;
+
   async read(afterRevision: number, waitMs: number, signal: AbortSignal): Promise<PublishedPage> {
     const query = `prefix=contracts/&after=${afterRevision}&limit=${PUBLISHED_OPTIONS.pageSize}`;
     const path = waitMs > 0 ? `/v1/watch?${query}&waitMs=${waitMs}` : `/v1/records?${query}`;
@@ -74,24 +79,33 @@
 export class VmListSource extends PublishedSource {
   readonly name = 'vm-list';
 
-  private knownVms: ReadonlyMap<string, string> = new Map();
+  readonly comesWhole = true;
+
+  constructor(
+    baseUrl: string,
+    /** Records held by this node, from whichever peer or answer they came. */
+    private readonly listHeld: () => ReadonlyArray<PublishedRecord>,
+  ) {
+    super(baseUrl);
+  }
 
   /**
-   * The list comes whole. VMs that are no longer in it become tombstones; an unchanged VM keeps
-   * the revision at which it was first seen unchanged.
+   * The list comes whole. It is compared with the records held, so that a VM that was removed while
+   * somebody else was reading becomes a tombstone too. A VM that hasn't changed keeps its revision.
    */
   async read(afterRevision: number, waitMs: number, signal: AbortSignal): Promise<PublishedPage> {
     const path = waitMs > 0 ? `/v1/vms/watch?after=${afterRevision}&waitMs=${waitMs}` : '/v1/vms';
     const { revision, vms } = await this.fetchJson(path, vmListSchema, waitMs, signal);
-    if (revision < afterRevision) return { records: [], revision: afterRevision, hasMore: false };
+    // A VM that left and came back looks unchanged here; a list from between would turn it back.
+    if (revision < afterRevision) return { records: [], revision, hasMore: false };
+    const held = new Map(this.listHeld().map((record) => [record.key, record]));
     const bodies = new Map(vms.map((vm) => [`vms/${vm.vmId}`, JSON.stringify(vm)]));
     const changed = [...bodies]
-      .filter(([key, body]) => this.knownVms.get(key) !== body)
+      .filter(([key, body]) => held.get(key)?.body !== body)
       .map(([key, body]) => ({ key, revision, body }));
-    const removed = [...this.knownVms.keys()]
-      .filter((key) => !bodies.has(key))
-      .map((key) => ({ key, revision, body: null }));
-    this.knownVms = bodies;
+    const removed = [...held.values()]
+      .filter(({ key, body }) => body !== null && !bodies.has(key))
+      .map(({ key }) => ({ key, revision, body: null }));
     return { records: [...changed, ...removed], revision, hasMore: false };
   }
 }
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -1,5 +1,6 @@
 /** Encoding of messages: HTTP towards callers and endpoints, frames between nodes. */
 export * from './CallerRoutes';
 export * from './eventStream';
+export * from './gossipMessages';
 export * from './peerFrames';
 export * from './problem';
--- /dev/null
+++ b/tests/MemoryNetwork.ts
@@ -0,0 +1,179 @@
+/**
+ * Links in memory between the nodes of a test, with loss, duplicates, delay and pauses.
+ *
+ * Time passes in steps. A paused node neither runs nor receives; when it resumes, its clock jumps
+ * and everything that waited arrives at once, as after a suspended process.
+ */
+import { ManualClock, ServingError, type VmId } from '../src/core';
+import { Plugin, type PluginClass } from '../src/kernel';
+import { PeerHandler, Peers, type Peer } from '../src/services';
+import { decodePeerFrame, encodePeerFrame } from '../src/wire';
+import { TestNode, type TestNodeOptions } from './TestNode';
+
+const STEP_MS = 50;
+
+/** Longer than every deadline of a node. */
+const STOP_MS = 60_000;
+
+export interface NetworkFaults {
+  readonly lossShare: number;
+  readonly duplicateShare: number;
+  readonly maxDelayMs: number;
+}
+
+interface Delivery {
+  readonly to: string;
+  readonly dueMs: number;
+  readonly run: () => void;
+}
+
+/** The body as it arrives after encoding. */
+function transfer(body: unknown): unknown {
+  const data = encodePeerFrame({ form: 'request', request: { type: 't', body } });
+  const frame = decodePeerFrame(data);
+  return frame.form === 'request' ? frame.request.body : undefined;
+}
+
+/** What the links of a node need of the network. */
+interface NetworkPort {
+  readonly nodes: ReadonlyMap<string, TestNode>;
+  deliver: (from: string, to: string, run: () => void) => void;
+}
+
+class MemoryPeers extends Peers {
+  constructor(
+    private readonly network: NetworkPort,
+    private readonly node: TestNode,
+  ) {
+    super();
+  }
+
+  async call(vmId: VmId, type: string, body: unknown, deadlineMs: number): Promise<unknown> {
+    const { clock, settings } = this.node;
+    const reply = new Promise<unknown>((resolve) => {
+      this.network.deliver(settings.vmId, vmId, () => {
+        void this.handle(vmId, type, body).then((answer) =>
+          this.network.deliver(vmId, settings.vmId, () => resolve(transfer(answer))),
+        );
+      });
+    });
+    const timeout = clock.sleep(deadlineMs - clock.nowMs()).then(() => {
+      throw new ServingError('peer-unreachable', { detail: 'no reply' });
+    });
+    return Promise.race([reply, timeout]);
+  }
+
+  send(vmId: VmId, type: string, body: unknown): void {
+    this.network.deliver(this.node.settings.vmId, vmId, () => void this.handle(vmId, type, body));
+  }
+
+  listLinked(): ReadonlyArray<Peer> {
+    return [];
+  }
+
+  private async handle(vmId: string, type: string, body: unknown): Promise<unknown> {
+    const { settings, incarnation } = this.node;
+    const handlers = this.network.nodes.get(vmId)?.getAll(PeerHandler) ?? [];
+    const handler = handlers.find((each) => each.type === type);
+    const parsed: unknown = handler?.schema.parse(transfer(body));
+    return handler?.handle({ vmId: settings.vmId, incarnation }, parsed);
+  }
+}
+
+function createLinks(network: NetworkPort): PluginClass {
+  return class MemoryLinksPlugin extends Plugin {
+    static override readonly type = 'memory-links';
+
+    override setUp(): void {
+      this.kernel.provide(Peers, new MemoryPeers(network, this.kernel as TestNode));
+    }
+  };
+}
+
+export class MemoryNetwork {
+  readonly nodes = new Map<string, TestNode>();
+
+  private readonly clocks = new Map<string, ManualClock>();
+
+  private readonly resumeMs = new Map<string, number>();
+
+  private readonly behindMs = new Map<string, number>();
+
+  private deliveries: Delivery[] = [];
+
+  private faults: NetworkFaults = { lossShare: 0, duplicateShare: 0, maxDelayMs: 5 };
+
+  /** Pairs of nodes that can't reach each other. */
+  private isCut: (a: string, b: string) => boolean = () => false;
+
+  timeMs = 0;
+
+  /** @param random gives numbers from 0 up to 1. */
+  constructor(private readonly random: () => number) {}
+
+  setFaults(faults: NetworkFaults): void {
+    this.faults = faults;
+  }
+
+  setCut(isCut: (a: string, b: string) => boolean): void {
+    this.isCut = isCut;
+  }
+
+  pause(vmId: string, forMs: number): void {
+    this.resumeMs.set(vmId, this.timeMs + forMs);
+  }
+
+  async start(options: TestNodeOptions): Promise<TestNode> {
+    const clock = new ManualClock();
+    const node = new TestNode({ ...options, clock, links: createLinks(this) });
+    this.clocks.set(options.vmId, clock);
+    this.nodes.set(options.vmId, node);
+    await node.start();
+    return node;
+  }
+
+  async run(forMs: number, onStep: () => void = () => {}): Promise<void> {
+    const endMs = this.timeMs + forMs;
+    while (this.timeMs < endMs) {
+      this.timeMs += STEP_MS;
+      this.clocks.forEach((clock, vmId) => this.advance(clock, vmId));
+      const due = this.deliveries.filter((each) => this.isDue(each));
+      this.deliveries = this.deliveries.filter((each) => !due.includes(each));
+      due.forEach(({ run }) => run());
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      onStep();
+    }
+  }
+
+  /** Time passes while the nodes stop, so that calls in progress reach their deadlines. */
+  async stop(): Promise<void> {
+    const stopped = Promise.all([...this.nodes.values()].map(async (node) => node.dispose()));
+    this.clocks.forEach((clock) => clock.advance(STOP_MS));
+    await stopped;
+  }
+
+  isPaused(vmId: string): boolean {
+    return (this.resumeMs.get(vmId) ?? 0) > this.timeMs;
+  }
+
+  deliver(from: string, to: string, run: () => void): void {
+    if (this.isCut(from, to) || this.random() < this.faults.lossShare) return;
+    const copies = this.random() < this.faults.duplicateShare ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      const dueMs = this.timeMs + this.random() * this.faults.maxDelayMs;
+      this.deliveries.push({ to, dueMs, run });
+    }
+  }
+
+  private advance(clock: ManualClock, vmId: string): void {
+    const lagMs = (this.behindMs.get(vmId) ?? 0) + STEP_MS;
+    this.behindMs.set(vmId, this.isPaused(vmId) ? lagMs : 0);
+    if (!this.isPaused(vmId)) clock.advance(lagMs);
+  }
+
+  private isDue({ to, dueMs }: Delivery): boolean {
+    return dueMs <= this.timeMs && !this.isPaused(to);
+  }
+}
--- a/tests/TestNode.ts
+++ b/tests/TestNode.ts
@@ -1,12 +1,13 @@
 /**
- * A node for tests: real links on 127.0.0.1, the records that the test merges, captured log lines.
+ * A node for tests: links on 127.0.0.1 or in memory, the records that the test merges, captured log lines.
  */
 import { settingsSchema, SystemClock, type Clock, type Settings, type Vm } from '../src/core';
 import { Kernel, Log, Plugin, type LogFields, type PluginClass } from '../src/kernel';
 import { FleetPlugin } from '../src/plugins/fleet';
 import { PeersPlugin } from '../src/plugins/peers';
+import { CompleteRevisions } from '../src/plugins/published/CompleteRevisions';
 import { PublishedBook } from '../src/plugins/published/PublishedBook';
-import { PublishedState } from '../src/services';
+import { PublishedState, SourceProgress } from '../src/services';
 
 /** Holds published records without reading the platform. */
 export class HeldRecordsPlugin extends Plugin {
@@ -14,6 +15,7 @@
 
   override setUp(): void {
     this.kernel.provide(PublishedState, new PublishedBook(this.kernel.clock));
+    this.kernel.provide(SourceProgress, new CompleteRevisions());
   }
 }
 
@@ -25,12 +27,14 @@
   readonly plugins?: ReadonlyArray<PluginClass>;
   /** Holder of the published records; without readers by default. */
   readonly published?: PluginClass;
+  /** Links to other nodes; sockets on 127.0.0.1 by default. */
+  readonly links?: PluginClass;
 }
 
 export class TestNode extends Kernel {
   private readonly lines: string[];
 
-  constructor({ vmId, settings, clock, plugins = [], published }: TestNodeOptions) {
+  constructor({ vmId, settings, clock, plugins = [], published, links }: TestNodeOptions) {
     const lines: string[] = [];
     super({
       settings: settingsSchema.parse({
@@ -47,7 +51,7 @@
       }),
       clock: clock ?? new SystemClock(),
       log: new Log({ level: 'debug', fields: {}, write: (line) => lines.push(line) }),
-      plugins: [published ?? HeldRecordsPlugin, FleetPlugin, PeersPlugin, ...plugins],
+      plugins: [published ?? HeldRecordsPlugin, FleetPlugin, links ?? PeersPlugin, ...plugins],
     });
     this.lines = lines;
   }
