--- a/src/kernel/Kernel.ts
+++ b/src/kernel/Kernel.ts
@@ -58,7 +58,7 @@
     this.settings = settings;
     this.clock = clock;
     this.log = log;
-    // Any number of tasks wait for the signal; Node.js would warn of a leak from the eleventh on.
+    // Every task and every link listens to this signal, so their number has no fixed bound.
     setMaxListeners(0, this.stopping.signal);
     this.plugins = plugins.map((PluginType) => new PluginType(this));
   }
