Cancel for a caller who left also after a broken connection

Cause: a node whose engine connection broke within the grace period ended its task and never cancelled; a generation to be finished lost its place early. Change: the cancel stays due after a break, and nothing reconnects before it. A generation that goes on without a caller is read to its end over new connections.

--- a/src/plugins/generations/EngineReader.ts
+++ b/src/plugins/generations/EngineReader.ts
@@ -2,8 +2,8 @@
  * Reads one generation from its engine: every position once and in order, over as many connections
  * as are allowed.
  *
- * A connection that breaks while the engine lives is replaced from the next position. That is only
- * done while the caller is there: a caller who has left may already read through another node.
+ * A connection that breaks while the engine lives is replaced from the next position, but not while
+ * a cancel for a caller who left is due: the engine would refuse it because of the new attachment.
  */
 import { getErrorAnswer, ServingError, type Clock, type GenerationId } from '../../core';
 import { decideRelay } from '../../decisions';
@@ -51,6 +51,8 @@
 
   private hasEnded = false;
 
+  private isKept = false;
+
   constructor(protected readonly parameters: ReaderParameters) {
     this.endpoint = parameters.endpoint;
     this.generationId = parameters.generationId;
@@ -96,6 +98,11 @@
     this.connection.abort();
   }
 
+  /** Notes that the engine finishes the generation although the caller has left. */
+  keep(): void {
+    this.isKept = true;
+  }
+
   /** Ends reading for good; the engine is not told. */
   stop(): void {
     this.isStopped = true;
@@ -112,9 +119,9 @@
 
   private async prepareReconnection(breaks: number): Promise<void> {
     const { callerGone, clock, options } = this.parameters;
-    if (breaks > options.maxReconnections || callerGone.aborted) throw this.createLoss();
-    await clock.sleep(options.reconnectDelayMs * breaks, callerGone);
-    if (callerGone.aborted) throw this.createLoss();
+    if (breaks > options.maxReconnections) throw this.createLoss();
+    await clock.sleep(options.reconnectDelayMs * breaks);
+    if (callerGone.aborted && !this.isKept) throw this.createLoss();
   }
 
   private accept({ position }: EngineEvent): boolean {
--- a/src/plugins/generations/superviseDeparture.ts
+++ b/src/plugins/generations/superviseDeparture.ts
@@ -72,8 +72,12 @@
   await waitForAny([callerGone, ended]);
   if (ended.aborted) return;
   if (departure.order.clause.kind.whenCallerLeaves === 'cancel') {
+    const cancelAtMs = clock.nowMs() + options.leaveGraceMs;
     await clock.sleep(options.leaveGraceMs, ended);
-    if (ended.aborted) return;
+    if (reader.isComplete) return;
+    // The connection may have broken, and the engine still goes on.
+    await clock.sleep(cancelAtMs - clock.nowMs(), draining);
+    if (draining.aborted) return;
     const outcome = await tryCancel(departure);
     recordCancel(departure, outcome);
     if (outcome === 'cancelled') {
@@ -81,6 +85,7 @@
       return;
     }
   }
+  reader.keep();
   const timeout = new AbortController();
   await Promise.race([
     clock.sleep(options.unattendedMaxMs, timeout.signal),
--- a/tests/generationFaults.test.ts
+++ b/tests/generationFaults.test.ts
@@ -204,15 +204,34 @@
 });
 
 // Guards against an engine that works for nobody, or that stops a report which is to be kept.
-test.each<[string, string, boolean]>([
-  ['cancel', 'audit-summary', true],
-  ['finish', 'kept-report', false],
-])('caller leaves: %s', async (_name, kind, isCancelled) => {
-  const { engine, node } = await setUp({ tokens: 60, tokenDelayMs: 10 });
+test.each<[string, string, Plan['faults'], boolean, number]>([
+  ['cancel', 'audit-summary', {}, true, 1],
+  ['finish', 'kept-report', {}, false, 1],
+  ['cancel after a break', 'audit-summary', { 6: 'break' }, true, 1],
+  ['finish after a break', 'kept-report', { 6: 'break' }, false, 2],
+])('caller leaves: %s', async (_name, kind, faults, isCancelled, attachments) => {
+  const { engine, fixture, node } = await setUp({ tokens: 60, tokenDelayMs: 10, faults });
   await leaveAfter(node, 3, kind);
   await waitUntil('generation over', () => engine.first?.isOver);
-  expect(engine.first?.isCancelled).toBe(isCancelled);
+  expect(engine.first).toMatchObject({ isCancelled, attachments });
   expect(engine.cancels).toEqual(isCancelled ? [204] : []);
+  await waitUntil('answer counted', async () => {
+    const { text } = await fixture.readMetrics(node);
+    return text.includes('outcome="caller-left"} 1');
+  });
+});
+
+// Guards against a place within the limits that is free while its generation still runs.
+test('an unattended generation keeps its place', async () => {
+  const { engine, fixture, node } = await setUp({ tokens: 9, faults: { 4: 'hang' } });
+  await leaveAfter(node, 3, 'kept-report');
+  await waitUntil('node knows', () => node.decisions.some(({ step }) => step === 'slow'));
+  expect((await fixture.readMetrics(node)).text).not.toContain('outcome="caller-left"');
+  engine.release();
+  await waitUntil('answer counted', async () => {
+    const { text } = await fixture.readMetrics(node);
+    return text.includes('outcome="caller-left"} 1');
+  });
 });
 
 // Guards against a late cancel that ends a stream which the caller resumed on another node.
