--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -10,4 +10,5 @@
 import './plugins/routing';
 import './plugins/generations';
 import './plugins/calls';
+import './plugins/operations';
 import './plugins/http';
--- a/src/plugins/limits/limits.test.ts
+++ b/src/plugins/limits/limits.test.ts
@@ -1,5 +1,5 @@
 import { ManualClock, type CustomerId, type VmId } from '../../core';
-import { pickMember } from '../../decisions';
+import { pickByRendezvous } from '../../decisions';
 import { CustomerSlice } from './CustomerSlice';
 import { HomeHistory } from './HomeHistory';
 import { LimitLedger } from './LimitLedger';
@@ -28,9 +28,9 @@
 test('a new home grants nothing new before the old slices have ended', () => {
   const clock = new ManualClock();
   const history = new HomeHistory(clock, LIMIT_OPTIONS.leaseMs);
-  const oldHome = pickMember(CUSTOMER, NODES)!;
+  const oldHome = pickByRendezvous(CUSTOMER, NODES)!;
   const rest = NODES.filter((vmId) => vmId !== oldHome);
-  const newHome = pickMember(CUSTOMER, rest)!;
+  const newHome = pickByRendezvous(CUSTOMER, rest)!;
   history.update(NODES);
   clock.advance(60_000);
   expect(history.getUncertainMs(CUSTOMER, oldHome)).toBe(0);
@@ -47,7 +47,7 @@
 test('a home that lost and regained a customer waits as well', () => {
   const clock = new ManualClock();
   const history = new HomeHistory(clock, LIMIT_OPTIONS.leaseMs);
-  const home = pickMember(CUSTOMER, NODES)!;
+  const home = pickByRendezvous(CUSTOMER, NODES)!;
   history.update(NODES);
   clock.advance(60_000);
   history.update(NODES.filter((vmId) => vmId !== home));
