Add the bench of routing policies

Cause: nothing showed what the routing policy does to engines.

Change: npm run bench drives the stand-in engines and the project's router by a discrete-event loop with several deciding nodes that hold lagging reports. It compares the baselines, the policy and the policy without each part, and writes tables, JSON and SVG. npm run bench:decisions measures the cost of a decision and the memory of the estimator. 100 % load is what saturated engines finish.

--- /dev/null
+++ b/bench/BenchNode.ts
@@ -0,0 +1,204 @@
+/**
+ * One deciding node: the project's router over a fake fleet and log, and a task for each request.
+ */
+import {
+  contractSchema,
+  ServingError,
+  type Contract,
+  type EndpointId,
+  type EndpointReport,
+  type RequestId,
+  type Vm,
+} from '../src/core';
+import { SeededRandom } from '../src/decisions';
+import { EndpointRouter } from '../src/plugins/routing/EndpointRouter';
+import type { Assignment, DecisionLog, FleetNode, RoutedWork } from '../src/services';
+import type { BenchEngine, EngineRun } from './BenchEngine';
+import { BenchFleet } from './BenchFleet';
+import type { BenchKind, Deployment } from './deployments';
+import { EventClock } from './EventClock';
+import type { EventLoop } from './EventLoop';
+import type { Measures } from './Measures';
+import { BENCH_OPTIONS } from './options';
+import type { BenchRow } from './rows';
+import type { BenchRequest } from './workload';
+
+const NO_LOG = { record: () => {} } as unknown as DecisionLog;
+
+export interface BenchNodeParameters {
+  readonly loop: EventLoop;
+  readonly self: BenchFleet['self'];
+  readonly seed: number;
+  readonly row: BenchRow;
+  readonly deployment: Deployment;
+  readonly engines: ReadonlyMap<EndpointId, BenchEngine>;
+  readonly vms: ReadonlyArray<Vm>;
+  readonly nodes: ReadonlyArray<FleetNode>;
+  readonly measures: Measures;
+  /** Aborted at the end of the run. */
+  readonly stopSignal: AbortSignal;
+  /** One priority for all work, so that saturated engines finish the mix that arrives. */
+  readonly hasFlatPriority: boolean;
+  /** Whether a request counts. */
+  readonly isMeasured: (request: BenchRequest) => boolean;
+}
+
+function createContract({ customer, region }: BenchRequest, { kinds }: Deployment): Contract {
+  return contractSchema.parse({
+    customer,
+    keyHashes: ['0'.repeat(64)],
+    homeRegion: region,
+    limits: { concurrentGenerations: 100_000, requestsPerSecond: 100_000 },
+    kindsOfWork: kinds.map(({ clause }) => clause),
+  });
+}
+
+function getPreemptionName({ isReport }: BenchKind): string {
+  return isReport ? 'reportPreemptions' : 'otherPreemptions';
+}
+
+function countLinkBytes({ promptTokens }: BenchRequest, outputTokens: number): number {
+  const { bytesPerPromptToken, bytesPerTokenEvent } = BENCH_OPTIONS;
+  return promptTokens * bytesPerPromptToken + outputTokens * bytesPerTokenEvent;
+}
+
+export class BenchNode {
+  readonly fleet: BenchFleet;
+
+  private readonly router: EndpointRouter;
+
+  private readonly contracts = new Map<string, Contract>();
+
+  constructor(private readonly parameters: BenchNodeParameters) {
+    const { loop, self, seed, row, vms, nodes, stopSignal } = parameters;
+    this.fleet = new BenchFleet({ loop, self, engines: vms, nodes });
+    this.router = new EndpointRouter({
+      fleet: this.fleet,
+      decisions: NO_LOG,
+      clock: new EventClock(loop),
+      seed,
+      stopSignal,
+      policy: row.createPolicy(new SeededRandom(seed)),
+    });
+  }
+
+  noteReport(endpointId: EndpointId, report: EndpointReport, ageMs: number): void {
+    this.fleet.mergeReports([{ endpointId, report, ageMs }]);
+  }
+
+  /** Serves one request from its arrival to its end. */
+  async run(request: BenchRequest): Promise<void> {
+    const { loop, engines, measures, stopSignal } = this.parameters;
+    const startedAtMs = loop.nowMs;
+    let excluded: ReadonlyArray<EndpointId> = [];
+    try {
+      for (;;) {
+        const assignment = await this.router.assign(this.createWork(request, excluded), stopSignal);
+        const { endpointId } = assignment.endpoint;
+        const engine = engines.get(endpointId) as BenchEngine;
+        if (this.isMeasured(request)) measures.recordWait(loop.nowMs - startedAtMs);
+        if (await this.generate(request, assignment, engine, startedAtMs)) return;
+        // Whole work, and work whose engine was gone before it started, may start again.
+        const mayRepeat = request.kind.clause.delivery === 'whole' || !engine.isAlive;
+        if (!mayRepeat || stopSignal.aborted) return;
+        excluded = [...excluded, endpointId];
+      }
+    } catch (thrown) {
+      if (!(thrown instanceof ServingError)) throw thrown;
+      // What still waits at the end has waited at least this long.
+      if (stopSignal.aborted) {
+        if (this.isMeasured(request)) measures.recordFirstToken(loop.nowMs - startedAtMs);
+        return;
+      }
+      this.count(request, request.kind.isReport ? 'refusedReports' : 'refusedOthers');
+    }
+  }
+
+  /** Runs one generation; false when its engine was lost. */
+  private async generate(
+    request: BenchRequest,
+    assignment: Assignment,
+    engine: BenchEngine,
+    startedAtMs: number,
+  ): Promise<boolean> {
+    const { loop, self, measures, stopSignal, hasFlatPriority } = this.parameters;
+    const isFar = engine.vm.region !== self.region;
+    const delayMs = isFar ? BENCH_OPTIONS.otherRegionDelayMs : BENCH_OPTIONS.sameRegionDelayMs;
+    let lastAtMs: number | undefined;
+    let stallMs = 0;
+    let tokens = 0;
+    const { isReport } = request.kind;
+    const isMeasured = this.isMeasured(request);
+    const onToken = (): void => {
+      tokens += 1;
+      if (tokens % BENCH_OPTIONS.noteEveryTokens === 0) assignment.noteTokens(tokens);
+      if (!isMeasured) return;
+      if (lastAtMs === undefined) measures.recordFirstToken(loop.nowMs + delayMs - startedAtMs);
+      else {
+        const gapMs = loop.nowMs - lastAtMs;
+        measures.recordGap(gapMs, isReport);
+        stallMs += Math.max(0, gapMs - BENCH_OPTIONS.stallThresholdMs);
+      }
+      lastAtMs = loop.nowMs;
+    };
+    const run: EngineRun = {
+      name: request.name,
+      model: request.kind.clause.model,
+      priority: hasFlatPriority ? 0 : request.kind.clause.rank,
+      promptTokens: request.promptTokens,
+      prefix: { hash: request.prefixHash, tokens: request.kind.prefixTokens },
+      outputTokens: request.outputTokens,
+      maxOutputTokens: request.kind.clause.maxOutputTokens,
+      onToken,
+      onPreempted: () => this.count(request, getPreemptionName(request.kind)),
+    };
+    const isComplete = await engine.generate(run, loop.nowMs + delayMs);
+    assignment.release({ complete: isComplete, outputTokens: tokens });
+    if (isMeasured) {
+      // A generation that is cut off counts with the gap that it was in.
+      if (!isComplete && lastAtMs === undefined) {
+        measures.recordFirstToken(loop.nowMs - startedAtMs);
+      } else if (!isComplete && lastAtMs !== undefined) {
+        stallMs += Math.max(0, loop.nowMs - lastAtMs - BENCH_OPTIONS.stallThresholdMs);
+      }
+      measures.recordStall(stallMs, isReport);
+      if (isFar) measures.count('linkBytes', countLinkBytes(request, tokens));
+    }
+    if (isComplete) this.countFinished(request, startedAtMs);
+    else if (isMeasured && tokens > 0 && !stopSignal.aborted) measures.count('lost');
+    return isComplete;
+  }
+
+  private countFinished(request: BenchRequest, startedAtMs: number): void {
+    const { measures, loop, deployment } = this.parameters;
+    const endMs = BENCH_OPTIONS.warmUpMs + deployment.measureMs;
+    if (loop.nowMs < BENCH_OPTIONS.warmUpMs || loop.nowMs > endMs) return;
+    // All work that ends in the window counts, whenever it arrived, as in a steady state.
+    if (startedAtMs < 0) return;
+    measures.count('finishedTokens', request.outputTokens);
+    measures.count(request.kind.isReport ? 'finishedReports' : 'finishedOthers');
+  }
+
+  private isMeasured(request: BenchRequest): boolean {
+    return this.parameters.isMeasured(request);
+  }
+
+  private count(request: BenchRequest, name: string): void {
+    if (this.isMeasured(request)) this.parameters.measures.count(name);
+  }
+
+  private createWork(request: BenchRequest, excluded: ReadonlyArray<EndpointId>): RoutedWork {
+    const { deployment } = this.parameters;
+    const contract = this.contracts.get(request.customer) ?? createContract(request, deployment);
+    this.contracts.set(request.customer, contract);
+    const index = deployment.kinds.indexOf(request.kind);
+    return {
+      requestId: request.name as RequestId,
+      inForce: { contract, revision: 1 },
+      clause: { kind: request.kind.clause, path: `kindsOfWork[${index}]` },
+      promptTokens: request.promptTokens,
+      prefixHash: request.prefixHash,
+      excluded,
+    };
+  }
+}
--- /dev/null
+++ b/bench/rows.ts
@@ -0,0 +1,55 @@
+/** Rows of a table: the baselines, the policy of this project and the policy without each part. */
+import {
+  ALL_PARTS,
+  LeastOutstandingPolicy,
+  RandomPolicy,
+  ReserveByQuantilePolicy,
+  RoundRobinPolicy,
+  TwoChoicesPolicy,
+  type ReservationParts,
+  type RoutingPolicy,
+  type SeededRandom,
+} from '../src/decisions';
+
+export interface BenchRow {
+  readonly name: string;
+  readonly isBaseline: boolean;
+  readonly createPolicy: (random: SeededRandom) => RoutingPolicy;
+}
+
+export const OUR_ROW = 'ours';
+
+function createAblation(name: string, off: Partial<ReservationParts>): BenchRow {
+  return {
+    name: `ours without ${name}`,
+    isBaseline: false,
+    createPolicy: (random) => new ReserveByQuantilePolicy(random, {}, { ...ALL_PARTS, ...off }),
+  };
+}
+
+const BASELINES: ReadonlyArray<BenchRow> = [
+  RoundRobinPolicy,
+  RandomPolicy,
+  LeastOutstandingPolicy,
+  TwoChoicesPolicy,
+].map((Policy) => ({
+  name: Policy.type,
+  isBaseline: true,
+  createPolicy: (random) => new Policy(random),
+}));
+
+export const BENCH_ROWS: ReadonlyArray<BenchRow> = [
+  ...BASELINES,
+  {
+    name: OUR_ROW,
+    isBaseline: false,
+    createPolicy: (random) => new ReserveByQuantilePolicy(random),
+  },
+  createAblation('length prediction', { predictsLength: false }),
+  createAblation('own reservations', { addsOwnWork: false }),
+  createAblation('other nodes', { expectsOthers: false }),
+  createAblation('spreading', { spreads: false }),
+  createAblation('prefix affinity', { followsPrefix: false }),
+  createAblation('region preference', { prefersRegion: false }),
+  createAblation('waiting at the node', { waitsForRoom: false }),
+];
--- a/src/decisions/options.ts
+++ b/src/decisions/options.ts
@@ -28,13 +28,13 @@
   /** Share of an engine's memory that may be reserved. */
   reservableShare: 1,
   /** Longest time from an assignment until a report taken later shows it. */
-  reportSettleMs: 200,
+  reportSettleMs: 700,
   /** Time for one token, for growth since a report was taken. */
-  tokenGapMs: 40,
+  tokenGapMs: 20,
   /** Speed at which an engine reads prompts. */
-  prefillTokensPerMs: 8,
+  prefillTokensPerMs: 50,
   /** Time that each running generation adds to the time between tokens. */
-  gapMsPerRunning: 0.2,
+  gapMsPerRunning: 0.3,
   /** Endpoints that are remembered for one prompt prefix. */
   endpointsPerPrefix: 4,
   /** Prefixes that are remembered; the least recently used goes first. */
