Let a call wait for a permit within its own time limit

Cause: 'looks up through node 2' failed: of a burst of eight lookups some were refused with limit-reached, since a node whose home had just begun holds a fifth of a second's permits and a call didn't wait at all. Change: a call waits for a permit up to its answerWithinMs; a new home starts with half a second's permits instead of a fifth.

--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -63,11 +63,11 @@
     app.all('/v1/services/:service/*', async (context) => this.handle(context));
   }
 
-  /** Counts the call against the rate of the contract; a call doesn't wait for a permit. */
-  private async admit(inForce: ContractInForce): Promise<void> {
+  /** Counts the call against the rate of the contract, waiting for a permit within its time. */
+  private async admit(inForce: ContractInForce, kind: CallKind): Promise<void> {
     const place = await this.kernel
       .get(LimitLeases)
-      .acquire(inForce, 'call', this.kernel.clock.nowMs());
+      .acquire(inForce, 'call', this.kernel.clock.nowMs() + kind.answerWithinMs);
     place.release();
   }
 
@@ -79,7 +79,7 @@
       inForce: context.get('inForce'),
       clause,
     };
-    await this.admit(details.inForce);
+    await this.admit(details.inForce, clause.kind);
     if (clause.kind.repeatable) {
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
--- a/src/plugins/limits/options.ts
+++ b/src/plugins/limits/options.ts
@@ -17,5 +17,5 @@
   /** Requests that a customer may make at once, in seconds of its rate. */
   burstSeconds: 1,
   /** Part of the burst that a new home node starts with, since the old one may just have granted. */
-  initialBurstShare: 0.2,
+  initialBurstShare: 0.5,
 } as const;
