Wait in tests for what the node knows

Cause: 'whole: another engine replaces ...' and 'a draining node ...' failed since the router chooses among engines and readers hear of a change later: the tests waited for a condition that was always true. Change: they wait until the node lists both engines, or the other node; the second engine stands in another region, which the policy takes last. Conclusion: the expectations are unchanged.

--- a/tests/ServingFixture.ts
+++ b/tests/ServingFixture.ts
@@ -82,13 +82,8 @@
     private readonly vmList: VmList,
   ) {}
 
-  listVm(
-    vmId: string,
-    role: Vm['role'],
-    url: string,
-    models: ReadonlyArray<string> = ['summary-1'],
-  ): void {
-    this.vmList.put({ ...PLACE, vmId: vmId as VmId, role, url, models });
+  listVm(vmId: string, role: Vm['role'], url: string, place: Partial<Vm> = {}): void {
+    this.vmList.put({ ...PLACE, models: ['summary-1'], ...place, vmId: vmId as VmId, role, url });
   }
 
   async startNode(vmId: string): Promise<ServingNode> {
--- a/tests/completionsClient.test.ts
+++ b/tests/completionsClient.test.ts
@@ -22,7 +22,7 @@
   });
   const models = ['summary-1', 'label-1', 'report-1'];
   engine = await ModelEngine.start({ stepBaseMs: 1, medianOutputTokens: 10_000, models });
-  fixture.listVm('engine-1', 'engine', engine.url, models);
+  fixture.listVm('engine-1', 'engine', engine.url, { models });
   node = await fixture.startNode('entry-1');
   client = new OpenAI({ baseURL: `${node.url}/v1`, apiKey: 'key-recup-audits', maxRetries: 0 });
 });
--- a/tests/generationFaults.test.ts
+++ b/tests/generationFaults.test.ts
@@ -1,6 +1,6 @@
-import type { GenerationKind } from '../src/core';
+import type { GenerationKind, VmId } from '../src/core';
 import type { GenerationOptions } from '../src/plugins/generations/options';
-import { Generations, Router, ServingMetrics } from '../src/services';
+import { Fleet, Generations, ServingMetrics } from '../src/services';
 import { FaultyEngine, type Plan } from './FaultyEngine';
 import { readEvents, type ReadStream } from './readEvents';
 import { ServingFixture, type ServingNode } from './ServingFixture';
@@ -25,16 +25,18 @@
   for (const cleanUp of cleanUps.splice(0).reverse()) await cleanUp();
 });
 
+const ENTRY_2 = 'entry-2' as VmId;
+
 interface Setting {
   readonly fixture: ServingFixture;
   readonly engine: FaultyEngine;
   readonly node: ServingNode;
 }
 
-async function startEngine(fixture: ServingFixture, name: string, plan: Plan) {
+async function startEngine(fixture: ServingFixture, name: string, plan: Plan, region = 'seq') {
   const engine = await FaultyEngine.start(plan);
   cleanUps.push(async () => engine.stop());
-  fixture.listVm(name, 'engine', engine.url);
+  fixture.listVm(name, 'engine', engine.url, { region });
   return engine;
 }
 
@@ -120,9 +122,9 @@
   ['a gap', { tokens: 5, faults: { 3: 'skip' } }],
 ])('whole: another engine replaces %s', async (_name, plan) => {
   const { fixture, engine, node } = await setUp({ tokenDelayMs: 5, ...plan });
-  const second = await startEngine(fixture, 'engine-2', { tokens: 7 });
-  // The router takes the first listed engine while nothing is outstanding.
-  await waitUntil('both listed', () => node.kernel.get(Router) && second.url);
+  // The router takes the engine of the home region first.
+  const second = await startEngine(fixture, 'engine-2', { tokens: 7 }, 'fnq');
+  await waitUntil('both listed', () => node.kernel.get(Fleet).listEndpoints().length === 2);
   const read = await readEvents(await ask(node, { kind: 'bin-label' }));
   const isSecondUsed = second.generations.size > 0;
   expect(engine.generations.size).toBe(1);
@@ -193,7 +195,7 @@
 // that take tokens from each other.
 test('two resumes on two nodes are both contiguous', async () => {
   const { fixture, node } = await setUp({ tokens: 40, tokenDelayMs: 10 });
-  const other = await fixture.startNode('entry-2');
+  const other = await fixture.startNode(ENTRY_2);
   const left = await leaveAfter(node, 4);
   const [first, second] = await Promise.all([
     resume(other, left.token, left.lastEventId).then(readEvents),
@@ -237,7 +239,7 @@
 // Guards against a late cancel that ends a stream which the caller resumed on another node.
 test('a late cancel is refused after a resume', async () => {
   const { engine, fixture, node } = await setUp({ tokens: 60, tokenDelayMs: 10 });
-  const other = await fixture.startNode('entry-2');
+  const other = await fixture.startNode(ENTRY_2);
   const left = await leaveAfter(node, 3);
   const resumed = await readEvents(await resume(other, left.token, left.lastEventId));
   expect(resumed).toMatchObject({ text: getText(3, 60), isDone: true });
@@ -252,7 +254,7 @@
     tokenDelayMs: 10,
     faults: { 10: 'break' },
   });
-  const other = await fixture.startNode('entry-2');
+  const other = await fixture.startNode(ENTRY_2);
   const leaving = new AbortController();
   const held = await ask(node, { signal: leaving.signal });
   const token = held.headers.get('x-generation-token') ?? '';
@@ -286,7 +288,7 @@
 // Guards against an explicit cancel that any later attachment could block.
 test('the caller cancels from another node', async () => {
   const { engine, fixture, node } = await setUp({ tokens: 500, tokenDelayMs: 10 });
-  const other = await fixture.startNode('entry-2');
+  const other = await fixture.startNode(ENTRY_2);
   const running = await ask(node);
   const token = running.headers.get('x-generation-token') ?? '';
   expect((await resume(other, token, undefined, { method: 'DELETE' })).status).toBe(204);
@@ -311,10 +313,10 @@
 // Guards against a drain that cuts a stream or takes new work.
 test('a draining node refuses work and finishes streams', async () => {
   const { fixture, node } = await setUp({ tokens: 30, tokenDelayMs: 10 });
-  const other = await fixture.startNode('entry-2');
+  const other = await fixture.startNode(ENTRY_2);
   const running = await ask(node);
   const { url } = other;
-  await waitUntil('other node listed', async () => node.logLines.length > 0);
+  await waitUntil('other node listed', () => node.kernel.get(Fleet).findNode(ENTRY_2));
   const drained = node.kernel.drain();
   const refused = await ask(node);
   expect(refused.headers.get('x-entry-addresses')).toBe(url);
