Test streams under faults of nodes, links and engines

Resume, cancel and drain were only tested inside one process, where no node can be killed or frozen.

Each test has its own deployment and runs beside the others, since a new deployment grants no limits for its first lease period of 5 s. The engine is slowed down while a fault is applied, so that the generation outlasts it.

--- a/tests/Deployment.ts
+++ b/tests/Deployment.ts
@@ -52,6 +52,19 @@
     return deployment;
   }
 
+  /** Runs a test in a deployment of its own, which ends with the test. */
+  static async use(
+    options: DeploymentOptions,
+    body: (deployment: Deployment) => Promise<void>,
+  ): Promise<void> {
+    const deployment = await Deployment.start(options);
+    try {
+      await body(deployment);
+    } finally {
+      await deployment.stop();
+    }
+  }
+
   private startedNodes: ReadonlyArray<DeployedNode> = [];
 
   private startedEngines: ReadonlyArray<ModelEngine> = [];
--- a/tests/ManagedProcess.ts
+++ b/tests/ManagedProcess.ts
@@ -45,7 +45,11 @@
       this.errorText += chunk.toString();
     });
     // A test run that is interrupted leaves no process behind.
-    process.once('exit', () => child.kill('SIGKILL'));
+    const killChild = (): void => {
+      child.kill('SIGKILL');
+    };
+    process.once('exit', killChild);
+    child.once('close', () => process.off('exit', killChild));
   }
 
   get lines(): ReadonlyArray<OutputLine> {
--- a/tests/NetworkRelay.ts
+++ b/tests/NetworkRelay.ts
@@ -68,8 +68,6 @@
       socket.on('error', () => {});
       socket.on('close', () => this.close(connection));
     });
-    near.pipe(far);
-    far.pipe(near);
     this.apply(connection);
   }
 
@@ -77,8 +75,11 @@
   private apply(connection: RelayedConnection): void {
     const { near, far } = connection;
     if (this.state === 'cut') this.close(connection);
-    else if (this.state === 'stalled') [near, far].forEach((socket) => socket.pause());
-    else [near, far].forEach((socket) => socket.resume());
+    if (this.state === 'stalled') [near, far].forEach((socket) => socket.unpipe().pause());
+    if (this.state === 'open') {
+      near.unpipe().pipe(far);
+      far.unpipe().pipe(near);
+    }
   }
 
   private close(connection: RelayedConnection): void {
--- a/tests/contracts.ts
+++ b/tests/contracts.ts
@@ -23,6 +23,16 @@
         maxOutputTokens: 40_000,
         maxWaitMs: 60_000,
       },
+      {
+        name: 'draft-summary',
+        type: 'generation',
+        model: 'summary-1',
+        rank: 2,
+        delivery: 'streamed',
+        whenCallerLeaves: 'cancel',
+        maxOutputTokens: 40_000,
+        maxWaitMs: 60_000,
+      },
       {
         name: 'bin-label',
         type: 'generation',
--- /dev/null
+++ b/tests/streamFaults.test.ts
@@ -0,0 +1,134 @@
+/**
+ * Faults of nodes, links and engines while a caller reads a stream. Every test has its own deployment
+ * and runs beside the others, since a new deployment grants no limits for its first lease period.
+ */
+import { getOutputToken } from '../stand-ins';
+import { CallerStream } from './CallerStream';
+import { createContract } from './contracts';
+import type { DeployedNode } from './DeployedNode';
+import { Deployment, type DeploymentOptions } from './Deployment';
+import { waitUntil } from './waitUntil';
+
+const TOKENS = 150;
+
+const OPTIONS: DeploymentOptions = {
+  engines: [{ stepBaseMs: 5, reportLagMs: 100 }],
+  contracts: [createContract()],
+};
+
+/** Speed at which a generation outlasts every fault that a test makes meanwhile. */
+const SLOW = 0.01;
+
+interface StartedStream {
+  readonly stream: CallerStream;
+  readonly reading: Promise<void>;
+}
+
+/** Starts a generation on node 1, waits for its first tokens and slows the engine down. */
+async function startStream(deployment: Deployment, kind?: string): Promise<StartedStream> {
+  const stream = new CallerStream();
+  const reading = stream.start(deployment.getNode(1), TOKENS, kind);
+  await waitUntil('the first tokens', () => stream.tokenCount >= 10);
+  deployment.getEngine(1).setSpeed(SLOW);
+  return { stream, reading };
+}
+
+/** Every token once, in order, from the one generation that the engine ran. */
+function expectWhole(deployment: Deployment, stream: CallerStream): void {
+  const { generations } = deployment.getEngine(1);
+  expect(generations).toMatchObject([{ endReason: 'stop', emittedTokens: TOKENS }]);
+  const { generationId } = generations[0]!;
+  const expected = Array.from({ length: TOKENS }, (_, position) =>
+    getOutputToken(generationId, position),
+  );
+  expect(stream.listTokens()).toEqual(expected);
+  expect(stream.isComplete).toBe(true);
+}
+
+// Guards against a report that is lost, repeated or generated anew with its node.
+test.concurrent.each([
+  { fault: 'killed', apply: async (node: DeployedNode) => node.process.kill() },
+  { fault: 'frozen', apply: async (node: DeployedNode) => node.process.freeze() },
+  { fault: 'left', apply: async () => {} },
+])('resumes elsewhere when the node is $fault', async ({ apply }) =>
+  Deployment.use(OPTIONS, async (deployment) => {
+    const { stream, reading } = await startStream(deployment);
+    await apply(deployment.getNode(1));
+    stream.leave();
+    await reading;
+    deployment.getEngine(1).setSpeed(1);
+    await stream.resume(deployment.getNode(2));
+    expectWhole(deployment, stream);
+  }),
+);
+
+// Guards against a node that wakes up and cancels what another node goes on with.
+test.concurrent('finishes although the first node wakes up', async () =>
+  Deployment.use(OPTIONS, async (deployment) => {
+    const { stream, reading } = await startStream(deployment, 'draft-summary');
+    const node = deployment.getNode(1);
+    node.process.freeze();
+    stream.leave();
+    await reading;
+    const tokenCount = stream.tokenCount + 2;
+    const resumed = stream.resume(deployment.getNode(2));
+    await waitUntil('more tokens', () => stream.tokenCount >= tokenCount);
+    node.process.unfreeze();
+    await waitUntil('the late cancel', () =>
+      node.hasLogged('decision', { clause: 'kindsOfWork[1].whenCallerLeaves' }),
+    );
+    deployment.getEngine(1).setSpeed(1);
+    await resumed;
+    expectWhole(deployment, stream);
+  }),
+);
+
+// Guards against an engine that generates on for a caller who is gone.
+test.concurrent('cancels when the caller is gone', async () =>
+  Deployment.use(OPTIONS, async (deployment) => {
+    const { stream } = await startStream(deployment, 'draft-summary');
+    stream.leave();
+    await waitUntil('the cancel', () => deployment.getEngine(1).generations[0]?.endReason);
+    expect(deployment.getEngine(1).generations).toMatchObject([{ endReason: 'cancelled' }]);
+  }),
+);
+
+// Guards against a broken link to an engine that ends a report although the engine lives.
+test.concurrent('goes on when the link to the engine breaks', async () =>
+  Deployment.use(OPTIONS, async (deployment) => {
+    const { stream, reading } = await startStream(deployment);
+    deployment.getLink('engine-1').setState('cut');
+    deployment.getLink('engine-1').setState('open');
+    deployment.getEngine(1).setSpeed(1);
+    await reading;
+    expectWhole(deployment, stream);
+  }),
+);
+
+// Guards against a part of a report that looks like the whole.
+test.concurrent('tells that the engine was lost', async () =>
+  Deployment.use(OPTIONS, async (deployment) => {
+    const { stream, reading } = await startStream(deployment);
+    await deployment.getEngine(1).stop();
+    await reading;
+    expect(stream.isComplete).toBe(false);
+    const last = stream.events.at(-1);
+    expect(last?.event).toBe('error');
+    expect(JSON.parse(last?.data ?? '{}')).toMatchObject({ kind: 'engine-lost', run: 'run' });
+  }),
+);
+
+// Guards against a shutdown that cuts off a stream.
+test.concurrent('drains without cutting off a stream', async () =>
+  Deployment.use(OPTIONS, async (deployment) => {
+    const node = deployment.getNode(1);
+    const { stream, reading } = await startStream(deployment);
+    node.process.terminate();
+    await waitUntil('the drain', () => node.hasLogged('drain started'));
+    await expect(new CallerStream().start(node, 5)).rejects.toThrow(/draining/);
+    deployment.getEngine(1).setSpeed(1);
+    await reading;
+    expectWhole(deployment, stream);
+    expect(await node.process.waitForExit()).toBe(0);
+  }),
+);
