--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -22,6 +22,7 @@
 export * from './relay';
 export * from './restart';
 export * from './duties';
+export * from './entryOrder';
 export * from './hashText';
 export * from './neighbours';
 export * from './reading';
