--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -2,5 +2,6 @@
 export * from './CallerRoutes';
 export * from './createDrainingError';
 export * from './eventStream';
+export * from './gossipMessages';
 export * from './peerFrames';
 export * from './problem';
