--- a/bench/main.ts
+++ b/bench/main.ts
@@ -54,7 +54,7 @@
 
 function createScenarios({ name }: Deployment, conditions: Conditions): ReadonlyArray<Scenario> {
   const { load, reportLagMs, fault } = conditions;
-  return BENCH_ROWS.filter((row) => row.name.includes(options.row)).map((row) => ({
+  return BENCH_ROWS.filter((row) => new RegExp(options.row).test(row.name)).map((row) => ({
     deployment: name,
     row: row.name,
     requestsPerSecond: (CAPACITY_PER_SECOND[name] ?? 0) * load,
--- a/src/decisions/EndpointView.ts
+++ b/src/decisions/EndpointView.ts
@@ -60,9 +60,10 @@
   | (VerdictBase & { readonly outcome: 'route'; readonly endpointId: EndpointId })
   | (VerdictBase & {
       readonly outcome: 'wait';
-      readonly neededTokens: number;
-      /** Free room of the engine that comes closest. */
-      readonly freeTokens: number;
+      /** Memory that the engine that comes closest lacks. */
+      readonly missingTokens: number;
+      /** Rate at which work of all nodes gives memory back at the usable engines. */
+      readonly fleetFreedTokensPerMs: number;
     })
   | (VerdictBase & { readonly outcome: 'refuse' });
 
--- a/src/decisions/LengthEstimator.ts
+++ b/src/decisions/LengthEstimator.ts
@@ -1,8 +1,10 @@
 /**
  * Output lengths learnt from finished generations, by customer and kind of work.
  *
- * While too little is known of the customer, the same kind over all customers is used, and after
- * that a share of the contract's `maxOutputTokens`. A prediction is the upper edge of a bucket, so
+ * While too little is known of the customer, the same kind over all customers is used, and for an
+ * unknown kind a share of the contract's `maxOutputTokens`. A generation longer than all that was
+ * observed is expected to grow by a share of its own length: the contract's share would reserve
+ * tens of thousands of tokens for the last few hundred. A prediction is the upper edge of a bucket, so
  * it never falls below the quantile of what was observed.
  */
 import type { CustomerId } from '../core';
@@ -23,13 +25,19 @@
 }
 
 /** What a prediction rests on. @public */
-export type LengthBasis = 'customer' | 'kind' | 'contract';
+export type LengthBasis = 'customer' | 'kind' | 'tail' | 'contract';
 
 /** Lengths of one kind of work of one customer. @public */
 export interface LengthForecast {
   /** Quantile of the tokens still to come after `producedTokens`; at least 0. */
   predictRemainingTokens: (producedTokens: number, quantile: number) => number;
 
+  /** Share of generations that go on for more than each number of tokens, in rising order. */
+  computeSurvival: (
+    producedTokens: number,
+    horizonsTokens: ReadonlyArray<number>,
+  ) => ReadonlyArray<number>;
+
   getBasis: (producedTokens: number) => LengthBasis;
 }
 
@@ -66,6 +74,20 @@
   return UPPER_EDGES[bucket] ?? producedTokens;
 }
 
+/**
+ * What is assumed where no length was observed above the tokens made so far: a share of what the
+ * contract allows for an unknown kind, and of the tokens made for one that has outrun its kind.
+ */
+function assumeRemaining(
+  { maxOutputTokens }: LengthKey,
+  producedTokens: number,
+  basis: LengthBasis,
+): number {
+  const allowedTokens = Math.max(0, maxOutputTokens - producedTokens);
+  if (basis !== 'tail') return allowedTokens * LENGTH_OPTIONS.unknownShare;
+  return Math.min(allowedTokens, producedTokens * LENGTH_OPTIONS.tailShare);
+}
+
 /** @public */
 export class LengthEstimator {
   private readonly byCustomer: HistogramPool;
@@ -94,6 +116,8 @@
     return {
       predictRemainingTokens: (producedTokens, quantile) =>
         this.predict(key, producedTokens, quantile),
+      computeSurvival: (producedTokens, horizonsTokens) =>
+        this.computeSurvival(key, producedTokens, horizonsTokens),
       getBasis: (producedTokens) => this.findBasis(key, producedTokens).basis,
     };
   }
@@ -101,11 +125,33 @@
   private predict(key: LengthKey, producedTokens: number, quantile: number): number {
     const allowedTokens = Math.max(0, key.maxOutputTokens - producedTokens);
     const found = this.findBasis(key, producedTokens);
-    if (!found.weights) return Math.ceil(allowedTokens * LENGTH_OPTIONS.unknownShare);
+    if (!found.weights) return Math.ceil(assumeRemaining(key, producedTokens, found.basis));
     const total = findQuantile(found.weights, producedTokens, quantile, found.sum);
     return Math.min(allowedTokens, Math.max(0, total - producedTokens));
   }
 
+  private computeSurvival(
+    key: LengthKey,
+    producedTokens: number,
+    horizonsTokens: ReadonlyArray<number>,
+  ): ReadonlyArray<number> {
+    const { basis, weights, sum } = this.findBasis(key, producedTokens);
+    const allowedTokens = Math.max(0, key.maxOutputTokens - producedTokens);
+    if (!weights) {
+      const assumed = assumeRemaining(key, producedTokens, basis);
+      return horizonsTokens.map((horizon) => (horizon <= assumed ? 1 : 0));
+    }
+    let bucket = findFirstBucketAbove(producedTokens);
+    let left = sum;
+    return horizonsTokens.map((horizon) => {
+      for (; bucket < BUCKET_COUNT; bucket++) {
+        if ((UPPER_EDGES[bucket] ?? 0) > producedTokens + horizon) break;
+        left -= weights[bucket] ?? 0;
+      }
+      return horizon >= allowedTokens ? 0 : Math.max(0, left / sum);
+    });
+  }
+
   private findBasis(
     { customer, kindOfWork }: LengthKey,
     producedTokens: number,
@@ -120,10 +166,11 @@
       return { basis: 'customer', weights: own, sum: ownSum };
     }
     const all = this.byKind.find(kindOfWork);
-    const allSum = all ? sumAbove(all, producedTokens) : 0;
-    if (allSum >= LENGTH_OPTIONS.minObservations) {
-      return { basis: 'kind', weights: all, sum: allSum };
+    if (!all || sumAbove(all, 0) < LENGTH_OPTIONS.minObservations) {
+      return { basis: 'contract', weights: undefined, sum: 0 };
     }
-    return { basis: 'contract', weights: undefined, sum: 0 };
+    const allSum = sumAbove(all, producedTokens);
+    if (allSum > 0) return { basis: 'kind', weights: all, sum: allSum };
+    return { basis: 'tail', weights: undefined, sum: 0 };
   }
 }
--- a/src/decisions/ReserveByQuantilePolicy.ts
+++ b/src/decisions/ReserveByQuantilePolicy.ts
@@ -2,14 +2,23 @@
  * Reserves memory for the predicted length of each generation, so that engines don't have to
  * preempt what they run.
  *
- * A generation is sent only to an engine whose memory, with everything promised there, has room
- * for its prompt and the predicted quantile of its output. Otherwise it waits at the node, where
+ * A generation is sent only to an engine whose memory, with everything promised there, suffices at
+ * every predicted moment with a margin of the predicted quantile. Otherwise it waits at the node, where
  * it holds no memory. Among engines with room, two are drawn in proportion to their free memory,
  * which keeps nodes that hold the same report from all choosing the same engine.
  */
 import type { EndpointView, PassedOver, RoutingContext, RoutingRequest } from './EndpointView';
-import { predictMemory, type MemoryPrediction, type OthersAssumption } from './predictMemory';
+import {
+  averageSurvival,
+  computeMeanRemaining,
+  getSurvival,
+  isShownByReport,
+  predictMemory,
+  type MemoryPrediction,
+  type OthersAssumption,
+} from './predictMemory';
 import { computeExtraWaitMs, computeSavedPrefillMs } from './prefixAffinity';
+import type { Reservation } from './InFlightReservations';
 import type { RoutingOptions } from './options';
 import type { SeededRandom } from './SeededRandom';
 import {
@@ -61,14 +70,8 @@
   );
 }
 
-function explainCandidate(
-  { freeTokens }: MemoryPrediction,
-  neededTokens: number,
-  isNear: boolean,
-): string {
-  if (freeTokens < neededTokens) {
-    return `room for ${Math.round(freeTokens)} tokens, ${Math.round(neededTokens)} needed`;
-  }
+function explainCandidate({ freeTokens }: MemoryPrediction, isNear: boolean): string {
+  if (freeTokens < 0) return `predicted to lack memory for ${Math.round(-freeTokens)} tokens`;
   return isNear ? 'less free memory, or not drawn' : 'in another region';
 }
 
@@ -89,60 +92,57 @@
     usable: ReadonlyArray<EndpointView>,
     context: RoutingContext,
   ): PolicyChoice {
-    const neededTokens = this.predictNeed(request);
-    const others = this.assumeOthers(request, usable);
+    const others = this.assumeOthers(request, usable, context);
     const candidates = usable.map((endpoint) => ({
       endpoint,
-      memory: this.predict(endpoint, context, others),
+      memory: this.predict(request, endpoint, context, others),
       isNear: endpoint.vm.region === request.region || !this.parts.prefersRegion,
     }));
     const roomy = candidates.filter(
-      (candidate) => !isKnown(candidate) || candidate.memory.freeTokens >= neededTokens,
+      (candidate) => !isKnown(candidate) || candidate.memory.freeTokens >= 0,
     );
     const near = roomy.filter(({ isNear }) => isNear);
     const eligible = near.length > 0 ? near : roomy;
-    if (eligible.length > 0) return this.pick(request, candidates, eligible, neededTokens);
-    return this.handleFull(request, candidates, neededTokens);
-  }
-
-  private predictNeed({ promptTokens, forecast }: RoutingRequest): number {
-    if (!forecast || !this.parts.predictsLength) return promptTokens;
-    return promptTokens + forecast.predictRemainingTokens(0, this.options.reserveQuantile);
+    if (eligible.length > 0) return this.pick(request, candidates, eligible);
+    return this.handleFull(request, candidates, others);
   }
 
   private predict(
+    { promptTokens, forecast }: RoutingRequest,
     endpoint: EndpointView,
     { nowMs }: RoutingContext,
     others: OthersAssumption,
   ): MemoryPrediction {
     const { addsOwnWork, predictsLength } = this.parts;
-    const reservations = addsOwnWork
-      ? endpoint.reservations.map((reservation) =>
-          predictsLength ? reservation : { ...reservation, forecast: undefined },
-        )
-      : [];
-    return predictMemory({ ...endpoint, reservations }, nowMs, others, this.options);
+    const hide = <T extends Pick<Reservation, 'forecast'>>(held: T): T =>
+      predictsLength ? held : { ...held, forecast: undefined };
+    const view = { ...endpoint, reservations: addsOwnWork ? endpoint.reservations.map(hide) : [] };
+    const request = hide({ promptTokens, producedTokens: 0, forecast });
+    return predictMemory(view, nowMs, request, others, this.options);
   }
 
   /** Takes the node's own work as typical of what other nodes have under way. */
   private assumeOthers(
-    request: RoutingRequest,
+    { promptTokens, forecast }: RoutingRequest,
     usable: ReadonlyArray<EndpointView>,
+    { nowMs, decidingNodes }: RoutingContext,
   ): OthersAssumption {
-    if (!this.parts.expectsOthers || !this.parts.predictsLength) {
-      return { remainingTokens: 0, promptTokens: 0 };
+    const { expectsOthers, predictsLength } = this.parts;
+    if (!expectsOthers || !predictsLength) {
+      return { survival: averageSurvival([]), promptTokens: 0, unseen: 0 };
     }
     const own = usable.flatMap(({ reservations }) => reservations);
-    const remaining = own.map(
-      ({ forecast, producedTokens }) =>
-        forecast?.predictRemainingTokens(producedTokens, this.options.typicalQuantile) ?? 0,
-    );
-    const { forecast, promptTokens } = request;
-    const first = forecast?.predictRemainingTokens(0, this.options.typicalQuantile) ?? 0;
-    const sum = (values: ReadonlyArray<number>): number => values.reduce((a, b) => a + b, 0);
+    const unseen = usable.reduce((sum, { reportAgeMs, reservations }) => {
+      const isShown = (held: Reservation): boolean =>
+        isShownByReport(held, nowMs - reportAgeMs, this.options);
+      return sum + reservations.filter((held) => !isShown(held)).length;
+    }, 0);
+    const prompts = own.reduce((sum, held) => sum + held.promptTokens, promptTokens);
+    const survivals = own.map(getSurvival);
     return {
-      remainingTokens: (sum(remaining) + first) / (own.length + 1),
-      promptTokens: (sum(own.map((held) => held.promptTokens)) + promptTokens) / (own.length + 1),
+      survival: averageSurvival([...survivals, getSurvival({ forecast, producedTokens: 0 })]),
+      promptTokens: prompts / (own.length + 1),
+      unseen: (unseen * (decidingNodes - 1)) / usable.length,
     };
   }
 
@@ -150,7 +150,6 @@
     request: RoutingRequest,
     candidates: ReadonlyArray<Candidate>,
     eligible: ReadonlyArray<Candidate>,
-    neededTokens: number,
   ): PolicyChoice {
     const drawn = this.parts.spreads ? this.drawByFreeMemory(eligible) : findFreest(eligible);
     const chosen = this.parts.followsPrefix ? this.followPrefix(request, eligible, drawn) : drawn;
@@ -161,9 +160,9 @@
       chosen: chosen.endpoint,
       reason: `The engine has ${why}.`,
       clause: getServedClause(request),
-      passedOver: this.explain(candidates, neededTokens, chosen),
+      passedOver: this.explain(candidates, chosen),
       measured: {
-        neededTokens: Math.round(neededTokens),
+        promptTokens: request.promptTokens,
         freeTokens: Math.round(chosen.memory.freeTokens),
         reportAgeMs: Math.round(chosen.endpoint.reportAgeMs),
         ownOutstanding: chosen.endpoint.reservations.length,
@@ -196,31 +195,35 @@
   private handleFull(
     request: RoutingRequest,
     candidates: ReadonlyArray<Candidate>,
-    neededTokens: number,
+    { survival }: OthersAssumption,
   ): PolicyChoice {
+    const usedTokens = candidates.reduce(
+      (sum, { endpoint }) => sum + (endpoint.report?.memoryUsedTokens ?? 0),
+      0,
+    );
+    const remainingMs = Math.max(1, computeMeanRemaining(survival)) * this.options.tokenGapMs;
     const freest = findFreest(candidates);
     // A generation that fits into no engine at all, even an empty one, would wait for ever.
     const isAlone = freest.memory.running === 0;
     if (isAlone || !this.parts.waitsForRoom) {
-      return this.pick(request, candidates, [freest], neededTokens);
+      return this.pick(request, candidates, [freest]);
     }
     return {
       outcome: 'wait',
       reason: `No engine has room for the predicted length of ${request.kind.name}.`,
       clause: `${request.clausePath}.maxWaitMs`,
-      passedOver: this.explain(candidates, neededTokens),
+      passedOver: this.explain(candidates),
       measured: {
-        neededTokens: Math.round(neededTokens),
-        freeTokens: Math.round(freest.memory.freeTokens),
+        promptTokens: request.promptTokens,
+        missingTokens: Math.round(-freest.memory.freeTokens),
       },
-      neededTokens,
-      freeTokens: freest.memory.freeTokens,
+      missingTokens: Math.max(0, -freest.memory.freeTokens),
+      fleetFreedTokensPerMs: usedTokens / remainingMs,
     };
   }
 
   private explain(
     candidates: ReadonlyArray<Candidate>,
-    neededTokens: number,
     chosen?: Candidate,
   ): ReadonlyArray<PassedOver> {
     return candidates
@@ -228,7 +231,7 @@
       .filter((candidate) => candidate !== chosen)
       .map(({ endpoint, memory, isNear }) => ({
         candidate: endpoint.endpointId,
-        reason: explainCandidate(memory, neededTokens, isNear),
+        reason: explainCandidate(memory, isNear),
       }));
   }
 }
--- a/src/decisions/admission.test.ts
+++ b/src/decisions/admission.test.ts
@@ -30,9 +30,10 @@
   const tokens = fc.nat({ max: 100_000 });
   const input = fc.record({
     tokensAhead: tokens,
-    neededTokens: tokens,
-    freeTokens: tokens,
-    freedTokensPerMs: fc.option(fc.double({ min: 0.01, max: 100, noNaN: true }), {
+    missingTokens: tokens,
+    fleetFreedTokensPerMs: fc.double({ min: 0, max: 100, noNaN: true }),
+    decidingNodes: fc.integer({ min: 1, max: 400 }),
+    ownFreedTokensPerMs: fc.option(fc.double({ min: 0.01, max: 100, noNaN: true }), {
       nil: undefined,
     }),
   });
--- a/src/decisions/admission.ts
+++ b/src/decisions/admission.ts
@@ -23,21 +23,29 @@
 export interface ExpectedWaitInput {
   /** Tokens of waiting work that is served earlier. */
   readonly tokensAhead: number;
-  readonly neededTokens: number;
-  readonly freeTokens: number;
-  /** Rate at which this node's room becomes free; undefined while nothing has ended. */
-  readonly freedTokensPerMs: number | undefined;
+  /** Memory that the closest engine lacks for the first of the queue. */
+  readonly missingTokens: number;
+  /** Rate at which this node's own work gives room back; undefined while nothing has ended. */
+  readonly ownFreedTokensPerMs: number | undefined;
+  /** Rate at which the work of all nodes gives room back. */
+  readonly fleetFreedTokensPerMs: number;
+  readonly decidingNodes: number;
 }
 
-/** Expected wait; undefined while nothing is known of the rate. */
+/**
+ * Expected wait; undefined while nothing is known of the rates. What the first of the queue lacks
+ * is given back by the work of any node; the rest of the queue gets at least this node's share.
+ */
 export function expectWaitMs({
   tokensAhead,
-  neededTokens,
-  freeTokens,
-  freedTokensPerMs,
+  missingTokens,
+  ownFreedTokensPerMs = 0,
+  fleetFreedTokensPerMs,
+  decidingNodes,
 }: ExpectedWaitInput): number | undefined {
-  if (freedTokensPerMs === undefined || freedTokensPerMs <= 0) return undefined;
-  return Math.max(0, tokensAhead + neededTokens - Math.max(0, freeTokens)) / freedTokensPerMs;
+  const ownPerMs = Math.max(ownFreedTokensPerMs, fleetFreedTokensPerMs / decidingNodes);
+  if (ownPerMs <= 0) return undefined;
+  return missingTokens / Math.max(ownPerMs, fleetFreedTokensPerMs) + tokensAhead / ownPerMs;
 }
 
 /** @public */
@@ -71,8 +79,7 @@
     retryAfterMs: Math.max(minRetryAfterMs, expected - allowed.maxWaitMs),
     measured: {
       tokensAhead: input.tokensAhead,
-      neededTokens: input.neededTokens,
-      freeTokens: Math.round(input.freeTokens),
+      missingTokens: Math.round(input.missingTokens),
       expectedWaitMs: expected,
       maxWaitMs: allowed.maxWaitMs,
     },
--- a/src/decisions/options.ts
+++ b/src/decisions/options.ts
@@ -14,6 +14,8 @@
   maxKindHistograms: 1_024,
   /** Share of `maxOutputTokens` that is assumed while nothing has been learnt. */
   unknownShare: 0.5,
+  /** Share of the tokens made that is still expected of work longer than any observed. */
+  tailShare: 0.5,
 } as const;
 
 /** @public */
@@ -21,9 +23,12 @@
 
 /** @public */
 export const ROUTING_OPTIONS = {
-  /** Quantile of the remaining length that is reserved. */
-  reserveQuantile: 0.9,
-  /** Quantile of the remaining length that is assumed of other nodes' work. */
+  /**
+   * Standard deviations above the mean that are reserved of the memory of all work together; 1.28
+   * are the 0.9-quantile of a normal distribution.
+   */
+  reserveDeviations: 1.28,
+  /** Quantile of the length by which a request is counted in the expected wait. */
   typicalQuantile: 0.5,
   /** Share of an engine's memory that may be reserved. */
   reservableShare: 1,
@@ -42,7 +47,7 @@
   /** Rejected endpoints that a verdict lists; more would make log lines of 100 KB at 1,200 engines. */
   maxPassedOver: 12,
   /** Weight of the newest interval in the rate at which room becomes free. */
-  rateSmoothing: 0.1,
+  rateSmoothing: 0.02,
   /** Shortest time after which a refused caller is told to retry. */
   minRetryAfterMs: 1_000,
 } as const;
--- a/src/decisions/predictMemory.test.ts
+++ b/src/decisions/predictMemory.test.ts
@@ -2,10 +2,10 @@
 import type { EndpointId } from '../core';
 import { InFlightReservations } from './InFlightReservations';
 import { ROUTING_OPTIONS } from './options';
-import { predictMemory } from './predictMemory';
+import { averageSurvival, predictMemory } from './predictMemory';
 import { createEngineView } from './routingFixtures';
 
-const NO_OTHERS = { remainingTokens: 0, promptTokens: 0 };
+const NO_OTHERS = { survival: averageSurvival([]), promptTokens: 0, unseen: 0 };
 const ENGINE = 'engine-0' as EndpointId;
 
 function reserve(startedAtMs: number, promptTokens: number) {
@@ -38,8 +38,9 @@
         running: shown.length,
       };
       const view = createEngineView(0, { report, reportAgeMs: 5_000 - takenAtMs, reservations });
-      const memory = predictMemory(view, 5_000, NO_OTHERS, ROUTING_OPTIONS);
-      expect(memory.predictedTokens).toBe(all.reduce((sum, [, tokens]) => sum + tokens, 0));
+      const memory = predictMemory(view, 5_000, undefined, NO_OTHERS, ROUTING_OPTIONS);
+      const promised = all.reduce((sum, [, tokens]) => sum + tokens, 0);
+      expect(memory.freeTokens).toBe(report.memoryTotalTokens - promised);
       expect(memory.running).toBe(all.length);
     }),
     { seed: 1, numRuns: 300 },
--- a/src/decisions/routingFixtures.ts
+++ b/src/decisions/routingFixtures.ts
@@ -56,7 +56,11 @@
     region: 'seq',
     promptTokens: 100,
     excluded: [],
-    forecast: { predictRemainingTokens: () => 500, getBasis: () => 'contract' },
+    forecast: {
+      predictRemainingTokens: () => 500,
+      computeSurvival: (_produced, horizons) => horizons.map((tokens) => (tokens <= 500 ? 1 : 0)),
+      getBasis: () => 'contract',
+    },
     ...overrides,
   };
 }
--- a/src/plugins/routing/EndpointRouter.ts
+++ b/src/plugins/routing/EndpointRouter.ts
@@ -47,6 +47,12 @@
   readonly policy?: RoutingPolicy;
 }
 
+/** What was found for the first request of a model that has to wait. */
+type FullModel = Pick<
+  Extract<RoutingVerdict, { outcome: 'wait' }>,
+  'missingTokens' | 'fleetFreedTokensPerMs'
+> & { tokensAhead: number };
+
 function createCancelledError(work: RoutedWork): ServingError {
   return new ServingError('overloaded', {
     detail: 'The request was cancelled while it waited for an engine.',
@@ -154,7 +160,7 @@
       kind,
       forecast,
       neededTokens:
-        work.promptTokens + forecast.predictRemainingTokens(0, ROUTING_OPTIONS.reserveQuantile),
+        work.promptTokens + forecast.predictRemainingTokens(0, ROUTING_OPTIONS.typicalQuantile),
       arrivedAtMs: this.clock.nowMs(),
       arrival: this.arrivals,
     });
@@ -162,7 +168,7 @@
 
   /** Serves waiting requests in order; the first of a model that finds no room holds up the rest. */
   private serveWaiting(): void {
-    const fullModels = new Map<string, { readonly freeTokens: number; tokensAhead: number }>();
+    const fullModels = new Map<string, FullModel>();
     this.queue.list().forEach((waiting) => {
       const { model } = waiting.kind;
       const full = fullModels.get(model) ?? this.tryToRoute(waiting);
@@ -174,13 +180,13 @@
   }
 
   /** Returns the room that was found when it isn't enough. */
-  private tryToRoute(waiting: WaitingRequest) {
+  private tryToRoute(waiting: WaitingRequest): FullModel | undefined {
     const { work, forecast } = waiting;
     const { homeRegion } = work.inForce.contract;
     const verdict = this.decide(this.generationPolicy, work, forecast, homeRegion);
     if (verdict.outcome === 'wait') {
       if (!waiting.isAdmitted) recordVerdict(this.decisions, work, verdict);
-      return { freeTokens: verdict.freeTokens, tokensAhead: 0 };
+      return { ...verdict, tokensAhead: 0 };
     }
     const waitedMs = Math.round(this.clock.nowMs() - waiting.arrivedAtMs);
     recordVerdict(this.decisions, work, verdict, { waitedMs });
@@ -196,11 +202,17 @@
 
   private admit(
     waiting: WaitingRequest,
-    { freeTokens, tokensAhead }: { readonly freeTokens: number; readonly tokensAhead: number },
+    { missingTokens, fleetFreedTokensPerMs, tokensAhead }: FullModel,
   ): void {
-    const { work, kind, neededTokens } = waiting;
+    const { work, kind } = waiting;
     const verdict = decideAdmission(
-      { tokensAhead, neededTokens, freeTokens, freedTokensPerMs: this.freedRoom.tokensPerMs },
+      {
+        tokensAhead,
+        missingTokens,
+        ownFreedTokensPerMs: this.freedRoom.tokensPerMs,
+        fleetFreedTokensPerMs,
+        decidingNodes: this.getContext().decidingNodes,
+      },
       { clausePath: work.clause.path, maxWaitMs: kind.maxWaitMs },
       ROUTING_OPTIONS,
     );
