--- a/src/decisions/OperationRules.ts
+++ b/src/decisions/OperationRules.ts
@@ -7,7 +7,7 @@
  * tests replace single ones to show that each is needed.
  */
 import type { KeptOutcome } from './operationOutcome';
-import type { NodeProcess, OperationTicket, Reservation } from './operationTicket';
+import type { NodeProcess, OperationTicket, WitnessReservation } from './operationTicket';
 
 /** @public */
 export type OwnerState =
@@ -64,7 +64,7 @@
 /** @public */
 export interface WitnessView {
   readonly self: NodeProcess;
-  readonly reservation: Reservation;
+  readonly reservation: WitnessReservation;
   /** The witness's entry for the reservation, if it holds one. */
   readonly entry: { readonly owner: NodeProcess; readonly current: WitnessState } | undefined;
   /** Process that sent the message. */
@@ -105,7 +105,7 @@
   }
 
   /** Witnesses that must all grant the ticket before it is dispatched. */
-  listGrantors(ticket: OperationTicket): ReadonlyArray<Reservation> {
+  listGrantors(ticket: OperationTicket): ReadonlyArray<WitnessReservation> {
     return ticket.witnesses;
   }
 
--- a/src/decisions/operationTicket.ts
+++ b/src/decisions/operationTicket.ts
@@ -23,7 +23,7 @@
     reservationId: operationIdSchema,
   })
   .readonly();
-export type Reservation = z.infer<typeof reservationSchema>;
+export type WitnessReservation = z.infer<typeof reservationSchema>;
 
 /** Content of the signed operation key. @public */
 export const operationTicketSchema = z
--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -63,7 +63,11 @@
     app.all('/v1/services/:service/*', async (context) => this.handle(context));
   }
 
-  /** Counts the call against the rate of the contract; a call doesn't wait for a permit. */
+  /**
+   * Counts the call against the rate of the contract; a call doesn't wait for a permit. A call with
+   * an operation key was counted when the key was issued: a repeat that the limit refused as
+   * `not-run` would be false where the first call is running.
+   */
   private async admit(inForce: ContractInForce): Promise<void> {
     const place = await this.kernel
       .get(LimitLeases)
@@ -79,12 +83,13 @@
       inForce: context.get('inForce'),
       clause,
     };
-    await this.admit(details.inForce);
     if (clause.kind.repeatable) {
+      await this.admit(details.inForce);
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
     const key = context.req.header('idempotency-key');
     if (key) return answer(context, await this.kernel.get(Operations).run(key, call, details));
+    await this.admit(details.inForce);
     const ticket = await this.kernel
       .get(Operations)
       .issueTicket(details.inForce.contract.customer, clause.kind.name);
--- a/src/plugins/operations/OperationRoutes.ts
+++ b/src/plugins/operations/OperationRoutes.ts
@@ -3,7 +3,8 @@
  */
 import { z } from 'zod';
 import { ServingError, type RunOutcome } from '../../core';
-import type { Operations, OperationOutcome } from '../../services';
+import { LimitLeases, type OperationOutcome, type Operations } from '../../services';
+import type { Kernel } from '../../kernel';
 import { CallerRoutes, type CallerApp, type CallerContext } from '../../wire';
 
 const issueSchema = z.object({ kindOfWork: z.string() }).readonly();
@@ -31,7 +32,10 @@
 
 /** @internal */
 export class OperationRoutes extends CallerRoutes {
-  constructor(private readonly operations: Operations) {
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly operations: Operations,
+  ) {
     super();
   }
 
@@ -42,7 +46,12 @@
 
   private async issue(context: CallerContext): Promise<Response> {
     const { kindOfWork } = await readIssueRequest(context);
-    const { customer } = context.get('inForce').contract;
+    const inForce = context.get('inForce');
+    const { customer } = inForce.contract;
+    const place = await this.kernel
+      .get(LimitLeases)
+      .acquire(inForce, 'call', this.kernel.clock.nowMs());
+    place.release();
     return context.json(await this.operations.issueTicket(customer, kindOfWork), 201);
   }
 
--- a/src/plugins/operations/OperationsPlugin.ts
+++ b/src/plugins/operations/OperationsPlugin.ts
@@ -56,7 +56,7 @@
       witnesses,
     });
     kernel.provide(Operations, operations);
-    kernel.provide(HttpRoutes, new OperationRoutes(operations));
+    kernel.provide(HttpRoutes, new OperationRoutes(kernel, operations));
     [
       new RunHandler(kernel, operations, owner),
       new FindHandler(operations),
--- a/src/plugins/operations/WitnessClient.ts
+++ b/src/plugins/operations/WitnessClient.ts
@@ -9,7 +9,7 @@
   type KeptOutcome,
   type OperationRules,
   type OperationTicket,
-  type Reservation,
+  type WitnessReservation,
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Fleet } from '../../services';
@@ -60,9 +60,9 @@
   }
 
   /** Reserves a new ticket at as many witnesses as can be had, up to the number of the options. */
-  async reserve(remainingMs: number): Promise<ReadonlyArray<Reservation>> {
+  async reserve(remainingMs: number): Promise<ReadonlyArray<WitnessReservation>> {
     let candidates = this.listCandidates().slice(0, this.options.reserveAttempts);
-    let held: ReadonlyArray<Reservation> = [];
+    let held: ReadonlyArray<WitnessReservation> = [];
     while (held.length < this.options.witnessCount && candidates.length > 0) {
       const missing = this.options.witnessCount - held.length;
       const asked = candidates.slice(0, missing);
@@ -149,7 +149,7 @@
   }
 
   private async reportTo(
-    reservation: Reservation,
+    reservation: WitnessReservation,
     body: unknown,
     signal: AbortSignal,
   ): Promise<void> {
@@ -162,7 +162,10 @@
     }
   }
 
-  private async reserveAt(vmId: VmId, remainingMs: number): Promise<Reservation | undefined> {
+  private async reserveAt(
+    vmId: VmId,
+    remainingMs: number,
+  ): Promise<WitnessReservation | undefined> {
     const message = { type: 'operation.reserve', body: { remainingMs } };
     const timeoutMs = this.options.witnessTimeoutMs;
     const reply = await this.links.ask(vmId, message, reserveReplySchema, timeoutMs);
@@ -171,7 +174,7 @@
 
   private async ask<S extends z.ZodType>(
     type: string,
-    { vmId }: Reservation,
+    { vmId }: WitnessReservation,
     body: unknown,
     schema: S,
   ): Promise<z.infer<S> | undefined> {
@@ -184,11 +187,14 @@
 
   private listCandidates(): ReadonlyArray<VmId> {
     this.turn += 1;
-    const candidates = this.kernel
+    const listed = this.kernel
       .get(Fleet)
       .listNodes()
-      .filter(({ vm, state }) => state === 'serving' && vm.state === 'live')
-      .map(({ vm }) => vm);
-    return orderWitnesses(this.kernel.settings, candidates, this.turn);
+      .filter(({ vm }) => vm.state === 'live');
+    // Nodes that weren't heard of lately come last; a reservation that they confirm is as good.
+    return (['serving', 'unknown'] as const).flatMap((wanted) => {
+      const candidates = listed.filter(({ state }) => state === wanted).map(({ vm }) => vm);
+      return orderWitnesses(this.kernel.settings, candidates, this.turn);
+    });
   }
 }
--- a/src/plugins/operations/WitnessLedger.ts
+++ b/src/plugins/operations/WitnessLedger.ts
@@ -9,7 +9,7 @@
   type KeptOutcome,
   type NodeProcess,
   type OperationRules,
-  type Reservation,
+  type WitnessReservation,
   type WitnessState,
   type WitnessView,
 } from '../../decisions';
@@ -39,7 +39,7 @@
   }
 
   /** Undefined when the table is full. */
-  reserve(owner: NodeProcess, remainingMs: number): Reservation | undefined {
+  reserve(owner: NodeProcess, remainingMs: number): WitnessReservation | undefined {
     if (this.table.isFull) return undefined;
     const reservationId = createOperationId();
     this.table.set(reservationId, {
@@ -51,13 +51,13 @@
     return { ...this.self, reservationId };
   }
 
-  grant(from: NodeProcess, reservation: Reservation, fingerprint: string): GrantVerdict {
+  grant(from: NodeProcess, reservation: WitnessReservation, fingerprint: string): GrantVerdict {
     const verdict = this.rules.judgeGrant(this.view(from, reservation), fingerprint);
     if (verdict.next) this.change(reservation, verdict.next, from);
     return verdict;
   }
 
-  close(from: NodeProcess, reservation: Reservation, fingerprint: string): CloseVerdict {
+  close(from: NodeProcess, reservation: WitnessReservation, fingerprint: string): CloseVerdict {
     const verdict = this.rules.judgeClose(this.view(from, reservation), fingerprint);
     if (verdict.verdict === 'closed' && verdict.next) this.change(reservation, verdict.next, from);
     return verdict;
@@ -66,7 +66,7 @@
   /** Returns whether the outcome is kept here, now or from an earlier report. */
   keepOutcome(
     from: NodeProcess,
-    reservation: Reservation,
+    reservation: WitnessReservation,
     fingerprint: string | undefined,
     outcome: KeptOutcome,
   ): boolean {
@@ -80,7 +80,7 @@
   }
 
   /** State of a reservation, without a change. */
-  find(reservation: Reservation): WitnessState | undefined {
+  find(reservation: WitnessReservation): WitnessState | undefined {
     const entry = this.table.find(reservation.reservationId);
     const mayVouch = this.rules.mayVouch(reservation, this.self, entry !== undefined);
     return mayVouch ? entry?.current : undefined;
@@ -90,12 +90,16 @@
     this.table.sweep();
   }
 
-  private view(from: NodeProcess, reservation: Reservation): WitnessView {
+  private view(from: NodeProcess, reservation: WitnessReservation): WitnessView {
     const entry = this.table.find(reservation.reservationId);
     return { self: this.self, reservation, entry, from };
   }
 
-  private change({ reservationId }: Reservation, next: WitnessState, from: NodeProcess): void {
+  private change(
+    { reservationId }: WitnessReservation,
+    next: WitnessState,
+    from: NodeProcess,
+  ): void {
     const entry = this.table.find(reservationId);
     this.table.set(reservationId, {
       owner: entry?.owner ?? from,
--- a/src/plugins/operations/operationFaults.test.ts
+++ b/src/plugins/operations/operationFaults.test.ts
@@ -65,7 +65,7 @@
   }
 
   /** Holds the answer and returns when the service has the request. */
-  async beginHeld(node: number): Promise<Array<Promise<string>>> {
+  async beginHeld(node: number): Promise<{ readonly sent: Promise<string> }> {
     this.service.hold();
     const sent = this.begin(node);
     while (!this.service.isBusy) {
--- a/src/plugins/operations/operationModel.test.ts
+++ b/src/plugins/operations/operationModel.test.ts
@@ -4,11 +4,11 @@
   OperationRules,
   type CloseVerdict,
   type NodeProcess,
-  type Reservation,
+  type WitnessReservation,
 } from '../../decisions';
 
 class WithoutGrant extends OperationRules {
-  override listGrantors(): ReadonlyArray<Reservation> {
+  override listGrantors(): ReadonlyArray<WitnessReservation> {
     return [];
   }
 }
--- a/tests/SimulatedFleet.ts
+++ b/tests/SimulatedFleet.ts
@@ -217,6 +217,15 @@
     else this.queue = [...this.queue, transit, ...(action === 'duplicate' ? [transit] : [])];
   }
 
+  setIntercept(intercept: SimulatedFleet['intercept']): void {
+    this.intercept = intercept;
+  }
+
+  /** Stops or resumes a process; its messages and timers wait. */
+  pause(index: number, isPaused: boolean): void {
+    this.get(index).isPaused = isPaused;
+  }
+
   releaseHeld(): void {
     this.queue = [...this.queue, ...this.held];
     this.held = [];
--- a/tests/operationModel.ts
+++ b/tests/operationModel.ts
@@ -113,12 +113,19 @@
   readonly variant: number;
 }
 
+/** Sees what reaches the service. */
+export interface ServiceObserver {
+  noteDispatch: (run: Run) => void;
+  /** Returns the body of the answer. */
+  noteRun: (run: Run) => string;
+}
+
 const decoder = new TextDecoder();
 
 /** The service on the simulated network: its requests may be late or lost, but never doubled. */
-class SimulatedService extends ServiceCalls {
+export class SimulatedService extends ServiceCalls {
   constructor(
-    private readonly model: OperationModel,
+    private readonly observer: ServiceObserver,
     private readonly fleet: SimulatedFleet,
     private readonly self: SimulatedProcess,
   ) {
@@ -131,7 +138,7 @@
     deadlineMs: number,
   ): Promise<ServiceAnswer> {
     const run = JSON.parse(decoder.decode(call.body)) as Run;
-    this.model.noteDispatch(run);
+    this.observer.noteDispatch(run);
     const { self } = this;
     const answered = new Promise<ServiceAnswer>((resolve, reject) => {
       this.fleet.enqueue({
@@ -141,7 +148,7 @@
         mayDuplicate: false,
         isDeliverable: () => true,
         drop: () => reject(new ServingError('endpoint-unreachable', { detail: 'Not connected.' })),
-        deliver: () => this.answer(this.model.noteRun(run), resolve, reject),
+        deliver: () => this.answer(this.observer.noteRun(run), resolve, reject),
       });
     });
     const timeout = self.clock.sleep(deadlineMs - self.clock.nowMs()).then(() => {
@@ -178,7 +185,7 @@
 }
 
 /** Runs one interleaving and collects what violates a property. */
-export class OperationModel {
+export class OperationModel implements ServiceObserver {
   private readonly operations: IssuedOperation[] = [];
 
   private readonly told: Told[] = [];
