--- a/src/plugins/operations/WitnessClient.ts
+++ b/src/plugins/operations/WitnessClient.ts
@@ -187,11 +187,14 @@
 
   private listCandidates(): ReadonlyArray<VmId> {
     this.turn += 1;
-    const candidates = this.kernel
+    const listed = this.kernel
       .get(Fleet)
       .listNodes()
-      .filter(({ vm, state }) => state === 'serving' && vm.state === 'live')
-      .map(({ vm }) => vm);
-    return orderWitnesses(this.kernel.settings, candidates, this.turn);
+      .filter(({ vm }) => vm.state === 'live');
+    // Nodes that weren't heard of lately come last; a reservation that they confirm is as good.
+    return (['serving', 'unknown'] as const).flatMap((wanted) => {
+      const candidates = listed.filter(({ state }) => state === wanted).map(({ vm }) => vm);
+      return orderWitnesses(this.kernel.settings, candidates, this.turn);
+    });
   }
 }
