--- a/bench/streamCost.ts
+++ b/bench/streamCost.ts
@@ -96,7 +96,7 @@
 ): Promise<StreamTimes> {
   requests += 1;
   const startMs = performance.now();
-  const { body } = await request(`${url}/v1/chat/completions`, {
+  const { body, statusCode } = await request(`${url}/v1/chat/completions`, {
     dispatcher: agent,
     method: 'POST',
     headers: { ...headers, 'x-request-id': `bench-${requests}` },
@@ -108,6 +108,8 @@
     }),
     signal,
   });
+  // A refusal among the answers would pass for a fast stream.
+  if (statusCode !== 200) throw new Error(`${statusCode}: ${await body.text()}`);
   let lastMs = startMs;
   const delaysMs: number[] = [];
   for await (const { data } of parseEventStream(body.iterator({ destroyOnReturn: false }))) {
