Let nodes that have learnt nothing take part

Cause: a node that had learnt no length reserved 20,000 tokens for each report, refused it and so never learnt.

Change: an assumed length stands for the 0.9-quantile of a falling distribution, and other nodes' work is judged by its mean age in the reports while nothing is known.

--- a/src/decisions/LengthEstimator.ts
+++ b/src/decisions/LengthEstimator.ts
@@ -74,6 +74,9 @@
   return UPPER_EDGES[bucket] ?? producedTokens;
 }
 
+/** The quantile that an assumed length stands for; shorter ones are likelier. */
+const ASSUMED_QUANTILE = 0.9;
+
 /**
  * What is assumed where no length was observed above the tokens made so far: a share of what the
  * contract allows for an unknown kind, and of the tokens made for one that has outrun its kind.
@@ -84,8 +87,8 @@
   basis: LengthBasis,
 ): number {
   const allowedTokens = Math.max(0, maxOutputTokens - producedTokens);
-  if (basis !== 'tail') return allowedTokens * LENGTH_OPTIONS.unknownShare;
-  return Math.min(allowedTokens, producedTokens * LENGTH_OPTIONS.tailShare);
+  if (basis !== 'tail') return Math.max(1, allowedTokens * LENGTH_OPTIONS.unknownShare);
+  return Math.max(1, Math.min(allowedTokens, producedTokens * LENGTH_OPTIONS.tailShare));
 }
 
 /** @public */
@@ -125,7 +128,10 @@
   private predict(key: LengthKey, producedTokens: number, quantile: number): number {
     const allowedTokens = Math.max(0, key.maxOutputTokens - producedTokens);
     const found = this.findBasis(key, producedTokens);
-    if (!found.weights) return Math.ceil(assumeRemaining(key, producedTokens, found.basis));
+    if (!found.weights) {
+      const assumed = assumeRemaining(key, producedTokens, found.basis);
+      return Math.ceil((assumed * Math.log(1 - quantile)) / Math.log(1 - ASSUMED_QUANTILE));
+    }
     const total = findQuantile(found.weights, producedTokens, quantile, found.sum);
     return Math.min(allowedTokens, Math.max(0, total - producedTokens));
   }
@@ -139,7 +145,7 @@
     const allowedTokens = Math.max(0, key.maxOutputTokens - producedTokens);
     if (!weights) {
       const assumed = assumeRemaining(key, producedTokens, basis);
-      return horizonsTokens.map((horizon) => (horizon <= assumed ? 1 : 0));
+      return horizonsTokens.map((horizon) => (1 - ASSUMED_QUANTILE) ** (horizon / assumed));
     }
     let bucket = findFirstBucketAbove(producedTokens);
     let left = sum;
--- a/src/decisions/ReserveByQuantilePolicy.ts
+++ b/src/decisions/ReserveByQuantilePolicy.ts
@@ -10,6 +10,7 @@
 import type { EndpointView, PassedOver, RoutingContext, RoutingRequest } from './EndpointView';
 import {
   averageSurvival,
+  createSurvival,
   computeMeanRemaining,
   getSurvival,
   isShownByReport,
@@ -64,6 +65,16 @@
   return endpoint.report !== undefined;
 }
 
+/**
+ * Mean output of the generations that run now. In a steady state it equals what they have still to
+ * come, which helps a node that has learnt nothing yet and would otherwise find no engine free.
+ */
+function estimateMeanAge(usable: ReadonlyArray<EndpointView>, meanPrompt: number): number {
+  const used = usable.reduce((sum, { report }) => sum + (report?.memoryUsedTokens ?? 0), 0);
+  const running = usable.reduce((sum, { report }) => sum + (report?.running ?? 0), 0);
+  return Math.max(1, used / Math.max(1, running) - meanPrompt);
+}
+
 function findFreest(candidates: ReadonlyArray<Candidate>): Candidate {
   return candidates.reduce((best, candidate) =>
     candidate.memory.freeTokens > best.memory.freeTokens ? candidate : best,
@@ -138,10 +149,16 @@
       return sum + reservations.filter((held) => !isShown(held)).length;
     }, 0);
     const prompts = own.reduce((sum, held) => sum + held.promptTokens, promptTokens);
-    const survivals = own.map(getSurvival);
+    const meanPrompt = prompts / (own.length + 1);
+    const known = [...own, { forecast, producedTokens: 0 }].filter(
+      (held) => held.forecast?.getBasis(held.producedTokens) !== 'contract',
+    );
     return {
-      survival: averageSurvival([...survivals, getSurvival({ forecast, producedTokens: 0 })]),
-      promptTokens: prompts / (own.length + 1),
+      survival:
+        known.length > 0
+          ? averageSurvival(known.map(getSurvival))
+          : createSurvival(estimateMeanAge(usable, meanPrompt)),
+      promptTokens: meanPrompt,
       unseen: (unseen * (decidingNodes - 1)) / usable.length,
     };
   }
--- a/src/decisions/predictMemory.ts
+++ b/src/decisions/predictMemory.ts
@@ -124,6 +124,11 @@
   }, 0);
 }
 
+/** Survival with a constant chance to end at each token. */
+export function createSurvival(meanTokens: number): SurvivalCurve {
+  return HORIZONS_TOKENS.map((horizon) => Math.exp(-horizon / meanTokens));
+}
+
 /** Mean of the curves; `ALWAYS` when there are none. */
 export function averageSurvival(curves: ReadonlyArray<SurvivalCurve>): SurvivalCurve {
   if (curves.length === 0) return ALWAYS;
