Wait for the VM list before the first read of the contracts

Cause: without a VM list a new node knew no peers and read all contracts at once, which a starting fleet would do together.

Change: until the list is known, other nodes are taken to exist, for at most askPeersMs and the jitter. The gossip bench prints the longest delay of the event loop, because one thread runs all nodes: where it is large, the ages printed are those of the bench and not of the nodes.

--- a/bench/gossipCost.ts
+++ b/bench/gossipCost.ts
@@ -8,6 +8,7 @@
  *
  * Usage: npm run bench:gossip [-- <seconds> [nodes|records|endpoints|large]]
  */
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { gcOrNothing } from './gcOrNothing';
 import { TestNode } from '../tests/TestNode';
 import type { EndpointId, EndpointReport, Vm, VmId } from '../src/core';
@@ -39,6 +40,8 @@
   readonly oldestStateMs: number;
   readonly oldestReportMs: number;
   readonly oldestListMs: number;
+  /** Ages are those of the nodes only where this is small: one thread runs all of them. */
+  readonly longestLoopDelayMs: number;
 }
 
 const BASE: Load = { nodes: 26, records: 1_000, endpoints: 50 };
@@ -182,6 +185,9 @@
   return [Math.max(...states), Math.max(0, ...reports), Math.max(...lists)];
 }
 
+const print = (...parts: ReadonlyArray<string>): unknown =>
+  process.stdout.write(`${parts.join(' ')}\n`);
+
 const joinOldest = (before: ReadonlyArray<number>, now: ReadonlyArray<number>): typeof before =>
   now.map((ageMs, index) => Math.max(ageMs, before[index] ?? 0));
 
@@ -193,9 +199,12 @@
   await pause(WARM_UP_MS);
   const [traffic, cpu, startMs] = [sumTraffic(nodes), process.cpuUsage(), performance.now()];
   let oldest: ReadonlyArray<number> = [0, 0, 0];
+  const loopDelay = monitorEventLoopDelay();
+  loopDelay.enable();
   for (let second = 0; second < seconds; second++) {
     await pause(1_000);
     oldest = joinOldest(oldest, findOldest(nodes));
+    if (process.env.BENCH_TRACE) print(oldest.map((ageMs) => ageMs.toFixed(0)).join(' '));
   }
   const elapsedS = (performance.now() - startMs) / 1_000;
   const spent = process.cpuUsage(cpu);
@@ -214,12 +223,10 @@
     oldestStateMs: oldest[0] ?? 0,
     oldestReportMs: oldest[1] ?? 0,
     oldestListMs: oldest[2] ?? 0,
+    longestLoopDelayMs: loopDelay.max / 1e6,
   };
 }
 
-const print = (...parts: ReadonlyArray<string>): unknown =>
-  process.stdout.write(`${parts.join(' ')}\n`);
-
 function printCost(load: Load, cost: Cost): void {
   print(
     `nodes ${load.nodes} records ${load.records} endpoints ${load.endpoints}:`,
@@ -228,7 +235,8 @@
     `${(cost.cpuShare * 100).toFixed(2)} % of a core,`,
     `${cost.memoryMb.toFixed(1)} MB heap;`,
     `oldest state ${cost.oldestStateMs.toFixed(0)} ms,`,
-    `report ${cost.oldestReportMs.toFixed(0)} ms, list ${cost.oldestListMs.toFixed(0)} ms`,
+    `report ${cost.oldestReportMs.toFixed(0)} ms, list ${cost.oldestListMs.toFixed(0)} ms,`,
+    `longest delay of the event loop ${cost.longestLoopDelayMs.toFixed(0)} ms`,
   );
 }
 
--- a/src/plugins/published/SourceReader.ts
+++ b/src/plugins/published/SourceReader.ts
@@ -70,8 +70,10 @@
     );
   }
 
-  /** Without the VM list no peer can be asked, so the list itself is read at once. */
+  /** Until the VM list is known, other nodes are taken to exist; only the list itself is read. */
   private hasPeers(vmIds: ReadonlyArray<VmId>): boolean {
+    const isListKnown = this.progress.getCompleteRevision('vm-list') !== undefined;
+    if (this.source.name !== 'vm-list' && !isListKnown) return true;
     return vmIds.some((vmId) => vmId !== this.kernel.settings.vmId);
   }
 
