--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,5 +15,11 @@
   sourcemap: false,
   // The native part of msgpackr is optional and can't be inside a single executable.
   external: ['msgpackr-extract'],
+  // Without these, msgpackr and ws look for optional native parts when they are loaded.
+  define: {
+    'process.env.MSGPACKR_NATIVE_ACCELERATION_DISABLED': '"true"',
+    'process.env.WS_NO_BUFFER_UTIL': '"true"',
+    'process.env.WS_NO_UTF_8_VALIDATE': '"true"',
+  },
   logLevel: 'warning',
 });
--- a/src/defaultPlugins.ts
+++ b/src/defaultPlugins.ts
@@ -4,6 +4,8 @@
 import './plugins/published';
 import './plugins/fleet';
 import './plugins/peers';
+import './plugins/gossip';
+import './plugins/reports';
 import './plugins/explain';
 import './plugins/limits';
 import './plugins/metrics';
@@ -11,4 +13,5 @@
 import './plugins/generations';
 import './plugins/calls';
 import './plugins/operations';
+import './plugins/entry';
 import './plugins/http';
--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -64,14 +64,14 @@
   }
 
   /**
-   * Counts the call against the rate of the contract; a call doesn't wait for a permit. A call with
+   * Counts the call against the rate of the contract, waiting for a permit within its time. A call with
    * an operation key was counted when the key was issued: a repeat that the limit refused as
    * `not-run` would be false where the first call is running.
    */
-  private async admit(inForce: ContractInForce): Promise<void> {
+  private async admit(inForce: ContractInForce, kind: CallKind): Promise<void> {
     const place = await this.kernel
       .get(LimitLeases)
-      .acquire(inForce, 'call', this.kernel.clock.nowMs());
+      .acquire(inForce, 'call', this.kernel.clock.nowMs() + kind.answerWithinMs);
     place.release();
   }
 
@@ -84,12 +84,12 @@
       clause,
     };
     if (clause.kind.repeatable) {
-      await this.admit(details.inForce);
+      await this.admit(details.inForce, clause.kind);
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
     const key = context.req.header('idempotency-key');
     if (key) return answer(context, await this.kernel.get(Operations).run(key, call, details));
-    await this.admit(details.inForce);
+    await this.admit(details.inForce, clause.kind);
     const ticket = await this.kernel
       .get(Operations)
       .issueTicket(details.inForce.contract.customer, clause.kind.name);
