--- a/src/plugins/operations/OperationRoutes.ts
+++ b/src/plugins/operations/OperationRoutes.ts
@@ -2,7 +2,7 @@
  * HTTP paths for operation keys: `POST /v1/operations`, `GET /v1/operations/<key>`.
  */
 import { z } from 'zod';
-import { ServingError, type RunOutcome } from '../../core';
+import { findKindByName, ServingError, type RunOutcome } from '../../core';
 import { LimitLeases, type OperationOutcome, type Operations } from '../../services';
 import type { Kernel } from '../../kernel';
 import { CallerRoutes, type CallerApp, type CallerContext } from '../../wire';
@@ -47,10 +47,14 @@
   private async issue(context: CallerContext): Promise<Response> {
     const { kindOfWork } = await readIssueRequest(context);
     const inForce = context.get('inForce');
-    const { customer } = inForce.contract;
+    const { contract } = inForce;
+    const { customer } = contract;
+    const clause = findKindByName(contract, kindOfWork);
+    // The wait for a permit is bounded as for the call itself; an unknown kind is refused below.
+    const waitMs = clause?.kind.type === 'call' ? clause.kind.answerWithinMs : 0;
     const place = await this.kernel
       .get(LimitLeases)
-      .acquire(inForce, 'call', this.kernel.clock.nowMs());
+      .acquire(inForce, 'call', this.kernel.clock.nowMs() + waitMs);
     place.release();
     return context.json(await this.operations.issueTicket(customer, kindOfWork), 201);
   }
