--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -64,13 +64,8 @@
   }
 
   /**
-<<<<<<< HEAD
    * Counts the call against the rate of the contract, waiting for a permit within its time. A call
    * with an operation key was counted when the key was issued: a repeat that the limit refused as
-=======
-   * Counts the call against the rate of the contract, waiting for a permit within its time. A call with
-   * an operation key was counted when the key was issued: a repeat that the limit refused as
->>>>>>> operations
    * `not-run` would be false where the first call is running.
    */
   private async admit(inForce: ContractInForce, kind: CallKind): Promise<void> {
