Don't call a repeat not run when a limit refuses it

A copy of a call with an operation key was refused by limits.requestsPerSecond with run: not-run, although an earlier copy of the same call had run through another node. A caller who believes that books a second credit elsewhere.

A keyed call that gets no permit is now refused as operation-not-admitted: 429 with the clause and Retry-After as before, but run: unknown.

Before: 'tells the truth when a limit refuses a repeat' in tests/operationRuns.test.ts failed in each of 2 runs of cases that a limit refused. After: it passes in the one run made; the other operation tests weren't run again with this change, apart from two with a lost witness.

--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -110,6 +110,13 @@
     mayRepeat: true,
     reason: 'The node that keeps the limits of this customer could not be asked in time.',
   },
+  'operation-not-admitted': {
+    status: 429,
+    run: 'unknown',
+    mayRepeat: true,
+    reason:
+      'A limit of the contract stopped this copy of the call. An earlier copy with the same key may have run; ask for the outcome of the key.',
+  },
   overloaded: {
     status: 503,
     run: 'not-run',
--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -52,6 +52,17 @@
   return context.body(new Uint8Array(body), status as 200, { ...headers });
 }
 
+/** An earlier copy of the call may have run, so a refusal of this one can't say that it did not. */
+function createNotAdmittedError(thrown: unknown): ServingError {
+  const { detail, clause, retryAfterMs } = ServingError.from(thrown);
+  return new ServingError('operation-not-admitted', {
+    detail,
+    clause,
+    retryAfterMs,
+    cause: thrown,
+  });
+}
+
 /** @internal */
 export class ServiceRoutes extends CallerRoutes {
   constructor(private readonly kernel: Kernel) {
@@ -79,11 +90,15 @@
       inForce: context.get('inForce'),
       clause,
     };
-    await this.admit(details.inForce, clause.kind);
+    const key = clause.kind.repeatable ? undefined : context.req.header('idempotency-key');
+    try {
+      await this.admit(details.inForce, clause.kind);
+    } catch (thrown) {
+      throw key ? createNotAdmittedError(thrown) : thrown;
+    }
     if (clause.kind.repeatable) {
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
-    const key = context.req.header('idempotency-key');
     if (key) return answer(context, await this.kernel.get(Operations).run(key, call, details));
     const ticket = await this.kernel
       .get(Operations)
