--- a/stand-ins/VmList.ts
+++ b/stand-ins/VmList.ts
@@ -65,6 +65,13 @@
     return this.change((vms) => vms.filter((vm) => vm.vmId !== vmId));
   }
 
+  /** Publishes that a VM leaves. */
+  markLeaving(vmId: VmId): number {
+    return this.change((vms) =>
+      vms.map((vm) => (vm.vmId === vmId ? { ...vm, state: 'leaving' as const } : vm)),
+    );
+  }
+
   setLag(lagMs: number): void {
     this.lagMs = lagMs;
     this.changed.notify();
--- a/tests/ManagedProcess.ts
+++ b/tests/ManagedProcess.ts
@@ -20,6 +20,11 @@
   }
 }
 
+const running = new Set<ChildProcess>();
+
+// A test run that is interrupted leaves no process behind.
+process.once('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+
 export class ManagedProcess {
   private readonly child: ChildProcess;
 
@@ -44,12 +49,8 @@
     child.stderr.on('data', (chunk: Buffer) => {
       this.errorText += chunk.toString();
     });
-    // A test run that is interrupted leaves no process behind.
-    const killChild = (): void => {
-      child.kill('SIGKILL');
-    };
-    process.once('exit', killChild);
-    child.once('close', () => process.off('exit', killChild));
+    running.add(child);
+    child.once('close', () => running.delete(child));
   }
 
   get lines(): ReadonlyArray<OutputLine> {
