--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -88,7 +88,10 @@
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
     const key = context.req.header('idempotency-key');
-    if (key) return answer(context, await this.kernel.get(Operations).run(key, call, details));
+    if (key) {
+      context.set('isRunSettled', true);
+      return answer(context, await this.kernel.get(Operations).run(key, call, details));
+    }
     await this.admit(details.inForce, clause.kind);
     const ticket = await this.kernel
       .get(Operations)
--- a/src/plugins/http/createCallerApp.ts
+++ b/src/plugins/http/createCallerApp.ts
@@ -22,7 +22,9 @@
     kernel.log.error('request failed', { path: context.req.path, cause: thrown });
   }
   const requestId = context.get('requestId') as RequestId | undefined;
-  const answer = createProblem(error, requestId);
+  // Before the ledger of operations has been asked, nobody knows whether an earlier copy ran.
+  const isUnsettled = context.req.header('idempotency-key') && !context.get('isRunSettled');
+  const answer = createProblem(error, requestId, isUnsettled ? 'unknown' : undefined);
   return context.json(answer.problem, answer.status as ContentfulStatusCode, answer.headers);
 }
 
--- a/src/wire/CallerRoutes.ts
+++ b/src/wire/CallerRoutes.ts
@@ -15,6 +15,8 @@
   readonly Variables: {
     readonly requestId: RequestId;
     readonly inForce: ContractInForce;
+    /** Set when errors speak for earlier copies of a call with the same operation key too. */
+    readonly isRunSettled?: boolean;
   };
 }
 
--- a/src/wire/problem.ts
+++ b/src/wire/problem.ts
@@ -1,7 +1,7 @@
 /**
  * Errors towards callers as `application/problem+json` (RFC 9457).
  */
-import { getErrorAnswer, type RequestId, type ServingError } from '../core';
+import { getErrorAnswer, type RequestId, type RunOutcome, type ServingError } from '../core';
 
 const MS_PER_SECOND = 1_000;
 
@@ -30,8 +30,12 @@
   readonly problem: Problem;
 }
 
-/** @public */
-export function createProblem(error: ServingError, requestId?: RequestId): ProblemAnswer {
+/** @param run stands in for the run outcome of the error's kind. @public */
+export function createProblem(
+  error: ServingError,
+  requestId?: RequestId,
+  run: RunOutcome = getErrorAnswer(error.kind).run,
+): ProblemAnswer {
   const answer = getErrorAnswer(error.kind);
   const retryAfter: Readonly<Record<string, string>> =
     error.retryAfterMs === undefined
@@ -46,7 +50,7 @@
       status: answer.status,
       detail: error.detail,
       kind: error.kind,
-      run: answer.run,
+      run,
       mayRepeat: answer.mayRepeat,
       reason: answer.reason,
       ...(error.clause === undefined ? {} : { clause: error.clause }),
