--- a/src/plugins/http/createCallerApp.ts
+++ b/src/plugins/http/createCallerApp.ts
@@ -1,6 +1,7 @@
 /**
  * The hono application for callers: request id, authentication, error answers, tracking.
  */
+import type { IncomingMessage } from 'node:http';
 import { Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
@@ -8,6 +9,7 @@
 import type { Kernel } from '../../kernel';
 import { ContractBook, HttpRoutes } from '../../services';
 import { createProblem, type CallerApp, type CallerContext, type CallerEnv } from '../../wire';
+import { discardBody } from './discardBody';
 import { HTTP_OPTIONS } from './options';
 import type { RequestTracker } from './RequestTracker';
 
@@ -28,6 +30,19 @@
   return context.json(answer.problem, answer.status as ContentfulStatusCode, answer.headers);
 }
 
+async function refuseLargeBody(kernel: Kernel, context: CallerContext): Promise<Response> {
+  await discardBody(context.env.incoming, kernel.clock);
+  return answerProblem(
+    kernel,
+    context,
+    new ServingError('request-too-large', {
+      detail: `The body is over ${HTTP_OPTIONS.maxBodyBytes} bytes.`,
+      // A body that went on past the time limit leaves the connection unusable.
+      headers: { connection: 'close' },
+    }),
+  );
+}
+
 /** @internal */
 export function createCallerApp(kernel: Kernel, tracker: RequestTracker): CallerApp {
   const app = new Hono<CallerEnv>();
@@ -45,16 +60,7 @@
   app.use(
     bodyLimit({
       maxSize: HTTP_OPTIONS.maxBodyBytes,
-      onError: (context) =>
-        answerProblem(
-          kernel,
-          context as CallerContext,
-          new ServingError('request-too-large', {
-            detail: `The body is over ${HTTP_OPTIONS.maxBodyBytes} bytes.`,
-            // The rest of the body isn't read, so nothing else can follow on this connection.
-            headers: { connection: 'close' },
-          }),
-        ),
+      onError: async (context) => refuseLargeBody(kernel, context as CallerContext),
     }),
   );
   kernel
