Record waits and refusals at limits as decisions

Cause: 'why' knew nothing of a request that a customer's limit had refused or held up: limits wrote no decision.

--- a/src/plugins/calls/ServiceRoutes.ts
+++ b/src/plugins/calls/ServiceRoutes.ts
@@ -13,7 +13,6 @@
   LimitLeases,
   Operations,
   ServiceCalls,
-  type ContractInForce,
   type ServiceAnswer,
   type ServiceCall,
 } from '../../services';
@@ -68,10 +67,11 @@
    * with an operation key was counted when the key was issued: a repeat that the limit refused as
    * `not-run` would be false where the first call is running.
    */
-  private async admit(inForce: ContractInForce, kind: CallKind): Promise<void> {
+  private async admit(context: CallerContext, kind: CallKind): Promise<void> {
+    const deadlineMs = this.kernel.clock.nowMs() + kind.answerWithinMs;
     const place = await this.kernel
       .get(LimitLeases)
-      .acquire(inForce, 'call', this.kernel.clock.nowMs() + kind.answerWithinMs);
+      .acquire(context.get('inForce'), 'call', deadlineMs, context.get('requestId'));
     place.release();
   }
 
@@ -84,7 +84,7 @@
       clause,
     };
     if (clause.kind.repeatable) {
-      await this.admit(details.inForce, clause.kind);
+      await this.admit(context, clause.kind);
       return answer(context, await this.kernel.get(ServiceCalls).runRepeatable(call, details));
     }
     const key = context.req.header('idempotency-key');
@@ -92,7 +92,7 @@
       context.set('isRunSettled', true);
       return answer(context, await this.kernel.get(Operations).run(key, call, details));
     }
-    await this.admit(details.inForce, clause.kind);
+    await this.admit(context, clause.kind);
     const ticket = await this.kernel
       .get(Operations)
       .issueTicket(details.inForce.contract.customer, clause.kind.name);
--- a/src/plugins/generations/EngineGenerations.ts
+++ b/src/plugins/generations/EngineGenerations.ts
@@ -95,7 +95,12 @@
     const { kind } = order.clause;
     const labels = { customer: order.inForce.contract.customer, kindOfWork: kind.name };
     const [limits] = this.kernel.getAll(LimitLeases);
-    const place = await limits?.acquire(order.inForce, 'generation', arrivedAtMs + kind.maxWaitMs);
+    const place = await limits?.acquire(
+      order.inForce,
+      'generation',
+      arrivedAtMs + kind.maxWaitMs,
+      order.requestId,
+    );
     try {
       await this.runAttempts(order, receiver, labels, arrivedAtMs);
       this.countAnswer(labels, describeOutcome(receiver));
--- a/src/plugins/http/createCallerApp.ts
+++ b/src/plugins/http/createCallerApp.ts
@@ -1,7 +1,6 @@
 /**
  * The hono application for callers: request id, authentication, error answers, tracking.
  */
-import type { IncomingMessage } from 'node:http';
 import { Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import type { ContentfulStatusCode } from 'hono/utils/http-status';
--- a/src/plugins/limits/LeasedLimits.ts
+++ b/src/plugins/limits/LeasedLimits.ts
@@ -1,10 +1,11 @@
 /**
  * Places within customers' limits, taken from slices leased from their home nodes.
  */
-import { ServingError, type CustomerId, type VmId } from '../../core';
+import { ServingError, type CustomerId, type RequestId, type VmId } from '../../core';
 import type { Kernel } from '../../kernel';
 import {
   ContractBook,
+  DecisionLog,
   LimitLeases,
   Peers,
   type ContractInForce,
@@ -39,16 +40,24 @@
     inForce: ContractInForce,
     work: LimitedWork,
     deadlineMs: number,
+    requestId: RequestId,
   ): Promise<LimitPlace> {
+    const startedMs = this.kernel.clock.nowMs();
     const { customer } = inForce.contract;
     const slice = this.slices.get(customer) ?? new CustomerSlice(this.kernel.clock);
     this.slices.set(customer, slice);
     const removeWaiter = slice.addWaiter(work);
     try {
       await this.waitForPlace(inForce, slice, work, deadlineMs);
+    } catch (thrown) {
+      this.record(inForce, requestId, 'refuse', startedMs, ServingError.from(thrown));
+      throw thrown;
     } finally {
       removeWaiter();
     }
+    if (this.kernel.clock.nowMs() - startedMs >= LIMIT_OPTIONS.reportWaitMs) {
+      this.record(inForce, requestId, 'wait', startedMs);
+    }
     let isReleased = false;
     return {
       release: () => {
@@ -146,6 +155,24 @@
     return leaseReplySchema.parse(reply);
   }
 
+  private record(
+    { contract: { customer }, revision }: ContractInForce,
+    requestId: RequestId,
+    step: 'wait' | 'refuse',
+    startedMs: number,
+    refusal?: ServingError,
+  ): void {
+    this.kernel.get(DecisionLog).record({
+      requestId,
+      customer,
+      contractRevision: revision,
+      clause: refusal?.clause ?? 'limits',
+      step,
+      reason: refusal?.detail ?? 'it waited for a place within the limits of the contract',
+      measured: { waitedMs: Math.round(this.kernel.clock.nowMs() - startedMs) },
+    });
+  }
+
   private refuse(customer: CustomerId, clause: string, retryAfterMs: number): ServingError {
     return new ServingError('limit-reached', {
       detail: `${customer} has reached ${clause}.`,
--- a/src/plugins/limits/limits.test.ts
+++ b/src/plugins/limits/limits.test.ts
@@ -1,5 +1,14 @@
-import { ManualClock, type CustomerId, type VmId } from '../../core';
+import recupContract from '../../../examples/recup.json';
+import { createRequestId, ManualClock, type CustomerId, type VmId } from '../../core';
 import { pickByRendezvous } from '../../decisions';
+import { Plugin } from '../../kernel';
+import { TestKernel } from '../../kernel/TestKernel';
+import { ContractBook, DecisionLog, LimitLeases, PublishedState } from '../../services';
+import { ExplainPlugin } from '../explain';
+import { FleetPlugin } from '../fleet';
+import { PublishedBook } from '../published/PublishedBook';
+import { PublishedContracts } from '../published/PublishedContracts';
+import { LimitsPlugin } from './LimitsPlugin';
 import { CustomerSlice } from './CustomerSlice';
 import { HomeHistory } from './HomeHistory';
 import { LimitLedger } from './LimitLedger';
@@ -10,6 +19,19 @@
 const LIMITS = { concurrentGenerations: 4, requestsPerSecond: 10 };
 const WHOLE = { limits: LIMITS, reachableNodes: 3, listedNodes: 3, uncertainMs: 0 };
 
+/** Contracts as if the platform had published them. */
+class KnownStatePlugin extends Plugin {
+  static override readonly type = 'known-state';
+
+  override setUp(): void {
+    const book = new PublishedBook(this.kernel.clock);
+    this.kernel.provide(PublishedState, book);
+    this.kernel.provide(ContractBook, new PublishedContracts(book, this.kernel.log));
+    const contract = { ...recupContract, customer: CUSTOMER, limits: LIMITS };
+    book.merge([{ key: `contracts/${CUSTOMER}`, revision: 7, body: JSON.stringify(contract) }]);
+  }
+}
+
 function request(generationsInUse: number, generationsWanted: number, permitsWanted = 0) {
   return { customer: CUSTOMER, generationsInUse, generationsWanted, permitsWanted };
 }
@@ -82,3 +104,23 @@
   clock.advance(5_000);
   expect(slice.tryTake('generation')).toBe(false);
 });
+
+// Guards against a refusal that nobody can explain afterwards.
+test('records why a limit refused a request', async () => {
+  const kernel = new TestKernel([KnownStatePlugin, FleetPlugin, ExplainPlugin, LimitsPlugin]);
+  await kernel.start();
+  const inForce = kernel.get(ContractBook).find(CUSTOMER)!;
+  const leases = kernel.get(LimitLeases);
+  const requestId = createRequestId(kernel.settings.vmId);
+  const deadlineMs = kernel.clock.nowMs();
+  const takeAll = async (): Promise<void> => {
+    for (let taken = 0; taken < 100; taken++) {
+      await leases.acquire(inForce, 'call', deadlineMs, requestId);
+    }
+  };
+  await expect(takeAll()).rejects.toMatchObject({ kind: 'limit-reached' });
+  expect(kernel.get(DecisionLog).findLocal(requestId)).toMatchObject([
+    { step: 'refuse', clause: 'limits.requestsPerSecond', contractRevision: 7, customer: CUSTOMER },
+  ]);
+  await kernel.dispose();
+});
--- a/src/plugins/limits/options.ts
+++ b/src/plugins/limits/options.ts
@@ -18,4 +18,6 @@
   burstSeconds: 1,
   /** Part of the burst that a new home node starts with, since the old one may just have granted. */
   initialBurstShare: 0.5,
+  /** A wait for a place that is shorter than this is no decision worth a log line. */
+  reportWaitMs: 50,
 } as const;
--- a/src/plugins/operations/OperationRoutes.ts
+++ b/src/plugins/operations/OperationRoutes.ts
@@ -54,7 +54,7 @@
     const waitMs = clause?.kind.type === 'call' ? clause.kind.answerWithinMs : 0;
     const place = await this.kernel
       .get(LimitLeases)
-      .acquire(inForce, 'call', this.kernel.clock.nowMs() + waitMs);
+      .acquire(inForce, 'call', this.kernel.clock.nowMs() + waitMs, context.get('requestId'));
     place.release();
     return context.json(await this.operations.issueTicket(customer, kindOfWork), 201);
   }
