Issue keys in the process tests only when all nodes are known

Cause: 'does not run when the owner is killed/frozen before the call' failed once in a full run: the key was issued before the node had heard of another one, so it had no witness and the answer was, truthfully, unknown. Change: the tests wait until the issuing node's status shows all nodes serving, as the comment already said; the expectation is unchanged.

--- a/tests/operationRuns.test.ts
+++ b/tests/operationRuns.test.ts
@@ -34,8 +34,18 @@
   await Deployment.use({ nodes, services: { credits: {} }, contracts }, body);
 }
 
+/** Whether a node has heard that all nodes serve, and so finds witnesses. */
+async function knowsAllNodes(deployment: Deployment, node: DeployedNode): Promise<boolean> {
+  const answer = await node.ask('/v1/status');
+  const { nodes } = (await answer.json()) as {
+    readonly nodes: ReadonlyArray<{ readonly state: string }>;
+  };
+  return nodes.filter(({ state }) => state === 'serving').length === deployment.nodes.length;
+}
+
 /** A key for one credit, issued when the nodes know each other. */
 async function issueKey(deployment: Deployment): Promise<string> {
+  await waitUntil('all nodes', async () => knowsAllNodes(deployment, deployment.getNode(1)));
   const body = JSON.stringify({ kindOfWork: 'pickup-credit' });
   return waitUntil('a key', async () => {
     const answer = await deployment
