--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -11,6 +11,7 @@
   type LengthKey,
   type Reservation,
 } from '../src/decisions';
+import { fitLine } from './fitLine';
 import { createEngineView, createRequest, GENERATION_KIND } from '../src/decisions/routingFixtures';
 import { formatNumber, formatTable } from './formatTable';
 
@@ -105,16 +106,6 @@
   return estimator.size > 0 ? bytes : 0;
 }
 
-/** Least-squares slope. */
-function fitSlope(points: ReadonlyArray<readonly [number, number]>): number {
-  const mean = (values: ReadonlyArray<number>): number =>
-    values.reduce((sum, value) => sum + value, 0) / values.length;
-  const meanX = mean(points.map(([x]) => x));
-  const meanY = mean(points.map(([, y]) => y));
-  const covariance = mean(points.map(([x, y]) => (x - meanX) * (y - meanY)));
-  return covariance / mean(points.map(([x]) => (x - meanX) ** 2));
-}
-
 function runBench(): void {
   const decisions = ENGINE_COUNTS.flatMap((engines) =>
     CUSTOMER_COUNTS.map((customers) => {
@@ -127,9 +118,10 @@
     bytes: measureBytes(customers),
   }));
   const slopes = {
-    microsecondsPerEngine: fitSlope(decisions.map((row) => [row.engines, row.microseconds])),
-    microsecondsPerCustomer: fitSlope(decisions.map((row) => [row.customers, row.microseconds])),
-    bytesPerCustomer: fitSlope(memory.map(({ customers, bytes }) => [customers, bytes])),
+    microsecondsPerEngine: fitLine(decisions.map((row) => [row.engines, row.microseconds])).slope,
+    microsecondsPerCustomer: fitLine(decisions.map((row) => [row.customers, row.microseconds]))
+      .slope,
+    bytesPerCustomer: fitLine(memory.map(({ customers, bytes }) => [customers, bytes])).slope,
   };
   const print = (titles: ReadonlyArray<string>, rows: ReadonlyArray<object>): void => {
     const cells = rows.map((row) => Object.values(row).map((cell) => formatNumber(Number(cell))));
--- a/src/kernel/TestKernel.ts
+++ b/src/kernel/TestKernel.ts
@@ -1,7 +1,8 @@
 /**
  * A kernel for tests: manual clock, captured log lines, chosen plug-ins.
  */
-import { ManualClock, settingsSchema, type Settings } from '../core';
+import { ManualClock, type Settings } from '../core';
+import { createTestSettings } from './createTestSettings';
 import { Kernel } from './Kernel';
 import { Log, type LogFields } from './Log';
 import type { PluginClass } from './Plugin';
@@ -16,18 +17,7 @@
     const clock = new ManualClock();
     const lines: string[] = [];
     super({
-      settings: settingsSchema.parse({
-        vmId: 'entry-1',
-        dataCentre: 'brisbane',
-        region: 'seq',
-        callerAddress: '127.0.0.1:0',
-        peerAddress: '127.0.0.1:0',
-        operatorAddress: '127.0.0.1:0',
-        configurationUrl: 'http://127.0.0.1:9',
-        vmListUrl: 'http://127.0.0.1:9',
-        fleetKey: 'test-fleet-key-0001',
-        ...settings,
-      }),
+      settings: createTestSettings(settings),
       clock,
       log: new Log({ level: 'debug', fields: {}, write: (line) => lines.push(line) }),
       plugins,
--- /dev/null
+++ b/src/kernel/createTestSettings.ts
@@ -0,0 +1,23 @@
+/**
+ * Settings of a node in tests: listeners on ports that the system chooses, no platform.
+ */
+import { settingsSchema, type Settings } from '../core';
+
+/** A port on which nothing listens; a read of the platform fails at once. */
+const NOBODY = 'http://127.0.0.1:9';
+
+/** @internal */
+export function createTestSettings(settings: Readonly<Record<string, unknown>> = {}): Settings {
+  return settingsSchema.parse({
+    vmId: 'entry-1',
+    dataCentre: 'brisbane',
+    region: 'seq',
+    callerAddress: '127.0.0.1:0',
+    peerAddress: '127.0.0.1:0',
+    operatorAddress: '127.0.0.1:0',
+    configurationUrl: NOBODY,
+    vmListUrl: NOBODY,
+    fleetKey: 'test-fleet-key-0001',
+    ...settings,
+  });
+}
--- a/src/plugins/operations/operationFaults.test.ts
+++ b/src/plugins/operations/operationFaults.test.ts
@@ -1,93 +1,11 @@
-import { RawService } from '../../../tests/RawService';
-import { createCallContext, CUSTOMER, SimulatedFleet } from '../../../tests/SimulatedFleet';
+import { OperationScene } from '../../../tests/OperationScene';
 import { ServingError } from '../../core';
-import type { Router } from '../../services';
-import { UndiciServiceCalls } from '../calls/UndiciServiceCalls';
-import { OPERATION_OPTIONS, type OperationOptions } from './options';
+import { OPERATION_OPTIONS } from './options';
 
 const FIRST = '201 run 1';
 const LIFETIME_MS = OPERATION_OPTIONS.ticketLifetimeMs;
 
-interface Variant {
-  readonly body?: string;
-  readonly path?: string;
-  readonly kind?: string;
-  readonly customer?: string;
-  readonly key?: string;
-}
-
-/** Three nodes with a key issued by node 0, and a service reached by the real HTTP client. */
-class Scene {
-  readonly service = new RawService();
-
-  key = '';
-
-  private constructor(
-    readonly fleet: SimulatedFleet,
-    readonly url: { readonly value: string },
-  ) {}
-
-  static async start(nodeCount = 3, options: Partial<OperationOptions> = {}): Promise<Scene> {
-    const url = { value: '' };
-    const fleet = new SimulatedFleet({
-      nodeCount,
-      options: { ...OPERATION_OPTIONS, ...options },
-      getEndpointUrl: () => url.value,
-      createServiceCalls: (_, { clock }) => new UndiciServiceCalls({} as Router, clock),
-    });
-    const scene = new Scene(fleet, url);
-    url.value = await scene.service.start();
-    await fleet.start();
-    scene.key = await scene.issue(0);
-    return scene;
-  }
-
-  async issue(node: number): Promise<string> {
-    const issued = this.fleet.get(node).operations.issueTicket(CUSTOMER, 'credit');
-    return (await this.fleet.settle(issued)).key;
-  }
-
-  /** What a caller is told: status and body, or the kind of the error. */
-  async send(node: number, variant: Variant = {}): Promise<string> {
-    return this.fleet.settle(this.begin(node, variant), () => this.service.isBusy);
-  }
-
-  async begin(node: number, variant: Variant = {}): Promise<string> {
-    const { body = 'a', path = '/credit', kind, customer, key = this.key } = variant;
-    const call = { method: 'POST', path, headers: {}, body: Buffer.from(body) };
-    try {
-      const context = createCallContext(kind, customer);
-      const answer = await this.fleet.get(node).operations.run(key, call, context);
-      return `${answer.status} ${Buffer.from(answer.body).toString()}`;
-    } catch (thrown) {
-      return ServingError.from(thrown).kind;
-    }
-  }
-
-  /** Holds the answer and returns when the service has the request. */
-  async beginHeld(node: number): Promise<{ readonly sent: Promise<string> }> {
-    this.service.hold();
-    const sent = this.begin(node);
-    while (!this.service.isBusy) {
-      await this.fleet.deliverAll();
-      await new Promise((resolve) => {
-        setTimeout(resolve, 1);
-      });
-    }
-    return { sent };
-  }
-
-  dropLabelled(...labels: ReadonlyArray<string>): void {
-    this.fleet.intercept = ({ label }) => (labels.includes(label) ? 'drop' : undefined);
-  }
-
-  advance(byMs: number): void {
-    this.fleet.advance(byMs);
-    this.fleet.fireTimers();
-  }
-}
-
-let scene: Scene;
+let scene: OperationScene;
 
 afterEach(async () => scene.service.stop());
 
@@ -374,14 +292,14 @@
 
 // Guards against a second run, a false `not-run`, and a repeat that gets another answer.
 test.each(FAULTS)('$name', async ({ act, told, runs }) => {
-  scene = await Scene.start();
+  scene = await OperationScene.start();
   expect(await act()).toEqual(told);
   expect(scene.service.requests).toHaveLength(runs);
 });
 
 // Guards against `not-run` from a restarted node whose ticket nobody witnessed.
 test('lone node issues without a witness', async () => {
-  scene = await Scene.start(1);
+  scene = await OperationScene.start(1);
   expect(await scene.send(0)).toBe(FIRST);
   await scene.fleet.restart(0);
   expect(await scene.send(0)).toBe('outcome-unknown');
@@ -390,7 +308,7 @@
 
 // Guards against unbounded tables, and against tickets evicted while they can be used.
 test('full table refuses new keys and keeps the old', async () => {
-  scene = await Scene.start(3, { maxEntries: 3 });
+  scene = await OperationScene.start(3, { maxEntries: 3 });
   await scene.issue(0);
   await scene.issue(0);
   await expect(scene.issue(0)).rejects.toMatchObject({ kind: 'overloaded' });
@@ -401,7 +319,7 @@
 
 // Guards against a decision that nobody can explain afterwards.
 test('logs a line for each decision', async () => {
-  scene = await Scene.start();
+  scene = await OperationScene.start();
   await scene.send(1);
   scene.fleet.kill(0);
   await scene.send(1);
--- a/tests/SimulatedFleet.ts
+++ b/tests/SimulatedFleet.ts
@@ -6,7 +6,6 @@
 import {
   checkContract,
   findKindByName,
-  settingsSchema,
   ServingError,
   type Contract,
   type CustomerId,
@@ -15,6 +14,7 @@
 } from '../src/core';
 import type { OperationRules } from '../src/decisions';
 import { Kernel, Log } from '../src/kernel';
+import { createTestSettings } from '../src/kernel/createTestSettings';
 import { OperationsPlugin } from '../src/plugins/operations';
 import type { OperationOptions } from '../src/plugins/operations/options';
 import {
@@ -331,16 +331,7 @@
     }
     const clock = new SimulatedClock(this.elapsedMs);
     const kernel = new Kernel({
-      settings: settingsSchema.parse({
-        vmId: `entry-${index + 1}`,
-        ...place,
-        callerAddress: '127.0.0.1:0',
-        peerAddress: '127.0.0.1:0',
-        operatorAddress: '127.0.0.1:0',
-        configurationUrl: 'http://127.0.0.1:9',
-        vmListUrl: 'http://127.0.0.1:9',
-        fleetKey: 'test-fleet-key-0001',
-      }),
+      settings: createTestSettings({ vmId: `entry-${index + 1}`, ...place }),
       clock,
       log: SILENT_LOG,
       plugins: [SimulatedPlugin],
--- a/tests/TestNode.ts
+++ b/tests/TestNode.ts
@@ -1,8 +1,9 @@
 /**
  * A node for tests: links on 127.0.0.1 or in memory, the records that the test merges, captured log lines.
  */
-import { settingsSchema, SystemClock, type Clock, type Settings, type Vm } from '../src/core';
+import { SystemClock, type Clock, type Settings, type Vm } from '../src/core';
 import { Kernel, Log, Plugin, type LogFields, type PluginClass } from '../src/kernel';
+import { createTestSettings } from '../src/kernel/createTestSettings';
 import { FleetPlugin } from '../src/plugins/fleet';
 import { PeersPlugin } from '../src/plugins/peers';
 import { CompleteRevisions } from '../src/plugins/published/CompleteRevisions';
@@ -37,18 +38,7 @@
   constructor({ vmId, settings, clock, plugins = [], published, links }: TestNodeOptions) {
     const lines: string[] = [];
     super({
-      settings: settingsSchema.parse({
-        vmId,
-        dataCentre: 'brisbane',
-        region: 'seq',
-        callerAddress: '127.0.0.1:0',
-        peerAddress: '127.0.0.1:0',
-        operatorAddress: '127.0.0.1:0',
-        configurationUrl: 'http://127.0.0.1:9',
-        vmListUrl: 'http://127.0.0.1:9',
-        fleetKey: 'test-fleet-key-0001',
-        ...settings,
-      }),
+      settings: createTestSettings({ vmId, ...settings }),
       clock: clock ?? new SystemClock(),
       log: new Log({ level: 'debug', fields: {}, write: (line) => lines.push(line) }),
       plugins: [published ?? HeldRecordsPlugin, FleetPlugin, links ?? PeersPlugin, ...plugins],
