--- a/src/kernel/createTestSettings.ts
+++ b/src/kernel/createTestSettings.ts
@@ -4,7 +4,7 @@
 import { settingsSchema, type Settings } from '../core';
 
 /** A port on which nothing listens; a read of the platform fails at once. */
-const NOBODY = 'http://127.0.0.1:9';
+const UNUSED_URL = 'http://127.0.0.1:9';
 
 /** @internal */
 export function createTestSettings(settings: Readonly<Record<string, unknown>> = {}): Settings {
@@ -15,8 +15,8 @@
     callerAddress: '127.0.0.1:0',
     peerAddress: '127.0.0.1:0',
     operatorAddress: '127.0.0.1:0',
-    configurationUrl: NOBODY,
-    vmListUrl: NOBODY,
+    configurationUrl: UNUSED_URL,
+    vmListUrl: UNUSED_URL,
     fleetKey: 'test-fleet-key-0001',
     ...settings,
   });
