Check the text of a contract in one place

Cause: parsing and checking a contract's text stood three times (published order, contracts in force, command line); a grant of limits listed the reachable nodes twice; getCallerSignal had no caller. Change: checkContractText in the core; observeMembers returns the members it has listed; the dead function is gone.

--- a/src/cli/ContractCommand.ts
+++ b/src/cli/ContractCommand.ts
@@ -3,13 +3,13 @@
  */
 import { readFileSync } from 'node:fs';
 import type { Command } from 'commander';
-import { checkContract, type ContractVerdict } from '../core';
+import { checkContractText, type ContractVerdict } from '../core';
 import { describeContract } from '../decisions';
 import { CliCommand, EXIT_CODE_HELP, EXIT_CODES } from './CliCommand';
 
 function readVerdict(file: string): ContractVerdict {
   try {
-    return checkContract(JSON.parse(readFileSync(file, 'utf8')));
+    return checkContractText(readFileSync(file, 'utf8'));
   } catch (thrown) {
     const message = thrown instanceof Error ? thrown.message : String(thrown);
     return { accepted: false, faults: [{ path: '', message }] };
--- a/src/core/Contract.ts
+++ b/src/core/Contract.ts
@@ -140,6 +140,16 @@
   };
 }
 
+/** Checks the JSON text of a contract; text that isn't JSON is a fault of the document. @public */
+export function checkContractText(text: string): ContractVerdict {
+  try {
+    return checkContract(JSON.parse(text));
+  } catch (thrown) {
+    const message = thrown instanceof Error ? thrown.message : String(thrown);
+    return { accepted: false, faults: [{ path: '', message }] };
+  }
+}
+
 /** A kind of work together with the path of its clause. @public */
 export interface KindClause<K extends KindOfWork = KindOfWork> {
   readonly kind: K;
--- a/src/decisions/publishedOrder.ts
+++ b/src/decisions/publishedOrder.ts
@@ -1,21 +1,13 @@
 /**
  * Which of two copies of a published record is in force.
  */
-import { checkContract, type PublishedRecord } from '../core';
+import { checkContractText, type PublishedRecord } from '../core';
 
 const CONTRACT_PREFIX = 'contracts/';
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
-
 /** Whether the body may come into force; only contracts are checked here. */
 export function isBodyValid(key: string, body: string): boolean {
-  return !key.startsWith(CONTRACT_PREFIX) || checkContract(parseJson(body)).accepted;
+  return !key.startsWith(CONTRACT_PREFIX) || checkContractText(body).accepted;
 }
 
 type GoodBody = NonNullable<PublishedRecord['lastGood']>;
--- a/src/plugins/limits/LimitHome.ts
+++ b/src/plugins/limits/LimitHome.ts
@@ -22,9 +22,14 @@
     this.history = new HomeHistory(kernel.clock, LIMIT_OPTIONS.leaseMs);
   }
 
-  /** Takes the present members into account; called before each use and once in a while. */
-  observeMembers(): void {
-    this.history.update(this.listReachable());
+  /**
+   * Takes the present members into account and returns them; called before each use and once in a
+   * while.
+   */
+  observeMembers(): ReadonlyArray<VmId> {
+    const reachable = this.listReachable();
+    this.history.update(reachable);
+    return reachable;
   }
 
   getHome(customer: CustomerId): VmId {
@@ -40,10 +45,10 @@
         detail: `The home node has no contract of ${request.customer} yet.`,
       });
     }
-    this.observeMembers();
+    const reachable = this.observeMembers();
     return this.getLedger(this.ledgers, request.customer).grant(holder, request, {
       limits: inForce.contract.limits,
-      reachableNodes: this.listReachable().length,
+      reachableNodes: reachable.length,
       listedNodes: this.countListed(),
       uncertainMs: this.history.getUncertainMs(request.customer, this.kernel.settings.vmId),
     });
--- a/src/plugins/published/PublishedContracts.ts
+++ b/src/plugins/published/PublishedContracts.ts
@@ -2,7 +2,7 @@
  * Contracts in force, indexed by customer and by the hash of their API keys.
  */
 import {
-  checkContract,
+  checkContractText,
   hashApiKey,
   ServingError,
   type ContractFault,
@@ -19,15 +19,6 @@
 
 const PREFIX = 'contracts/';
 
-function checkBody(body: string): ReturnType<typeof checkContract> {
-  try {
-    return checkContract(JSON.parse(body));
-  } catch (thrown) {
-    const message = thrown instanceof Error ? thrown.message : String(thrown);
-    return { accepted: false, faults: [{ path: '', message }] };
-  }
-}
-
 /** @internal */
 export class PublishedContracts extends ContractBook {
   private readonly inForce = new Map<string, ContractInForce>();
@@ -76,7 +67,7 @@
   }
 
   private accept(customer: string, revision: number, body: string): boolean {
-    const verdict = checkBody(body);
+    const verdict = checkContractText(body);
     if (!verdict.accepted || verdict.contract.customer !== customer) return false;
     this.forgetKeys(customer);
     this.inForce.set(customer, { contract: verdict.contract, revision });
@@ -86,7 +77,7 @@
   }
 
   private reject(customer: string, revision: number, body: string): void {
-    const verdict = checkBody(body);
+    const verdict = checkContractText(body);
     const faults: ReadonlyArray<ContractFault> = verdict.accepted
       ? [{ path: 'customer', message: `differs from the key ${PREFIX}${customer}` }]
       : verdict.faults;
--- a/src/wire/CallerRoutes.ts
+++ b/src/wire/CallerRoutes.ts
@@ -35,8 +35,3 @@
 export abstract class OperatorRoutes extends HttpRoutes<Hono> {
   readonly audience = 'operator';
 }
-
-/** Aborted when the caller's connection closes before the answer was complete. @public */
-export function getCallerSignal(context: CallerContext): AbortSignal {
-  return context.req.raw.signal;
-}
