--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -1,11 +1,17 @@
 import { configs, plugins, rules } from 'eslint-config-airbnb-extended';
 
 /** Folders in the order of their imports: each may import only from those before it. */
-const layers = ['core', 'decisions', 'kernel', 'services', 'wire', 'plugins', 'cli'];
+const layers = ['core', 'decisions', 'kernel', 'services', 'wire', 'plugins', 'platform', 'cli'];
 
 /** Encoding and transport libraries, which decisions must not depend on. */
 const transports = ['hono', '@hono/node-server', 'ws', 'msgpackr', 'undici'];
 
+/** The platform's folder translates; what it would need for a decision is out of its reach. */
+const platformPatterns = ['decisions', 'plugins'].map((layer) => ({
+  regex: `^(\\.\\./)+(src/)?${layer}(/|$)`,
+  message: `src/platform may not import from ${layer}`,
+}));
+
 const layerRules = layers.map((layer, index) => ({
   files: [`src/${layer}/**/*.ts`],
   ignores: ['**/*.test.ts'],
@@ -21,7 +27,8 @@
             regex: `^(\\.\\./)+(src/)?${later}(/|$)`,
             message: `src/${layer} may not import from ${later}`,
           }))
-          .filter((pattern) => !(layer === 'cli' && pattern.regex.includes('stand-ins'))),
+          .filter((pattern) => !(layer === 'cli' && pattern.regex.includes('stand-ins')))
+          .concat(layer === 'platform' ? platformPatterns : []),
       },
     ],
   },
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -6,7 +6,7 @@
 
 await build({
   entryPoints: { bramleyvane: 'src/cli/main.ts', 'stand-ins': 'stand-ins/main.ts' },
-  outdir: 'dist',
+  outdir: process.argv[2] ?? 'dist',
   outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
--- a/src/cli/ServeCommand.ts
+++ b/src/cli/ServeCommand.ts
@@ -34,6 +34,8 @@
   }
 
   private async run(settings: Settings): Promise<void> {
+    // Loaded here, so that the plug-ins of the other program aren't registered with these.
+    await import('../defaultPlugins');
     const log = new Log({ level: settings.logLevel, fields: { vmId: settings.vmId } });
     const kernel = new Kernel({ settings, clock: new SystemClock(), log });
     const stopRequest = new Promise<void>((resolve) => {
--- a/src/cli/embedded/EmbeddedDeployment.ts
+++ b/src/cli/embedded/EmbeddedDeployment.ts
@@ -26,6 +26,8 @@
     layout: EmbeddedLayout,
     writeLog: (line: string) => void,
   ): Promise<EmbeddedDeployment> {
+    // Loaded here, so that the plug-ins of the other program aren't registered with these.
+    await import('../../defaultPlugins');
     const configuration = await ConfigurationService.start();
     const vmList = await VmList.start();
     const deployment = new EmbeddedDeployment(layout, configuration, vmList, writeLog);
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,17 +2,18 @@
  * Entry point of the program.
  */
 import { Command } from 'commander';
-import '../defaultPlugins';
 import { ServingError } from '../core';
 import { CallCommand } from './CallCommand';
 import { EXIT_CODE_HELP, EXIT_CODES, type CliCommand } from './CliCommand';
 import { ContractCommand } from './ContractCommand';
 import { EmbeddedCommand } from './EmbeddedCommand';
+import { FrontCommand } from './FrontCommand';
 import { ServeCommand } from './ServeCommand';
 import { WhyCommand } from './WhyCommand';
 
 const COMMANDS: ReadonlyArray<CliCommand> = [
   new ServeCommand(),
+  new FrontCommand(),
   new ContractCommand(),
   new WhyCommand(),
   new CallCommand(),
--- a/src/core/Settings.ts
+++ b/src/core/Settings.ts
@@ -7,7 +7,7 @@
 import { z } from 'zod';
 import { vmIdSchema } from './ids';
 
-const addressSchema = z
+export const addressSchema = z
   .string()
   .regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/, 'expected an IP number and a port');
 
--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -134,6 +134,24 @@
     mayRepeat: true,
     reason: 'This node has not yet learnt the contracts and the list of endpoints.',
   },
+  'unconfirmed-configuration': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason: 'This node has not been able to confirm for a while that keys and routes still hold.',
+  },
+  'answer-timeout': {
+    status: 504,
+    run: 'unknown',
+    mayRepeat: false,
+    reason: 'The time for the answer has passed; the request may have run.',
+  },
+  'answer-lost': {
+    status: 502,
+    run: 'unknown',
+    mayRepeat: false,
+    reason: 'The endpoint broke off its answer; the request may have run.',
+  },
   'endpoint-unreachable': {
     status: 502,
     run: 'not-run',
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -42,6 +42,13 @@
   .brand<'RequestId'>();
 export type RequestId = z.infer<typeof requestIdSchema>;
 
+/** Name of one attempt of a caller, chosen by the caller. @public */
+export const callerRequestIdSchema = z
+  .string()
+  .regex(/^[\x21-\x7e]{1,128}$/)
+  .brand<'CallerRequestId'>();
+export type CallerRequestId = z.infer<typeof callerRequestIdSchema>;
+
 /** One run of a model on an engine; chosen by the node that starts it. @public */
 export const generationIdSchema = z
   .string()
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -1,10 +1,14 @@
 /**
  * Types and functions on which everything else rests. Imports nothing else of the project.
  */
+export type * from './BackEnd';
 export * from './Clock';
 export * from './Contract';
 export * from './Decision';
+export * from './FrontSettings';
 export * from './PublishedRecord';
+export * from './ServingBounds';
+export type * from './ServingConfiguration';
 export * from './ServingError';
 export * from './Settings';
 export * from './Vm';
--- /dev/null
+++ b/src/decisions/placement.ts
@@ -0,0 +1,109 @@
+/**
+ * Choice of an endpoint for one request: the cheapest of those that may get it.
+ *
+ * The cost is the share of the endpoint that would be taken, in slots or in memory, whichever is
+ * scarcer, with additions for distance, failures and a recent start. All are in the same unit, so
+ * that a nearer endpoint is preferred until it is fuller by the addition.
+ */
+import type { EndpointId } from '../core';
+
+export const PLACEMENT_OPTIONS = {
+  /** Addition for an endpoint in another data centre of the region. */
+  otherDataCentreCost: 0.04,
+  /** Addition for one in another region, whose link is billed by volume. */
+  otherRegionCost: 0.12,
+  /** Addition at a failure share of 1. */
+  failureCost: 3,
+  /** Addition while the endpoint is slow after its start. */
+  warmUpCost: 0.5,
+  /** Addition for an endpoint that fails in a row; it is used only when all do. */
+  avoidedCost: 10,
+  /** Candidates whose costs differ by less are taken as equal and drawn from. */
+  equalCost: 0.02,
+} as const;
+
+/** @public */
+export interface PlacementCandidate {
+  readonly endpointId: EndpointId;
+  readonly slots: number;
+  /** Undefined for plain services. */
+  readonly memoryTokens: number | undefined;
+  /** Requests under way from all nodes, as far as they are known. */
+  readonly requests: number;
+  /** Memory that they will need. */
+  readonly neededTokens: number;
+  readonly distance: 'same-data-centre' | 'same-region' | 'other-region';
+  readonly failureShare: number;
+  readonly isWarmingUp: boolean;
+  readonly isAvoided: boolean;
+  /** Whether this node may send it another request on the connections that it has a share of. */
+  readonly hasConnection: boolean;
+}
+
+/** @public */
+export type Placement =
+  | {
+      readonly outcome: 'place';
+      readonly endpointId: EndpointId;
+      readonly cost: number;
+      readonly candidates: number;
+      /** Share of the scarcer of slots and memory that is taken with this request. */
+      readonly takenShare: number;
+    }
+  | { readonly outcome: 'refuse'; readonly reason: string; readonly candidates: number };
+
+function computeTakenShare(
+  { slots, memoryTokens, requests, neededTokens }: PlacementCandidate,
+  requestTokens: number,
+): number {
+  const slotShare = (requests + 1) / Math.max(1, slots);
+  if (memoryTokens === undefined) return slotShare;
+  return Math.max(slotShare, (neededTokens + requestTokens) / memoryTokens);
+}
+
+/** Cost of sending a request of a size to an endpoint. */
+export function computePlacementCost(candidate: PlacementCandidate, requestTokens: number): number {
+  const { otherDataCentreCost, otherRegionCost, failureCost, warmUpCost, avoidedCost } =
+    PLACEMENT_OPTIONS;
+  const distanceCosts = {
+    'same-data-centre': 0,
+    'same-region': otherDataCentreCost,
+    'other-region': otherRegionCost,
+  } as const;
+  return (
+    computeTakenShare(candidate, requestTokens) +
+    distanceCosts[candidate.distance] +
+    failureCost * candidate.failureShare +
+    (candidate.isWarmingUp ? warmUpCost : 0) +
+    (candidate.isAvoided ? avoidedCost : 0)
+  );
+}
+
+/** @param draw uniform in [0, 1). */
+export function choosePlacement(
+  candidates: ReadonlyArray<PlacementCandidate>,
+  requestTokens: number,
+  draw: number,
+): Placement {
+  const usable = candidates
+    .filter(({ hasConnection }) => hasConnection)
+    .map((candidate) => ({ candidate, cost: computePlacementCost(candidate, requestTokens) }))
+    .sort((a, b) => a.cost - b.cost);
+  const [best] = usable;
+  if (!best) {
+    const reason =
+      candidates.length === 0
+        ? 'no endpoint of the service is known to be in service'
+        : 'this node has no connection left to any endpoint of the service';
+    return { outcome: 'refuse', reason, candidates: candidates.length };
+  }
+  const equals = usable.filter(({ cost }) => cost - best.cost < PLACEMENT_OPTIONS.equalCost);
+  const chosen = equals[Math.floor(draw * equals.length)] ?? best;
+  return {
+    outcome: 'place',
+    endpointId: chosen.candidate.endpointId,
+    cost: chosen.cost,
+    candidates: candidates.length,
+    takenShare: computeTakenShare(chosen.candidate, requestTokens),
+  };
+}
--- /dev/null
+++ b/src/platform/DirectoryRoutes.ts
@@ -0,0 +1,28 @@
+/**
+ * The call by which callers ask for addresses.
+ */
+import type { Hono } from 'hono';
+import type { Kernel } from '../kernel';
+import { EntryDirectory, HttpRoutes } from '../services';
+import { PATHS } from './wireNames';
+
+const MS_PER_SECOND = 1_000;
+
+/** @internal */
+export class DirectoryRoutes extends HttpRoutes<Hono> {
+  readonly audience = 'directory';
+
+  constructor(private readonly kernel: Kernel) {
+    super();
+  }
+
+  mount(app: Hono): void {
+    app.get(PATHS.resolve, (context) => {
+      const { addresses, keptForMs } = this.kernel.get(EntryDirectory).findAddresses({
+        dataCentre: context.req.query('zone'),
+        region: context.req.query('region'),
+      });
+      return context.json({ addresses, ttlS: keptForMs / MS_PER_SECOND });
+    });
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,1 @@
+export { PlatformPlugin } from './PlatformPlugin';
--- /dev/null
+++ b/src/platform/storeValues.ts
@@ -0,0 +1,161 @@
+/**
+ * Values in the platform's store, decoded into the product's types.
+ */
+import { z } from 'zod';
+import {
+  customerIdSchema,
+  endpointIdSchema,
+  type BackEnd,
+  type EndpointId,
+  type KeyHolder,
+  type Route,
+  type ServiceProfile,
+  type ServingConfiguration,
+} from '../core';
+
+const MS_PER_SECOND = 1_000;
+
+const routeSchema = z.object({
+  name: z.string(),
+  host: z.string(),
+  prefix: z.string(),
+  kind: z.enum(['safe', 'unsafe', 'streaming']),
+  timeoutMs: z.number(),
+  latencyGoalMs: z.number().default(0),
+  priority: z.number().default(0),
+  service: z.string().optional(),
+  weightedServices: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
+  maxAttempts: z.number().default(1),
+  anonymous: z.boolean().default(false),
+  sticky: z.boolean().default(false),
+  streamResume: z.boolean().default(false),
+  gapTargetMs: z.number().default(0),
+});
+
+const engineSchema = z.object({
+  slots: z.number(),
+  kvCapacity: z.number(),
+  kvTokenBytes: z.number(),
+  linkMbps: z.number(),
+  moves: z.boolean().default(false),
+  backups: z.boolean().default(false),
+  /** Tokens in one event. */
+  stride: z.number().default(1),
+  /** How long a copied memory is kept unused. */
+  handleS: z.number().default(0),
+});
+
+const serviceSchema = z.object({
+  name: z.string(),
+  maxConnections: z.number(),
+  engine: engineSchema.optional(),
+});
+
+const configurationSchema = z.object({
+  version: z.number(),
+  routes: z.array(routeSchema),
+  services: z.array(serviceSchema),
+  limits: z.object({
+    maxHeaderBytes: z.number(),
+    maxBodyBytes: z.number(),
+    headerTimeoutMs: z.number(),
+    idleTimeoutMs: z.number(),
+  }),
+  tenants: z
+    .array(
+      z.object({
+        name: customerIdSchema,
+        apiKeys: z.array(z.string()),
+        priority: z.number().optional(),
+      }),
+    )
+    .optional(),
+});
+
+const endpointSchema = z.object({
+  service: z.string(),
+  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
+  zone: z.string(),
+  slots: z.number().positive(),
+  state: z.enum(['ready', 'draining']),
+  coldRemainingMs: z.number().default(0),
+  /** Unix time of its start. */
+  born: z.number().default(0),
+});
+
+function toRoute(route: z.infer<typeof routeSchema>): Route {
+  return {
+    name: route.name,
+    host: route.host,
+    pathPrefix: route.prefix,
+    delivery: route.kind === 'streaming' ? 'stream' : 'whole',
+    isRepeatable: route.kind === 'safe' || (route.kind === 'streaming' && route.streamResume),
+    isResumable: route.kind === 'streaming' && route.streamResume,
+    answerWithinMs: route.timeoutMs,
+    promptWithinMs: route.latencyGoalMs,
+    pauseWithinMs: route.gapTargetMs,
+    rank: route.priority,
+    maxEndpoints: route.maxAttempts,
+    targets:
+      route.weightedServices ??
+      (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]),
+    isAnonymous: route.anonymous,
+    carriesPrompt: route.sticky,
+  };
+}
+
+function toService({
+  name,
+  maxConnections,
+  engine,
+}: z.infer<typeof serviceSchema>): ServiceProfile {
+  return {
+    name,
+    maxConnections,
+    engine: engine && {
+      slots: engine.slots,
+      memoryTokens: engine.kvCapacity,
+      tokenBytes: engine.kvTokenBytes,
+      linkMbps: engine.linkMbps,
+      canMove: engine.moves,
+      canBackUp: engine.backups,
+      tokensPerEvent: engine.stride,
+      copyKeptMs: engine.handleS * MS_PER_SECOND,
+    },
+  };
+}
+
+/** @throws ZodError, SyntaxError. */
+export function decodeConfiguration(text: string): ServingConfiguration {
+  const decoded = configurationSchema.parse(JSON.parse(text));
+  const holders = decoded.tenants?.flatMap(({ name, apiKeys, priority }) =>
+    apiKeys.map((key): [string, KeyHolder] => [key, { customer: name, rank: priority }]),
+  );
+  return {
+    version: decoded.version,
+    routes: decoded.routes.map(toRoute),
+    services: new Map(decoded.services.map((service) => [service.name, toService(service)])),
+    limits: decoded.limits,
+    keyHolders: holders && new Map(holders),
+  };
+}
+
+/** @throws ZodError. */
+export function decodeEndpointId(id: string): EndpointId {
+  return endpointIdSchema.parse(id);
+}
+
+/** @throws ZodError, SyntaxError. */
+export function decodeEndpoint(id: string, text: string): BackEnd {
+  const decoded = endpointSchema.parse(JSON.parse(text));
+  return {
+    endpointId: decodeEndpointId(id),
+    service: decoded.service,
+    address: decoded.address,
+    dataCentre: decoded.zone,
+    slots: decoded.slots,
+    isLeaving: decoded.state === 'draining',
+    warmUpMs: decoded.coldRemainingMs,
+    startedAtWallMs: decoded.born,
+  };
+}
--- /dev/null
+++ b/src/platform/wireNames.ts
@@ -0,0 +1,59 @@
+/**
+ * Names of the platform's wire: headers, calls and keys. Nothing outside this folder knows them.
+ */
+
+/** Headers, in lower case for comparison. */
+export const HEADER_NAMES = {
+  requestId: 'X-Bramleyvane-Request-Id',
+  remainingMs: 'X-Bramleyvane-Deadline-Ms',
+  promptParts: 'X-Bramleyvane-Prompt-Prefix',
+  model: 'X-Bramleyvane-Model',
+  tokenCounts: 'X-Bramleyvane-Token-Usage',
+  expectedOutput: 'X-Bramleyvane-Length-Hint',
+  lastEventId: 'Last-Event-Id',
+  signature: 'X-Bramleyvane-Server-Seal',
+  customer: 'X-Bramleyvane-Tenant',
+  expectedEndpoint: 'X-Bramleyvane-Expect-Instance',
+  notRun: 'X-Bramleyvane-Not-Executed',
+  authorization: 'Authorization',
+  host: 'Host',
+  /** `ip:port/handle` of copied memory. */
+  continueFrom: 'Kv-From',
+  backUpTo: 'X-Bramleyvane-Kv-Backup',
+} as const;
+
+/** Headers that only the system sets towards engines; a caller's own are dropped. */
+export const SYSTEM_HEADERS: ReadonlySet<string> = new Set(
+  [
+    HEADER_NAMES.remainingMs,
+    HEADER_NAMES.lastEventId,
+    HEADER_NAMES.customer,
+    HEADER_NAMES.expectedEndpoint,
+    HEADER_NAMES.authorization,
+    HEADER_NAMES.continueFrom,
+    HEADER_NAMES.backUpTo,
+    'Kv-Fetch',
+    'X-Bramleyvane-Hold',
+    'X-Bramleyvane-Pin-Ms',
+    'X-Bramleyvane-Request-Priority',
+    'X-Bramleyvane-Expect-Version',
+  ].map((name) => name.toLowerCase()),
+);
+
+/** Scheme of the `Authorization` header. */
+export const KEY_SCHEME = 'Token';
+
+/** Calls. */
+export const PATHS = {
+  resolve: '/api/resolve',
+  ready: '/api/readyz',
+  storeRange: '/api/kv-range',
+  storeWatch: '/api/kv-watch',
+  copyRun: '/api/kv-move',
+} as const;
+
+/** Keys in the store. */
+export const STORE_KEYS = {
+  configuration: 'op/config',
+  endpointPrefix: 'servers/',
+} as const;
--- a/src/plugins/calls/UndiciServiceCalls.ts
+++ b/src/plugins/calls/UndiciServiceCalls.ts
@@ -11,8 +11,8 @@
   type ServiceAnswer,
   type ServiceCall,
 } from '../../services';
+import { SingleConnection } from '../../wire';
 import { CALL_OPTIONS } from './options';
-import { SingleConnection } from './SingleConnection';
 
 type CallContext = Parameters<Operations['run']>[2];
 
@@ -53,6 +53,7 @@
     // and then nobody knows whether the call was run.
     const connection = new SingleConnection(
       () => !signal.aborted && this.clock.nowMs() < sendDeadlineMs,
+      CALL_OPTIONS.connectTimeoutMs,
     );
     const client = new Client(endpoint.vm.url, {
       pipelining: 1,
--- /dev/null
+++ b/src/plugins/deployment/SourceTask.ts
@@ -0,0 +1,108 @@
+/**
+ * The task that keeps the deployment book current: read everything once, then watch.
+ *
+ * A watch that comes back empty proves that nothing changed while it waited, so its end, and not
+ * its start, is the time up to which the book is complete.
+ */
+import type { EndpointId } from '../../core';
+import type { Kernel } from '../../kernel';
+import { DeploymentSource, type PublishedChange, type PublishedChanges } from '../../services';
+import type { DeploymentBook } from './DeploymentBook';
+import { DEPLOYMENT_OPTIONS } from './options';
+
+/** @internal */
+export class SourceTask {
+  private position: number | undefined;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly book: DeploymentBook,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const { clock } = this.kernel;
+    while (!signal.aborted) {
+      const askedAtMs = clock.nowMs();
+      try {
+        await (this.position === undefined ? this.readAll(signal) : this.watch(signal));
+      } catch (thrown) {
+        if (signal.aborted) return;
+        const reason = thrown instanceof Error ? thrown.message : String(thrown);
+        this.book.noteUnavailable(reason);
+        // A quick failure is tried again soon; a time-out has waited already.
+        const { retryIntervalMs } = DEPLOYMENT_OPTIONS;
+        await clock.sleep(askedAtMs + this.vary(retryIntervalMs) - clock.nowMs(), signal);
+      }
+    }
+  }
+
+  private async readAll(signal: AbortSignal): Promise<void> {
+    const askedAtMs = this.kernel.clock.nowMs();
+    const source = this.kernel.get(DeploymentSource);
+    const all = await source.readAll(this.limit(DEPLOYMENT_OPTIONS.readTimeoutMs, signal));
+    this.take(all, true);
+    this.book.confirm(askedAtMs);
+  }
+
+  private async watch(signal: AbortSignal): Promise<void> {
+    const { clock, log } = this.kernel;
+    const { watchMs, watchMarginMs } = DEPLOYMENT_OPTIONS;
+    // After an outage or a suspension the first answer has to come at once.
+    const isConfirmed = this.book.getConfirmedAgeMs() < watchMs * 2;
+    const waitMs = isConfirmed ? Math.round(this.vary(watchMs)) : 0;
+    const askedAtMs = clock.nowMs();
+    const changes = await this.kernel
+      .get(DeploymentSource)
+      .readChanges(
+        this.position ?? 0,
+        waitMs,
+        this.limit(waitMs + watchMarginMs, signal, isConfirmed),
+      );
+    if (!changes) {
+      log.info('history of the source lost', { position: this.position });
+      this.position = undefined;
+      return;
+    }
+    this.take(changes, false);
+    this.book.confirm(changes.changes.length === 0 ? askedAtMs + waitMs : askedAtMs);
+  }
+
+  private take({ changes, position }: PublishedChanges, isComplete: boolean): void {
+    changes.forEach((change) => this.takeChange(change, isComplete));
+    if (isComplete) {
+      const listed = changes.flatMap((change) =>
+        change.kind === 'endpoint' ? [change.backEnd.endpointId] : [],
+      );
+      this.removeUnlisted(listed);
+    }
+    this.position = Math.max(position, this.position ?? 0);
+  }
+
+  private takeChange(change: PublishedChange, isComplete: boolean): void {
+    if (change.kind === 'configuration') this.book.takeConfiguration(change.configuration);
+    if (change.kind === 'endpoint') this.book.takeBackEnd(change.backEnd);
+    if (change.kind === 'endpoint-removed') this.book.removeBackEnd(change.endpointId);
+    if (change.kind === 'unreadable') {
+      const { key, reason } = change;
+      this.kernel.log.warn('published value ignored', { key, reason, isComplete });
+    }
+  }
+
+  private removeUnlisted(listed: ReadonlyArray<EndpointId>): void {
+    this.book
+      .listAll()
+      .filter(({ endpointId }) => !listed.includes(endpointId))
+      .forEach(({ endpointId }) => this.book.removeBackEnd(endpointId));
+  }
+
+  /** Ends a call at its time limit, or early when a suspension has shown. */
+  private limit(timeoutMs: number, signal: AbortSignal, endsOnDoubt = false): AbortSignal {
+    const limit = AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]);
+    return endsOnDoubt ? AbortSignal.any([limit, this.book.watchForDoubt(limit)]) : limit;
+  }
+
+  /** Spreads the calls of nodes that started together. */
+  private vary(intervalMs: number): number {
+    return intervalMs * (1 + DEPLOYMENT_OPTIONS.jitterShare * (2 * Math.random() - 1));
+  }
+}
--- /dev/null
+++ b/src/plugins/deployment/index.ts
@@ -0,0 +1,1 @@
+export { DeploymentPlugin } from './DeploymentPlugin';
--- /dev/null
+++ b/src/plugins/directory/index.ts
@@ -0,0 +1,1 @@
+export { DirectoryPlugin } from './DirectoryPlugin';
--- a/src/plugins/fleet/FleetPlugin.ts
+++ b/src/plugins/fleet/FleetPlugin.ts
@@ -1,17 +1,31 @@
 /**
  * Membership: the VM list joined with what nodes and endpoints say of themselves.
  */
+import type { VmId } from '../../core';
 import { Plugin, registerPlugin } from '../../kernel';
-import { Fleet, PublishedState } from '../../services';
+import { Fleet, PeerDirectory, PublishedState } from '../../services';
 import { KnownFleet } from './KnownFleet';
 
+/** Addresses of nodes from the VM list. */
+class ListedPeers extends PeerDirectory {
+  constructor(private readonly fleet: Fleet) {
+    super();
+  }
+
+  findPeerAddress(vmId: VmId): string | undefined {
+    return this.fleet.findNode(vmId)?.vm.peerAddress;
+  }
+}
+
 /** @internal */
 export class FleetPlugin extends Plugin {
   static override readonly type = 'fleet';
 
   override setUp(): void {
     const published = this.kernel.get(PublishedState);
-    this.kernel.provide(Fleet, new KnownFleet(published, this.kernel.clock, this.kernel.settings));
+    const fleet = new KnownFleet(published, this.kernel.clock, this.kernel.settings);
+    this.kernel.provide(Fleet, fleet);
+    this.kernel.provide(PeerDirectory, new ListedPeers(fleet));
   }
 }
 
--- /dev/null
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -0,0 +1,60 @@
+/**
+ * A request that is being served, with everything that was decided when it was admitted.
+ */
+import type { EndpointId, Route } from '../../core';
+import type { DispatchOrder, RequestDialect, ServingRequest } from '../../services';
+import type { CallerBody, CallerExchange } from './CallerExchange';
+import type { EndpointMessage } from './EndpointConnection';
+import type { PlacedWork } from './EndpointPlacer';
+
+/** One sending of a request to an endpoint, for the log. @internal */
+export interface SentAttempt {
+  readonly endpointId: EndpointId;
+  readonly outcome: string;
+  readonly afterMs: number;
+}
+
+/** @internal */
+export class AdmittedRequest {
+  /** Endpoints that the request was sent to. */
+  sentTo: ReadonlyArray<EndpointId> = [];
+
+  attempts: ReadonlyArray<SentAttempt> = [];
+
+  constructor(
+    readonly exchange: CallerExchange,
+    readonly request: ServingRequest,
+    readonly route: Route,
+    readonly work: PlacedWork,
+    readonly body: CallerBody,
+    /** Monotonic time at which the caller, or the route, gives up. */
+    readonly deadlineMs: number,
+    /** Aborted at the deadline or when the caller has gone. */
+    readonly ended: AbortSignal,
+  ) {}
+
+  get clause(): string {
+    return `routes.${this.route.name}`;
+  }
+
+  /** Whether the body can be sent another time. */
+  get isReplayable(): boolean {
+    return this.body.form === 'whole';
+  }
+
+  noteAttempt(endpointId: EndpointId, outcome: string, nowMs: number): void {
+    const afterMs = Math.round(nowMs - this.exchange.arrivedAtMs);
+    this.attempts = [...this.attempts, { endpointId, outcome, afterMs }];
+  }
+
+  createMessage(dialect: RequestDialect, order: DispatchOrder): EndpointMessage {
+    const { method, target } = this.request;
+    const headers = dialect.writeHeaders(this.request, order);
+    return { method, target, headers, body: this.getBodyToSend() };
+  }
+
+  private getBodyToSend(): EndpointMessage['body'] {
+    if (this.body.form === 'stream') return this.body.chunks;
+    return this.body.bytes.length === 0 ? undefined : this.body.bytes;
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -0,0 +1,114 @@
+/**
+ * Sends one request to one endpoint and sorts what comes back.
+ */
+import { ServingError, type EndpointId } from '../../core';
+import type { Kernel } from '../../kernel';
+import {
+  RequestDialect,
+  type AnswerHead,
+  type CopiedMemory,
+  type KnownBackEnd,
+} from '../../services';
+import type { AdmittedRequest } from './AdmittedRequest';
+import type { EndpointAnswer } from './EndpointAnswer';
+import type { EndpointConnections } from './EndpointConnections';
+import type { EndpointPlacer } from './EndpointPlacer';
+
+/** What became of one sending. @internal */
+export type SendOutcome =
+  | { readonly outcome: 'answered'; readonly head: AnswerHead; readonly answer: EndpointAnswer }
+  /** The endpoint hasn't run the request and won't, or nothing was sent. */
+  | { readonly outcome: 'not-run'; readonly reason: string; readonly wasSent: boolean }
+  /** It may have run. */
+  | { readonly outcome: 'lost'; readonly reason: string };
+
+/** Where a run goes on that began on another engine. @internal */
+export interface RunContinuation {
+  readonly lastEventId: string | undefined;
+  readonly continueFrom: CopiedMemory | undefined;
+}
+
+/** @internal */
+export interface SendOptions {
+  readonly continuation?: RunContinuation;
+  readonly backUpTo?: string;
+}
+
+const SUCCESS = 200;
+const REDIRECT = 300;
+
+/** @internal */
+export class EndpointSender {
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly connections: EndpointConnections,
+    private readonly placer: EndpointPlacer,
+  ) {}
+
+  async send(
+    admitted: AdmittedRequest,
+    backEnd: KnownBackEnd,
+    signal: AbortSignal,
+    { continuation, backUpTo }: SendOptions = {},
+  ): Promise<SendOutcome> {
+    const { clock } = this.kernel;
+    const dialect = this.kernel.get(RequestDialect);
+    const message = admitted.createMessage(dialect, {
+      expectedEndpointId: backEnd.endpointId,
+      customer: admitted.work.customer,
+      remainingMs: Math.max(1, Math.floor(admitted.deadlineMs - clock.nowMs())),
+      lastEventId: continuation?.lastEventId ?? admitted.request.lastEventId,
+      continueFrom: continuation?.continueFrom,
+      backUpTo,
+    });
+    const outcome = await this.exchange(admitted, backEnd, message, signal);
+    this.note(admitted, backEnd.endpointId, outcome);
+    return outcome;
+  }
+
+  private async exchange(
+    admitted: AdmittedRequest,
+    backEnd: KnownBackEnd,
+    message: ReturnType<AdmittedRequest['createMessage']>,
+    signal: AbortSignal,
+  ): Promise<SendOutcome> {
+    let answer: EndpointAnswer;
+    try {
+      answer = await this.connections.send(backEnd, message, signal);
+    } catch (thrown) {
+      const error = ServingError.from(thrown);
+      const reason = signal.aborted ? 'aborted' : error.detail;
+      if (error.kind === 'endpoint-unreachable') {
+        return { outcome: 'not-run', reason, wasSent: false };
+      }
+      return { outcome: 'lost', reason };
+    }
+    const head = this.kernel
+      .get(RequestDialect)
+      .readAnswer(admitted.request, answer.status, answer.headers);
+    if (!head.isForRequest) {
+      answer.cut();
+      return { outcome: 'lost', reason: 'the answer belongs to another request' };
+    }
+    if (head.isNotRun || head.isOtherEndpoint) {
+      void answer.drain();
+      const reason = head.isOtherEndpoint ? 'the address belongs to another endpoint' : 'shed';
+      return { outcome: 'not-run', reason, wasSent: true };
+    }
+    if (head.status >= SUCCESS && head.status < REDIRECT && !head.isSigned) {
+      answer.cut();
+      return { outcome: 'lost', reason: 'the answer has no signature' };
+    }
+    return { outcome: 'answered', head, answer };
+  }
+
+  private note(admitted: AdmittedRequest, endpointId: EndpointId, outcome: SendOutcome): void {
+    const nowMs = this.kernel.clock.nowMs();
+    if (outcome.outcome === 'answered') {
+      admitted.noteAttempt(endpointId, String(outcome.head.status), nowMs);
+      return;
+    }
+    admitted.noteAttempt(endpointId, `${outcome.outcome}: ${outcome.reason}`, nowMs);
+    if (!admitted.ended.aborted) this.placer.noteOutcome(endpointId, 'failed');
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -0,0 +1,104 @@
+/**
+ * Forwarding of callers' requests to endpoints.
+ */
+import { Plugin, registerPlugin } from '../../kernel';
+import { CallerAdmission, Deployment, LoadSource } from '../../services';
+import { EndpointConnections } from './EndpointConnections';
+import { EndpointPlacer } from './EndpointPlacer';
+import { EndpointSender } from './EndpointSender';
+import { FrontListener } from './FrontListener';
+import { FORWARDING_OPTIONS } from './options';
+import { RepeatRules } from './RepeatRules';
+import { RequestForwarder } from './RequestForwarder';
+import { RunMover } from './RunMover';
+import { StreamDelivery } from './StreamDelivery';
+import { WholeDelivery } from './WholeDelivery';
+
+/** Callers are sent to nodes that know their configuration and aren't shutting down. */
+class FreshKnowledge extends CallerAdmission {
+  constructor(
+    private readonly deployment: Deployment,
+    private readonly isServing: () => boolean,
+  ) {
+    super();
+  }
+
+  takesCallers(): boolean {
+    const { configuration } = this.deployment;
+    const isFresh = this.deployment.getConfirmedAgeMs() < FORWARDING_OPTIONS.staleForCallersMs;
+    return this.isServing() && configuration !== undefined && isFresh;
+  }
+}
+
+/** @internal */
+export class ForwardingPlugin extends Plugin {
+  static override readonly type = 'forwarding';
+
+  private readonly connections = new EndpointConnections(this.kernel.clock);
+
+  private readonly placer = new EndpointPlacer(this.kernel, this.connections);
+
+  private forwarder!: RequestForwarder;
+
+  private listener!: FrontListener;
+
+  override setUp(): void {
+    const { kernel, connections, placer } = this;
+    const deployment = kernel.get(Deployment);
+    const mover = new RunMover(kernel, placer);
+    const sender = new EndpointSender(kernel, connections, placer);
+    const repeats = new RepeatRules(kernel);
+    this.forwarder = new RequestForwarder(kernel, {
+      whole: new WholeDelivery(kernel, placer, sender, repeats),
+      stream: new StreamDelivery(kernel, placer, sender, repeats, mover),
+      repeats,
+    });
+    this.listener = new FrontListener(kernel, this.forwarder);
+    deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
+    deployment.onLeaving((backEnd) => {
+      placer.health.forget(backEnd.endpointId);
+      mover.moveAll(backEnd);
+    });
+    kernel.provide(LoadSource, placer);
+    kernel.provide(
+      CallerAdmission,
+      new FreshKnowledge(deployment, () => kernel.state === 'serving'),
+    );
+  }
+
+  override async start(): Promise<void> {
+    const { callerAddress } = this.kernel.settings;
+    await this.listener.listen(callerAddress);
+    this.kernel.log.info('listening for callers', { callerAddress });
+    this.kernel.runTask('close expired connections', async (signal) => {
+      while (!signal.aborted) {
+        this.connections.closeExpired();
+        await this.kernel.clock.sleep(FORWARDING_OPTIONS.connectionRestMs, signal);
+      }
+    });
+  }
+
+  /** Short requests are still taken for a while; the long ones that run are waited for. */
+  override async drain(): Promise<void> {
+    const { clock, log } = this.kernel;
+    const { shutdownGraceMs } = this.kernel.get(Deployment).bounds;
+    const { drainAcceptMs, exitMarginMs } = FORWARDING_OPTIONS;
+    const exitDeadlineMs = clock.nowMs() + shutdownGraceMs - exitMarginMs;
+    this.forwarder.startDrain();
+    await clock.sleep(drainAcceptMs);
+    this.listener.stopAccepting();
+    const timeout = new AbortController();
+    await Promise.race([
+      this.listener.waitUntilIdle(),
+      clock.sleep(exitDeadlineMs - clock.nowMs(), timeout.signal),
+    ]);
+    timeout.abort();
+    log.info('forwarding drained', { cutRequests: this.listener.runningCount });
+  }
+
+  override async dispose(): Promise<void> {
+    this.listener.close();
+  }
+}
+
+registerPlugin(ForwardingPlugin);
--- /dev/null
+++ b/src/plugins/forwarding/RepeatRules.ts
@@ -0,0 +1,39 @@
+/**
+ * Whether a request may be sent once more, by its route and by the shared budget of repeats.
+ */
+import { RetryBudget } from '../../decisions';
+import type { Kernel } from '../../kernel';
+import { Deployment, Members } from '../../services';
+import type { AdmittedRequest } from './AdmittedRequest';
+
+/** @internal */
+export class RepeatRules {
+  private readonly budget: RetryBudget;
+
+  constructor(private readonly kernel: Kernel) {
+    this.budget = new RetryBudget(kernel.get(Deployment).bounds);
+  }
+
+  noteRequest(service: string): void {
+    this.budget.noteRequest(service, this.kernel.clock.nowMs());
+  }
+
+  /** Takes one repeat from the budget if the route allows another endpoint. */
+  takeRepeat(admitted: AdmittedRequest): boolean {
+    const { route, sentTo, ended, work } = admitted;
+    if (ended.aborted || !admitted.isReplayable || sentTo.length >= route.maxEndpoints) {
+      return false;
+    }
+    return this.takeFromBudget(work.service);
+  }
+
+  /** Takes one repeat for a run that goes on at another engine. */
+  takeFromBudget(service: string): boolean {
+    const nodes = this.kernel.get(Members).listLive().length + 1;
+    const isTaken = this.budget.take(service, this.kernel.clock.nowMs(), nodes);
+    if (!isTaken) {
+      this.kernel.log.info('decision', { step: 'retry', service, outcome: 'no budget' });
+    }
+    return isTaken;
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -0,0 +1,172 @@
+/**
+ * One task for each request of a caller, from its first byte to the last of its answer.
+ */
+import { ServingError, type ErrorKind } from '../../core';
+import { admitToRoute, chooseService } from '../../decisions';
+import type { Kernel } from '../../kernel';
+import { Deployment, RequestDialect, ServingMetrics, type ServingRequest } from '../../services';
+import { AdmittedRequest } from './AdmittedRequest';
+import type { CallerBody, CallerExchange } from './CallerExchange';
+import { FORWARDING_OPTIONS } from './options';
+import type { RepeatRules } from './RepeatRules';
+import type { StreamDelivery } from './StreamDelivery';
+import type { WholeDelivery } from './WholeDelivery';
+
+/** Body limit while no configuration is known; such requests are refused anyway. */
+const UNKNOWN_LIMIT_BYTES = 4_194_304;
+
+/** @internal */
+export interface ForwarderParts {
+  readonly whole: WholeDelivery;
+  readonly stream: StreamDelivery;
+  readonly repeats: RepeatRules;
+}
+
+/** @internal */
+export class RequestForwarder {
+  private drainingSinceMs: number | undefined;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly parts: ForwarderParts,
+  ) {}
+
+  /** From now on only short requests are taken, for a while. */
+  startDrain(): void {
+    this.drainingSinceMs = this.kernel.clock.nowMs();
+  }
+
+  async serve(exchange: CallerExchange): Promise<void> {
+    let request: ServingRequest | undefined;
+    let admitted: AdmittedRequest | undefined;
+    try {
+      request = this.kernel.get(RequestDialect).readRequest(exchange.line, exchange.headers);
+      admitted = await this.admit(exchange, request);
+      const { route } = admitted;
+      await (route.delivery === 'stream' ? this.parts.stream : this.parts.whole).deliver(admitted);
+    } catch (thrown) {
+      this.fail(exchange, request, admitted, thrown);
+    }
+    this.finish(exchange, request, admitted);
+  }
+
+  private async admit(exchange: CallerExchange, request: ServingRequest): Promise<AdmittedRequest> {
+    const deployment = this.kernel.get(Deployment);
+    const body = await this.readBody(exchange);
+    const { clock } = this.kernel;
+    const verdict = admitToRoute(
+      {
+        configuration: deployment.configuration,
+        confirmedAgeMs: deployment.getConfirmedAgeMs(),
+        bounds: deployment.bounds,
+        drainingForMs:
+          this.drainingSinceMs === undefined ? undefined : clock.nowMs() - this.drainingSinceMs,
+        host: request.host,
+        target: request.target,
+        apiKey: request.apiKey,
+      },
+      FORWARDING_OPTIONS,
+    );
+    if (verdict.outcome === 'refuse') {
+      const { kind, detail, clause, retryAfterMs } = verdict;
+      throw new ServingError(kind, { detail, clause, retryAfterMs });
+    }
+    const { configuration, route, holder } = verdict;
+    const service = chooseService(route, request.requestId);
+    if (service === undefined) {
+      throw new ServingError('no-endpoint', {
+        detail: 'The route leads to no service.',
+        clause: `routes.${route.name}.targets`,
+      });
+    }
+    this.parts.repeats.noteRequest(service);
+    const waitsForMs = Math.min(request.waitsForMs ?? Infinity, route.answerWithinMs);
+    const deadlineMs = exchange.arrivedAtMs + waitsForMs;
+    const leftMs = Math.max(1, Math.ceil(deadlineMs - clock.nowMs()));
+    return new AdmittedRequest(
+      exchange,
+      request,
+      route,
+      {
+        requestId: request.requestId,
+        customer: holder?.customer,
+        configuration,
+        routeName: route.name,
+        service,
+        rank: holder?.rank ?? route.rank,
+        prompt: request.prompt,
+      },
+      body,
+      deadlineMs,
+      AbortSignal.any([exchange.gone, AbortSignal.timeout(leftMs)]),
+    );
+  }
+
+  private async readBody(exchange: CallerExchange): Promise<CallerBody> {
+    const { limits } = this.kernel.get(Deployment).configuration ?? {};
+    const maxBytes = limits?.maxBodyBytes ?? UNKNOWN_LIMIT_BYTES;
+    return exchange.readBody(FORWARDING_OPTIONS.replayableBodyBytes, maxBytes);
+  }
+
+  private fail(
+    exchange: CallerExchange,
+    request: ServingRequest | undefined,
+    admitted: AdmittedRequest | undefined,
+    thrown: unknown,
+  ): void {
+    if (exchange.gone.aborted) return;
+    const error = admitted?.ended.aborted
+      ? new ServingError('answer-timeout', {
+          detail: `No complete answer within ${admitted.route.answerWithinMs} ms.`,
+          clause: `${admitted.clause}.answerWithinMs`,
+          cause: thrown,
+        })
+      : ServingError.from(thrown);
+    if (error.kind === 'internal') this.kernel.log.error('request failed', { cause: thrown });
+    const dialect = this.kernel.get(RequestDialect);
+    exchange.fail(error, request ? dialect.writeAnswerHeaders(request.requestId) : []);
+    this.logRefusal(request, error.kind, error);
+  }
+
+  private logRefusal(
+    request: ServingRequest | undefined,
+    kind: ErrorKind,
+    { clause, detail, retryAfterMs }: ServingError,
+  ): void {
+    this.kernel.log.info('decision', {
+      requestId: request?.requestId,
+      step: 'refuse',
+      kind,
+      clause,
+      reason: detail,
+      retryAfterMs,
+      confirmedAgeMs: Math.round(this.kernel.get(Deployment).getConfirmedAgeMs()),
+    });
+  }
+
+  private finish(
+    exchange: CallerExchange,
+    request: ServingRequest | undefined,
+    admitted: AdmittedRequest | undefined,
+  ): void {
+    const { clock, log } = this.kernel;
+    const { firstWrittenAtMs, arrivedAtMs } = exchange;
+    const firstMs = firstWrittenAtMs === undefined ? undefined : firstWrittenAtMs - arrivedAtMs;
+    const outcome = exchange.gone.aborted ? 'caller left' : exchange.outcome;
+    log.info('request', {
+      requestId: request?.requestId,
+      customer: admitted?.work.customer,
+      route: admitted?.route.name,
+      configurationVersion: admitted?.work.configuration.version,
+      outcome,
+      attempts: admitted?.attempts,
+      firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
+      totalMs: Math.round(clock.nowMs() - arrivedAtMs),
+    });
+    if (!admitted) return;
+    const labels = { customer: admitted.work.customer ?? '', kindOfWork: admitted.route.name };
+    const metrics = this.kernel.get(ServingMetrics);
+    metrics.countAnswer(labels, outcome);
+    if (firstMs !== undefined) metrics.observeFirstToken(labels, firstMs);
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -0,0 +1,233 @@
+/**
+ * Answers that reach their caller as a stream of events while an engine makes them.
+ *
+ * The stream is made of legs: when an engine leaves or is lost, the same run goes on from copied
+ * memory, or a new one after the last event where the route allows it. Only whole events are handed
+ * on, and the head of the answer goes out with the first of them.
+ */
+import { ServingError, type EndpointId } from '../../core';
+import type { Kernel } from '../../kernel';
+import type { AnswerHead } from '../../services';
+import type { AdmittedRequest } from './AdmittedRequest';
+import type { EndpointPlacer, PlacedRequest } from './EndpointPlacer';
+import type { EndpointSender, RunContinuation } from './EndpointSender';
+import { EventSplitter } from './EventSplitter';
+import { FORWARDING_OPTIONS } from './options';
+import type { RepeatRules } from './RepeatRules';
+import type { RunMover } from './RunMover';
+import { StreamLeg, type NextLeg } from './StreamLeg';
+
+const SUCCESS = 200;
+const REDIRECT = 300;
+
+type LegEnd =
+  | { readonly end: 'complete'; readonly rest: Uint8Array }
+  | { readonly end: 'broken'; readonly reason: string };
+
+/** What has reached the caller of one stream. */
+class StreamProgress {
+  head: AnswerHead | undefined;
+
+  lastEventId: string | undefined;
+
+  events = 0;
+
+  constructor(private readonly tokensPerEvent: number) {}
+
+  get outputTokens(): number {
+    return this.events * this.tokensPerEvent;
+  }
+}
+
+/** @internal */
+export class StreamDelivery {
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly placer: EndpointPlacer,
+    private readonly sender: EndpointSender,
+    private readonly repeats: RepeatRules,
+    private readonly mover: RunMover,
+  ) {}
+
+  async deliver(admitted: AdmittedRequest): Promise<void> {
+    const { exchange, work } = admitted;
+    const profile = work.configuration.services.get(work.service)?.engine;
+    const progress = new StreamProgress(profile?.tokensPerEvent ?? 1);
+    let leg = await this.open(admitted, progress);
+    while (leg) {
+      const ended = await this.relay(admitted, leg, progress);
+      if (ended.end === 'complete') {
+        void leg.abandonMove();
+        this.writeHead(admitted, progress);
+        exchange.end(ended.rest.length > 0 ? ended.rest : undefined);
+        this.placer.learnLength(work, progress.outputTokens);
+        return;
+      }
+      if (admitted.ended.aborted) void leg.abandonMove();
+      admitted.ended.throwIfAborted();
+      leg = await this.goOn(admitted, leg, progress, ended.reason);
+    }
+  }
+
+  /** Sends the request until an engine answers it; hands on an answer that isn't a stream. */
+  private async open(
+    admitted: AdmittedRequest,
+    progress: StreamProgress,
+  ): Promise<StreamLeg | undefined> {
+    let excluded: ReadonlyArray<EndpointId> = [];
+    for (let isFirst = true; ; isFirst = false) {
+      const placed = this.placer.place(admitted.work, excluded, isFirst ? 'route' : 'retry');
+      const sent = await this.sendTo(admitted, placed, undefined);
+      if (sent instanceof StreamLeg) return this.begin(admitted, sent, progress);
+      admitted.ended.throwIfAborted();
+      excluded = [...excluded, placed.backEnd.endpointId];
+      const isFree = sent.outcome === 'not-run' && !sent.wasSent;
+      const mayRepeat = isFree || sent.outcome === 'not-run' || admitted.route.isResumable;
+      if (mayRepeat && (isFree || this.repeats.takeRepeat(admitted))) continue;
+      throw new ServingError(sent.outcome === 'lost' ? 'answer-lost' : 'overloaded', {
+        detail: sent.reason,
+        clause: admitted.clause,
+        retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
+      });
+    }
+  }
+
+  private async begin(
+    admitted: AdmittedRequest,
+    leg: StreamLeg,
+    progress: StreamProgress,
+  ): Promise<StreamLeg | undefined> {
+    const { head } = leg;
+    const { exchange } = admitted;
+    if (head.status >= SUCCESS && head.status < REDIRECT) {
+      const target = progress;
+      target.head = head;
+      return leg;
+    }
+    try {
+      const chunks: Uint8Array[] = [];
+      for await (const chunk of leg.answer.read()) chunks.push(chunk);
+      exchange.writeHead(head.status, head.headers);
+      exchange.end(Buffer.concat(chunks));
+    } finally {
+      leg.end();
+    }
+    return undefined;
+  }
+
+  private async sendTo(
+    admitted: AdmittedRequest,
+    placed: PlacedRequest,
+    continuation: RunContinuation | undefined,
+  ): Promise<
+    StreamLeg | Exclude<Awaited<ReturnType<EndpointSender['send']>>, { outcome: 'answered' }>
+  > {
+    const target = admitted;
+    const { endpointId } = placed.backEnd;
+    target.sentTo = [...admitted.sentTo, endpointId];
+    const sent = await this.sender.send(admitted, placed.backEnd, admitted.ended, { continuation });
+    if (sent.outcome === 'answered') return new StreamLeg(placed, sent.head, sent.answer);
+    placed.release();
+    if (sent.outcome === 'not-run' && !sent.wasSent) {
+      target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
+    }
+    return sent;
+  }
+
+  /** Hands on the events of one engine. */
+  private async relay(
+    admitted: AdmittedRequest,
+    leg: StreamLeg,
+    progress: StreamProgress,
+  ): Promise<LegEnd> {
+    const state = progress;
+    const splitter = new EventSplitter();
+    this.mover.follow({ admitted, leg, getOutputTokens: () => state.outputTokens });
+    const { endpointId } = leg.placed.backEnd;
+    try {
+      for await (const chunk of leg.answer.read()) {
+        const whole = splitter.push(chunk);
+        if (!whole) continue;
+        this.writeHead(admitted, state);
+        state.lastEventId = whole.lastEventId ?? state.lastEventId;
+        state.events += whole.count;
+        leg.placed.noteTokens(state.outputTokens);
+        await admitted.exchange.write(whole.bytes);
+      }
+      this.placer.noteOutcome(endpointId, 'answered');
+      return { end: 'complete', rest: splitter.rest };
+    } catch (thrown) {
+      return { end: 'broken', reason: ServingError.from(thrown).detail };
+    } finally {
+      leg.end();
+    }
+  }
+
+  private writeHead({ exchange }: AdmittedRequest, { head }: StreamProgress): void {
+    if (exchange.hasAnswered || !head) return;
+    exchange.writeHead(head.status, head.headers);
+  }
+
+  /** Opens the next leg after an engine has given up a run, or fails the request. */
+  private async goOn(
+    admitted: AdmittedRequest,
+    leg: StreamLeg,
+    progress: StreamProgress,
+    reason: string,
+  ): Promise<StreamLeg> {
+    const from = leg.placed.backEnd.endpointId;
+    const { lastEventId } = progress;
+    const next = await leg.move;
+    this.kernel.log.info('decision', {
+      requestId: admitted.request.requestId,
+      step: 'retry',
+      what: 'stream broken off',
+      from,
+      reason,
+      lastEventId,
+      outputTokens: progress.outputTokens,
+      outcome: next ? 'goes on from copied memory' : 'no copy',
+    });
+    if (next) {
+      const moved = await this.openNext(admitted, next, lastEventId);
+      if (moved) return moved;
+    }
+    if (!next) this.placer.noteOutcome(from, 'failed');
+    const resumed = await this.resume(admitted, from, lastEventId);
+    if (resumed) return resumed;
+    throw new ServingError('answer-lost', {
+      detail: `${from} broke off the stream after event ${lastEventId ?? 'none'}: ${reason}`,
+      clause: admitted.clause,
+    });
+  }
+
+  private async openNext(
+    admitted: AdmittedRequest,
+    { placed, continuation }: NextLeg,
+    lastEventId: string | undefined,
+  ): Promise<StreamLeg | undefined> {
+    const { continueFrom } = continuation;
+    const sent = await this.sendTo(admitted, placed, { continueFrom, lastEventId });
+    return sent instanceof StreamLeg ? this.checkContinued(admitted, sent) : undefined;
+  }
+
+  /** A new run after the last event, where the route allows it. */
+  private async resume(
+    admitted: AdmittedRequest,
+    from: EndpointId,
+    lastEventId: string | undefined,
+  ): Promise<StreamLeg | undefined> {
+    if (!admitted.route.isResumable || !this.repeats.takeRepeat(admitted)) return undefined;
+    const placed = this.placer.place(admitted.work, [from], 'retry');
+    const sent = await this.sendTo(admitted, placed, { continueFrom: undefined, lastEventId });
+    return sent instanceof StreamLeg ? this.checkContinued(admitted, sent) : undefined;
+  }
+
+  private checkContinued({ ended }: AdmittedRequest, leg: StreamLeg): StreamLeg | undefined {
+    const { status } = leg.head;
+    if (status >= SUCCESS && status < REDIRECT && !ended.aborted) return leg;
+    leg.answer.cut();
+    leg.end();
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/StreamLeg.ts
@@ -0,0 +1,42 @@
+/**
+ * The part of a stream that one engine makes.
+ */
+import type { AnswerHead } from '../../services';
+import type { PlacedRequest } from './EndpointPlacer';
+import type { EndpointAnswer } from './EndpointAnswer';
+import type { RunContinuation } from './EndpointSender';
+
+/** Where a run goes on after its engine has given it up. @internal */
+export interface NextLeg {
+  readonly placed: PlacedRequest;
+  readonly continuation: Pick<RunContinuation, 'continueFrom'>;
+}
+
+/** @internal */
+export class StreamLeg {
+  /** Set when the run is being moved to another engine. */
+  move: Promise<NextLeg | undefined> | undefined;
+
+  private readonly endedController = new AbortController();
+
+  constructor(
+    readonly placed: PlacedRequest,
+    readonly head: AnswerHead,
+    readonly answer: EndpointAnswer,
+  ) {}
+
+  /** Aborted when the engine's part is over, however it ended. */
+  get ended(): AbortSignal {
+    return this.endedController.signal;
+  }
+
+  end(): void {
+    this.endedController.abort();
+    this.placed.release();
+  }
+
+  /** Frees what a move has reserved for a run that doesn't need it any more. */
+  async abandonMove(): Promise<void> {
+    (await this.move)?.placed.release();
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/index.ts
@@ -0,0 +1,1 @@
+export { ForwardingPlugin } from './ForwardingPlugin';
--- /dev/null
+++ b/src/plugins/forwarding/options.ts
@@ -0,0 +1,46 @@
+/** Tunables of the forwarding of requests to endpoints. */
+export const FORWARDING_OPTIONS = {
+  /** Time limit for opening a connection to an endpoint; a lost first packet takes a second. */
+  connectTimeoutMs: 500,
+  /**
+   * Rest of a connection after an answer. A second answer to the same request arrives in it and
+   * closes the connection, instead of being met by the next request.
+   */
+  connectionRestMs: 250,
+  /** Idle time after which a connection isn't used again where the endpoint names no timeout. */
+  connectionIdleMs: 3_000,
+  /** Time before the endpoint's own idle timeout at which a connection isn't used any more. */
+  idleTimeoutMarginMs: 1_000,
+  /** Part of the connections of an endpoint that the nodes share out among themselves. */
+  connectionPart: 0.8,
+  /** Connections to an endpoint that every node may open, however many nodes there are. */
+  minConnections: 4,
+  /** Bodies up to this size are kept, so that they can be sent again. */
+  replayableBodyBytes: 65_536,
+  /** Answers up to this size reach the caller only when they are complete. */
+  heldAnswerBytes: 262_144,
+  /** Age of the confirmation up to which a request with a key is served, under the bound. */
+  confirmationMarginMs: 400,
+  /** Age of the confirmation at which callers are sent to other nodes. */
+  staleForCallersMs: 2_800,
+  /** Time to come back after a refusal. */
+  retryAfterMs: 150,
+  /** The same when this node can't take anything and another one has to be used. */
+  otherNodeRetryAfterMs: 20,
+  /** Part of the time for a prompt answer after which a repeatable request is sent once more. */
+  hedgeAfterPart: 0.45,
+  /** Remaining output below which a run isn't moved away from a leaving engine. */
+  minMovedTokens: 48,
+  /** Time limit for an order to copy a run's memory. */
+  copyTimeoutMs: 2_500,
+  /** Time limit for the last part of a copy, during which the run stands still. */
+  lastCopyTimeoutMs: 1_200,
+  /** After the signal to stop: how long short requests are still taken. */
+  drainAcceptMs: 2_500,
+  /** Time before the process is killed at which it ends by itself. */
+  exitMarginMs: 350,
+  /** Interval at which senders of requests are checked against their time limits. */
+  callerCheckIntervalMs: 500,
+  /** Share by which an idle connection of a caller is kept beyond its idle timeout. */
+  callerIdleShare: 1.25,
+} as const;
--- /dev/null
+++ b/src/plugins/frontHttp/index.ts
@@ -0,0 +1,1 @@
+export { FrontHttpPlugin } from './FrontHttpPlugin';
--- a/src/plugins/http/HttpPlugin.ts
+++ b/src/plugins/http/HttpPlugin.ts
@@ -3,25 +3,14 @@
  *
  * A drain waits for the last running request; nothing is cut.
  */
-import type { AddressInfo } from 'node:net';
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
 import { Plugin, registerPlugin } from '../../kernel';
-import { splitAddress } from '../../core';
+import { listenOn } from '../../wire';
 import { createCallerApp } from './createCallerApp';
 import { createOperatorApp } from './createOperatorApp';
 import { RequestTracker } from './RequestTracker';
 
-async function listen(server: Server, address: string): Promise<string> {
-  const { host, port } = splitAddress(address);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, resolve);
-  });
-  const bound = server.address() as AddressInfo;
-  return `${host}:${bound.port}`;
-}
-
 /** @internal */
 export class HttpPlugin extends Plugin {
   static override readonly type = 'http';
@@ -37,8 +26,8 @@
     const operator = createAdaptorServer({ fetch: createOperatorApp(this.kernel).fetch }) as Server;
     this.servers = [caller, operator];
     const { callerAddress, operatorAddress } = this.kernel.settings;
-    this.kernel.noteAddress('callerAddress', await listen(caller, callerAddress));
-    this.kernel.noteAddress('operatorAddress', await listen(operator, operatorAddress));
+    this.kernel.noteAddress('callerAddress', await listenOn(caller, callerAddress));
+    this.kernel.noteAddress('operatorAddress', await listenOn(operator, operatorAddress));
     const { addresses } = this.kernel;
     this.kernel.log.info('listening', {
       callerAddress: addresses.get('callerAddress'),
--- /dev/null
+++ b/src/plugins/members/MemberTable.ts
@@ -0,0 +1,88 @@
+/**
+ * What other nodes have said of themselves, each heard from the node itself.
+ */
+import type { EndpointId, VmId } from '../../core';
+import type { Kernel } from '../../kernel';
+import { Members, type EndpointLoad, type KnownMember, type MemberState } from '../../services';
+import { MEMBER_OPTIONS } from './options';
+
+interface HeardMember {
+  readonly state: MemberState;
+  readonly heardAtMs: number;
+}
+
+/** @internal */
+export class MemberTable extends Members {
+  private readonly members = new Map<VmId, HeardMember>();
+
+  private readonly wakers = new Set<() => void>();
+
+  constructor(private readonly kernel: Kernel) {
+    super();
+  }
+
+  listLive(): ReadonlyArray<KnownMember> {
+    return this.listAll().filter(({ heardAgeMs }) => heardAgeMs < MEMBER_OPTIONS.silentAfterMs);
+  }
+
+  /** All that aren't forgotten, also silent ones. */
+  listAll(): ReadonlyArray<KnownMember> {
+    const nowMs = this.kernel.clock.nowMs();
+    return [...this.members.values()].map(({ state, heardAtMs }) => ({
+      ...state,
+      heardAgeMs: nowMs - heardAtMs,
+    }));
+  }
+
+  find(vmId: VmId): MemberState | undefined {
+    return this.members.get(vmId)?.state;
+  }
+
+  getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
+    return this.listAll()
+      .filter(({ heardAgeMs }) => heardAgeMs < MEMBER_OPTIONS.loadMaxAgeMs)
+      .flatMap(({ loads }) => loads.filter((load) => load.endpointId === endpointId))
+      .reduce(
+        (sum, load) => ({
+          requests: sum.requests + load.requests,
+          memoryTokens: sum.memoryTokens + load.memoryTokens,
+        }),
+        { requests: 0, memoryTokens: 0 },
+      );
+  }
+
+  announce(): void {
+    this.wakers.forEach((wake) => wake());
+  }
+
+  /** Calls the function at each announcement until the signal aborts. */
+  onAnnounce(wake: () => void, signal: AbortSignal): void {
+    this.wakers.add(wake);
+    signal.addEventListener('abort', () => this.wakers.delete(wake), { once: true });
+  }
+
+  /** Takes what a node said of itself at a monotonic time. */
+  hear(state: MemberState, heardAtMs: number): void {
+    const before = this.members.get(state.vmId);
+    if (before && before.heardAtMs > heardAtMs) return;
+    this.members.set(state.vmId, { state, heardAtMs });
+    const isNewStart = before?.state.incarnation !== state.incarnation;
+    if (isNewStart || before.state.takesCallers !== state.takesCallers) {
+      this.kernel.log.info('member', {
+        member: state.vmId,
+        incarnation: state.incarnation,
+        takesCallers: state.takesCallers,
+        silentForMs: before ? Math.round(heardAtMs - before.heardAtMs) : undefined,
+      });
+    }
+  }
+
+  forgetSilent(): void {
+    this.listAll()
+      .filter(({ heardAgeMs }) => heardAgeMs > MEMBER_OPTIONS.forgottenAfterMs)
+      .forEach(({ vmId }) => {
+        this.members.delete(vmId);
+        this.kernel.log.info('member forgotten', { member: vmId });
+      });
+  }
+}
--- /dev/null
+++ b/src/plugins/members/MembersPlugin.ts
@@ -0,0 +1,191 @@
+/**
+ * Membership without a list: nodes are found through a few known addresses and tell each other
+ * their states and the addresses that they have met.
+ *
+ * One task for each address joins it and then exchanges states with the node there until it falls
+ * silent for good.
+ */
+import type { VmId } from '../../core';
+import { Plugin, registerPlugin } from '../../kernel';
+import {
+  CallerAdmission,
+  LoadSource,
+  Members,
+  PeerDirectory,
+  PeerHandler,
+  Peers,
+  SeedAddresses,
+  type MemberState,
+  type Peer,
+} from '../../services';
+import { memberExchangeSchema, type MemberExchange } from './memberMessages';
+import { MemberTable } from './MemberTable';
+import { MEMBER_OPTIONS } from './options';
+
+const MESSAGE_TYPE = 'member.exchange';
+
+const MS_PER_SECOND = 1_000;
+
+class MemberPeers extends PeerDirectory {
+  constructor(private readonly table: MemberTable) {
+    super();
+  }
+
+  findPeerAddress(vmId: VmId): string | undefined {
+    return this.table.find(vmId)?.peerAddress;
+  }
+}
+
+class ExchangeHandler extends PeerHandler<typeof memberExchangeSchema> {
+  readonly type = MESSAGE_TYPE;
+
+  readonly schema = memberExchangeSchema;
+
+  constructor(private readonly plugin: MembersPlugin) {
+    super();
+  }
+
+  async handle(_from: Peer, exchange: MemberExchange): Promise<unknown> {
+    this.plugin.take(exchange);
+    return this.plugin.describe();
+  }
+}
+
+/** @internal */
+export class MembersPlugin extends Plugin {
+  static override readonly type = 'members';
+
+  private readonly table = new MemberTable(this.kernel);
+
+  /** Addresses with a running task. */
+  private readonly tasks = new Set<string>();
+
+  override setUp(): void {
+    this.kernel.provide(Members, this.table);
+    this.kernel.provide(PeerDirectory, new MemberPeers(this.table));
+    this.kernel.provide(PeerHandler, new ExchangeHandler(this));
+  }
+
+  override async start(): Promise<void> {
+    this.kernel.runTask('match member tasks', async (signal) => this.supervise(signal));
+  }
+
+  override async drain(): Promise<void> {
+    this.table.announce();
+  }
+
+  /** This node's state and the addresses of the nodes that it knows. */
+  describe(): MemberExchange {
+    const { settings, incarnation } = this.kernel;
+    const self: MemberState = {
+      vmId: settings.vmId,
+      incarnation,
+      dataCentre: settings.dataCentre,
+      region: settings.region,
+      peerAddress: settings.peerAddress,
+      callerAddress: settings.callerAddress,
+      takesCallers: this.kernel.getAll(CallerAdmission).every((check) => check.takesCallers()),
+      loads: this.kernel.getAll(LoadSource).flatMap((source) => source.listLoads()),
+    };
+    const loads = self.loads.map(
+      ({ endpointId, requests, memoryTokens }) =>
+        [endpointId, requests, Math.round(memoryTokens)] as const,
+    );
+    const knownAddresses = this.table.listLive().map(({ peerAddress }) => peerAddress);
+    return { self: { ...self, loads }, knownAddresses };
+  }
+
+  take({ self, knownAddresses }: MemberExchange): void {
+    const loads = self.loads.map(([endpointId, requests, memoryTokens]) => ({
+      endpointId,
+      requests,
+      memoryTokens,
+    }));
+    this.table.hear({ ...self, loads }, this.kernel.clock.nowMs());
+    [self.peerAddress, ...knownAddresses].forEach((address) => this.startTask(address));
+  }
+
+  private async supervise(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.table.forgetSilent();
+      this.kernel
+        .getAll(SeedAddresses)
+        .flatMap((seeds) => seeds.listAddresses())
+        .forEach((address) => this.startTask(address));
+      await this.kernel.clock.sleep(MEMBER_OPTIONS.superviseIntervalMs, signal);
+    }
+  }
+
+  private startTask(address: string): void {
+    if (address === this.kernel.settings.peerAddress || this.tasks.has(address)) return;
+    this.tasks.add(address);
+    this.kernel.runTask(`member at ${address}`, async (signal) => {
+      try {
+        await this.runMember(address, signal);
+      } finally {
+        this.tasks.delete(address);
+      }
+    });
+  }
+
+  private async runMember(address: string, signal: AbortSignal): Promise<void> {
+    const { clock } = this.kernel;
+    let lastHeardMs = clock.nowMs();
+    while (!signal.aborted && clock.nowMs() - lastHeardMs < MEMBER_OPTIONS.forgottenAfterMs) {
+      const vmId = this.findMember(address) ?? (await this.join(address));
+      const isHeard = vmId !== undefined && (await this.exchange(vmId));
+      if (isHeard) lastHeardMs = clock.nowMs();
+      await this.pause(isHeard ? this.chooseIntervalMs() : MEMBER_OPTIONS.joinIntervalMs, signal);
+    }
+  }
+
+  private findMember(address: string): VmId | undefined {
+    return this.table.listAll().find(({ peerAddress }) => peerAddress === address)?.vmId;
+  }
+
+  private async join(address: string): Promise<VmId | undefined> {
+    try {
+      const { vmId, incarnation } = await this.kernel.get(Peers).join(address);
+      // Until it has told its state, only its address is known.
+      const state = { ...this.describe().self, vmId, incarnation, peerAddress: address };
+      const silentSinceMs = this.kernel.clock.nowMs() - MEMBER_OPTIONS.silentAfterMs;
+      this.table.hear({ ...state, takesCallers: false, loads: [] }, silentSinceMs);
+      return vmId;
+    } catch (thrown) {
+      this.kernel.log.debug('member not reached', { address, cause: thrown });
+      return undefined;
+    }
+  }
+
+  private async exchange(vmId: VmId): Promise<boolean> {
+    const { clock, log } = this.kernel;
+    try {
+      const deadlineMs = clock.nowMs() + MEMBER_OPTIONS.callTimeoutMs;
+      const peers = this.kernel.get(Peers);
+      const reply = await peers.call(vmId, MESSAGE_TYPE, this.describe(), deadlineMs);
+      this.take(memberExchangeSchema.parse(reply));
+      return true;
+    } catch (thrown) {
+      log.debug('member exchange failed', { member: vmId, cause: thrown });
+      return false;
+    }
+  }
+
+  private chooseIntervalMs(): number {
+    const { intervalMs, jitterShare, exchangesPerSecond } = MEMBER_OPTIONS;
+    const share = 1 + jitterShare * (2 * Math.random() - 1);
+    return Math.max(intervalMs, (this.tasks.size * MS_PER_SECOND) / exchangesPerSecond) * share;
+  }
+
+  /** Waits, or until this node has something to announce. */
+  private async pause(delayMs: number, signal: AbortSignal): Promise<void> {
+    const woken = new AbortController();
+    const stop = (): void => woken.abort();
+    const ended = AbortSignal.any([signal, woken.signal]);
+    this.table.onAnnounce(stop, ended);
+    await this.kernel.clock.sleep(delayMs, ended);
+    woken.abort();
+  }
+}
+
+registerPlugin(MembersPlugin);
--- /dev/null
+++ b/src/plugins/members/index.ts
@@ -0,0 +1,1 @@
+export { MembersPlugin } from './MembersPlugin';
--- /dev/null
+++ b/src/plugins/members/options.ts
@@ -0,0 +1,21 @@
+/** Tunables of the exchange of states between nodes. */
+export const MEMBER_OPTIONS = {
+  /** Pause between two exchanges with the same node. */
+  intervalMs: 350,
+  /** Share by which the pause varies at random. */
+  jitterShare: 0.2,
+  /** Exchanges that one node starts a second; with more members each is asked less often. */
+  exchangesPerSecond: 24,
+  /** Time limit of one exchange. */
+  callTimeoutMs: 700,
+  /** Silence after which callers aren't sent to a node. */
+  silentAfterMs: 1_800,
+  /** Silence after which a node is forgotten unless the settings name its address. */
+  forgottenAfterMs: 30_000,
+  /** Pause between two tries to reach an address at which nobody was found. */
+  joinIntervalMs: 500,
+  /** Interval at which the tasks are matched with the known members. */
+  superviseIntervalMs: 200,
+  /** Age up to which the work that a node told of is counted. */
+  loadMaxAgeMs: 3_000,
+} as const;
--- a/src/plugins/peers/PeerLinks.ts
+++ b/src/plugins/peers/PeerLinks.ts
@@ -1,5 +1,5 @@
 /**
- * The links of this node, dialled on demand by the addresses in the VM list.
+ * The links of this node, dialled on demand.
  *
  * Each link has one task, which reads from top to bottom: handshake, frames until the end, clean-up.
  * When two nodes dial each other at once, both links work; both sides send on the one that the lower
@@ -9,7 +9,7 @@
 import { WebSocket } from 'ws';
 import { ServingError, type VmId } from '../../core';
 import type { Kernel } from '../../kernel';
-import { Fleet, Peers, type Peer } from '../../services';
+import { PeerDirectory, Peers, type Peer } from '../../services';
 import { shakeHands, type LinkSide } from './handshake';
 import { MessageDispatcher } from './MessageDispatcher';
 import { PEER_OPTIONS } from './options';
@@ -66,6 +66,10 @@
     );
   }
 
+  async join(address: string): Promise<Peer> {
+    return (await this.dialAddress(address, undefined)).peer;
+  }
+
   listLinked(): ReadonlyArray<Peer> {
     return [...this.links.keys()].flatMap((vmId) => this.find(vmId)?.peer ?? []);
   }
@@ -120,17 +124,21 @@
     const running = this.dials.get(vmId);
     if (running) return running;
     if (this.kernel.signal.aborted) throw unreachable('This node has stopped.');
-    const address = this.kernel.get(Fleet).findNode(vmId)?.vm.peerAddress;
-    if (!address) throw unreachable(`The VM list has no peer address of ${vmId}.`);
+    const address = this.kernel.get(PeerDirectory).findPeerAddress(vmId);
+    if (!address) throw unreachable(`No peer address of ${vmId} is known.`);
+    const dial = this.dialAddress(address, vmId).finally(() => this.dials.delete(vmId));
+    this.dials.set(vmId, dial);
+    return dial;
+  }
+
+  private async dialAddress(address: string, expected: VmId | undefined): Promise<PeerLink> {
+    if (this.kernel.signal.aborted) throw unreachable('This node has stopped.');
     const socket = new WebSocket(`ws://${address}`, {
       maxPayload: PEER_OPTIONS.maxFrameBytes,
       handshakeTimeout: PEER_OPTIONS.handshakeTimeoutMs,
       perMessageDeflate: false,
     });
-    const connection = { socket, side: 'dialler', remoteAddress: address, expected: vmId } as const;
-    const dial = this.open(connection).finally(() => this.dials.delete(vmId));
-    this.dials.set(vmId, dial);
-    return dial;
+    return this.open({ socket, side: 'dialler', remoteAddress: address, expected });
   }
 
   /** Starts the task of a link; resolves when the other end is authenticated. */
--- a/src/services/HttpRoutes.ts
+++ b/src/services/HttpRoutes.ts
@@ -5,8 +5,11 @@
  * it belongs to and mounts itself.
  */
 
-/** `caller`: served to customers. `operator`: metrics, health, status. @public */
-export type HttpAudience = 'caller' | 'operator';
+/**
+ * `caller`: served to customers. `operator`: metrics, health, status. `directory`: asked by callers
+ * for addresses. `readiness`: asked by the operator whether the node takes callers. @public
+ */
+export type HttpAudience = 'caller' | 'operator' | 'directory' | 'readiness';
 
 /** @typeParam App application object of the HTTP library. @public */
 export abstract class HttpRoutes<App = unknown> {
--- a/src/services/Peers.ts
+++ b/src/services/Peers.ts
@@ -33,6 +33,12 @@
   /** Sends without a reply; dropped when the peer can't be reached. */
   abstract send(vmId: VmId, type: string, body: unknown): void;
 
+  /**
+   * Opens a link to a node of which only the address is known.
+   * @throws ServingError `peer-unreachable`.
+   */
+  abstract join(address: string): Promise<Peer>;
+
   /** Nodes with an open link. */
   abstract listLinked(): ReadonlyArray<Peer>;
 }
--- a/src/plugins/calls/SingleConnection.ts
+++ b/src/wire/SingleConnection.ts
@@ -5,7 +5,9 @@
  * failure of that second connection must not look as if the service had never been reached.
  */
 import { buildConnector } from 'undici';
-import { CALL_OPTIONS } from './options';
+
+/** The request that fails with this has not been written. @internal */
+export class ConnectionSpentError extends Error {}
 
 /** @internal */
 export class SingleConnection {
@@ -13,10 +15,15 @@
 
   private isOpened = false;
 
-  private readonly open = buildConnector({ timeout: CALL_OPTIONS.connectTimeoutMs });
+  private readonly open: buildConnector.connector;
 
   /** @param maySend asked when the connection stands, right before the request is written. */
-  constructor(private readonly maySend: () => boolean) {}
+  constructor(
+    private readonly maySend: () => boolean,
+    connectTimeoutMs: number,
+  ) {
+    this.open = buildConnector({ timeout: connectTimeoutMs });
+  }
 
   /** Whether the connection stood, so that something may have been sent. Never false again. */
   get wasUsed(): boolean {
@@ -30,7 +37,7 @@
 
   readonly connect: buildConnector.connector = (options, callback) => {
     if (this.isOpened || this.isOver) {
-      callback(new Error('The one connection of this call has been used.'), null);
+      callback(new ConnectionSpentError('The one connection has been used.'), null);
       return;
     }
     this.open(options, (...result) => {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -5,3 +5,5 @@
 export * from './gossipMessages';
 export * from './peerFrames';
 export * from './problem';
+export * from './SingleConnection';
+export * from './listenOn';
--- a/tests/MemoryNetwork.ts
+++ b/tests/MemoryNetwork.ts
@@ -70,6 +70,10 @@
     this.network.deliver(this.node.settings.vmId, vmId, () => void this.handle(vmId, type, body));
   }
 
+  async join(address: string): Promise<Peer> {
+    throw new ServingError('peer-unreachable', { detail: address });
+  }
+
   listLinked(): ReadonlyArray<Peer> {
     return [];
   }
--- a/tests/SimulatedFleet.ts
+++ b/tests/SimulatedFleet.ts
@@ -135,6 +135,10 @@
     this.fleet.sendRequest(this.self, vmId, type, pack(body), () => {});
   }
 
+  async join(address: string): Promise<Peer> {
+    throw new ServingError('peer-unreachable', { detail: address });
+  }
+
   listLinked(): ReadonlyArray<Peer> {
     return [];
   }
