Go on from the first copy of a run, and spread the moved runs by room

Change: when the first copy is done the run is stopped and goes on at once from that copy, reading anew the few tokens made meanwhile; the later copy is used only when the first is refused. Destinations are drawn by their room. Tests of the decisions about forwarded requests come with it.

Some copies never end before the engine is gone; open.

--- /dev/null
+++ b/src/decisions/EndpointHealth.test.ts
@@ -0,0 +1,31 @@
+import type { EndpointId } from '../core';
+import { EndpointHealth, HEALTH_OPTIONS } from './EndpointHealth';
+
+const id = 'i-1' as EndpointId;
+
+// Guards against new work for an endpoint that fails everything while its health check is good.
+test('avoids after failures in a row, and lets go', () => {
+  const health = new EndpointHealth();
+  for (let failure = 0; failure < HEALTH_OPTIONS.avoidAfterFailures; failure++) {
+    expect(health.isAvoided(id, 0)).toBe(false);
+    health.note(id, 'failed', 0);
+  }
+  expect(health.isAvoided(id, HEALTH_OPTIONS.firstAvoidMs - 1)).toBe(true);
+  expect(health.isAvoided(id, HEALTH_OPTIONS.firstAvoidMs)).toBe(false);
+});
+
+// Guards against an endpoint that is never used again.
+test('is never avoided longer than the longest time', () => {
+  const health = new EndpointHealth();
+  for (let failure = 0; failure < 50; failure++) health.note(id, 'failed', 0);
+  expect(health.isAvoided(id, HEALTH_OPTIONS.longestAvoidMs)).toBe(false);
+  health.note(id, 'answered', HEALTH_OPTIONS.longestAvoidMs);
+  expect(health.isAvoided(id, HEALTH_OPTIONS.longestAvoidMs)).toBe(false);
+});
+
+test('forgets failures with time', () => {
+  const health = new EndpointHealth();
+  health.note(id, 'failed', 0);
+  const before = health.getFailureShare(id, 0);
+  expect(health.getFailureShare(id, HEALTH_OPTIONS.halfLifeMs)).toBeCloseTo(before / 2);
+});
--- /dev/null
+++ b/src/decisions/RetryBudget.test.ts
@@ -0,0 +1,48 @@
+import fc from 'fast-check';
+import { RetryBudget } from './RetryBudget';
+
+const RULES = { retryShare: 0.2, retryAllowance: 56, retryWindowMs: 10_000 };
+
+// Guards against repeats of all nodes together beyond what the service accepts in any window.
+test('nodes together stay under the budget in every window', () => {
+  const events = fc.array(
+    fc.record({
+      node: fc.integer({ min: 0, max: 7 }),
+      gapMs: fc.integer({ min: 0, max: 400 }),
+      isRepeat: fc.boolean(),
+    }),
+    { minLength: 100, maxLength: 400 },
+  );
+  fc.assert(
+    fc.property(events, (list) => {
+      const budgets = Array.from({ length: 8 }, () => new RetryBudget(RULES));
+      const requests: number[] = [];
+      const repeats: number[] = [];
+      let nowMs = 0;
+      list.forEach(({ node, gapMs, isRepeat }) => {
+        nowMs += gapMs;
+        const budget = budgets[node]!;
+        if (!isRepeat) {
+          budget.noteRequest('desk', nowMs);
+          requests.push(nowMs);
+        } else if (budget.take('desk', nowMs, 8)) repeats.push(nowMs);
+      });
+      const countIn = (times: number[], endMs: number): number =>
+        times.filter((time) => time > endMs - RULES.retryWindowMs && time <= endMs).length;
+      repeats.forEach((endMs) => {
+        const allowed = RULES.retryShare * countIn(requests, endMs) + RULES.retryAllowance;
+        expect(countIn(repeats, endMs)).toBeLessThanOrEqual(allowed);
+      });
+    }),
+    { seed: 20261204, numRuns: 60 },
+  );
+});
+
+// Guards against a budget that one service spends for another.
+test('services have budgets of their own', () => {
+  const budget = new RetryBudget(RULES);
+  while (budget.take('desk', 0, 8));
+  expect(budget.take('desk', 0, 8)).toBe(false);
+  expect(budget.take('engines', 0, 8)).toBe(true);
+  expect(budget.take('desk', RULES.retryWindowMs + 1, 8)).toBe(true);
+});
--- /dev/null
+++ b/src/decisions/admitToRoute.test.ts
@@ -0,0 +1,62 @@
+import { admitToRoute, type RouteAdmissionView } from './admitToRoute';
+import { BOUNDS, createConfiguration, createRoute } from './servingFixtures';
+
+const OPTIONS = {
+  confirmationMarginMs: 400,
+  drainAcceptMs: 2_500,
+  retryAfterMs: 150,
+  otherNodeRetryAfterMs: 20,
+};
+
+function admit(changes: Partial<RouteAdmissionView>): ReturnType<typeof admitToRoute> {
+  const view: RouteAdmissionView = {
+    configuration: createConfiguration(),
+    confirmedAgeMs: 100,
+    bounds: BOUNDS,
+    drainingForMs: undefined,
+    host: 'desk.example',
+    target: '/lookup/part?id=4',
+    apiKey: 'key-1',
+    ...changes,
+  };
+  return admitToRoute(view, OPTIONS);
+}
+
+// Guards against a refusal of what every configuration allows, and against service of what none does.
+test.each([
+  ['a known key on a known route', {}, 'admit'],
+  ['no configuration yet', { configuration: undefined }, 'not-ready'],
+  ['a path that no route begins', { target: '/nothing/' }, 'unknown-path'],
+  ['an unknown key', { apiKey: 'key-2' }, 'unknown-key'],
+  ['no key', { apiKey: undefined }, 'unknown-key'],
+  ['a key confirmed too long ago', { confirmedAgeMs: 4_601 }, 'unconfirmed-configuration'],
+  [
+    'an unknown key, not confirmed',
+    { apiKey: 'x', confirmedAgeMs: 4_601 },
+    'unconfirmed-configuration',
+  ],
+  [
+    'an unknown path, not confirmed',
+    { target: '/n/', confirmedAgeMs: 4_601 },
+    'unconfirmed-configuration',
+  ],
+  ['an age that is unknown', { confirmedAgeMs: Infinity }, 'unconfirmed-configuration'],
+  ['a short request early in a shutdown', { drainingForMs: 100 }, 'admit'],
+  ['a short request late in a shutdown', { drainingForMs: 2_501 }, 'draining'],
+])('admission: %s', (_name, changes, expected) => {
+  const verdict = admit(changes);
+  expect(verdict.outcome === 'admit' ? 'admit' : verdict.kind).toBe(expected);
+});
+
+// Guards against a long stream that the end of the process would cut.
+test('refuses a stream from the start of a shutdown', () => {
+  const configuration = createConfiguration({ routes: [createRoute({ delivery: 'stream' })] });
+  expect(admit({ configuration, drainingForMs: 1 })).toMatchObject({ kind: 'draining' });
+});
+
+// Guards against a check of keys where requests carry none.
+test('serves an anonymous route without a key, also when unconfirmed', () => {
+  const configuration = createConfiguration({ routes: [createRoute({ isAnonymous: true })] });
+  const verdict = admit({ configuration, apiKey: undefined, confirmedAgeMs: Infinity });
+  expect(verdict.outcome).toBe('admit');
+});
--- /dev/null
+++ b/src/decisions/placement.test.ts
@@ -0,0 +1,72 @@
+import type { EndpointId } from '../core';
+import { choosePlacement, drawDestination, type PlacementCandidate } from './placement';
+
+function createCandidate(
+  id: string,
+  changes: Partial<PlacementCandidate> = {},
+): PlacementCandidate {
+  return {
+    endpointId: id as EndpointId,
+    slots: 24,
+    memoryTokens: 34_000,
+    requests: 2,
+    neededTokens: 8_000,
+    distance: 'same-data-centre',
+    failureShare: 0,
+    isWarmingUp: false,
+    isAvoided: false,
+    hasConnection: true,
+    ...changes,
+  };
+}
+
+function choose(candidates: ReadonlyArray<PlacementCandidate>): string | undefined {
+  const verdict = choosePlacement(candidates, 4_000, 0.5);
+  return verdict.outcome === 'place' ? verdict.endpointId : undefined;
+}
+
+// Guards against work on an endpoint that costs the caller more than another.
+test.each([
+  ['one with less memory needed', { neededTokens: 20_000 }],
+  ['one with free slots', { requests: 23 }],
+  ['the nearer one', { distance: 'other-region' as const }],
+  ['one that answers', { failureShare: 0.4 }],
+  ['one that is warm', { isWarmingUp: true }],
+  ['one that is not avoided', { isAvoided: true }],
+  ['one with a connection left', { hasConnection: false }],
+])('prefers %s', (_name, changes) => {
+  expect(choose([createCandidate('worse', changes), createCandidate('better')])).toBe('better');
+});
+
+// Guards against a refusal while something can still be tried.
+test('uses an avoided endpoint when there is no other', () => {
+  expect(choose([createCandidate('only', { isAvoided: true })])).toBe('only');
+});
+
+// Guards against a nearness that outweighs a full endpoint.
+test('goes to another region when the near one is full', () => {
+  const near = createCandidate('near', { neededTokens: 30_000 });
+  expect(choose([near, createCandidate('far', { distance: 'other-region' })])).toBe('far');
+});
+
+test('refuses without candidates', () => {
+  expect(choosePlacement([], 0, 0).outcome).toBe('refuse');
+  expect(drawDestination([], 0, 0).outcome).toBe('refuse');
+});
+
+// Guards against all nodes sending their runs to the emptiest engine when another one leaves.
+test('spreads moved runs by room', () => {
+  const candidates = [
+    createCandidate('empty', { neededTokens: 0 }),
+    createCandidate('half', { neededTokens: 13_000 }),
+    createCandidate('full', { neededTokens: 34_000 }),
+  ];
+  const drawn = Array.from({ length: 1_000 }, (_, index) => {
+    const verdict = drawDestination(candidates, 4_000, index / 1_000);
+    return verdict.outcome === 'place' ? verdict.endpointId : '';
+  });
+  const share = (id: string): number => drawn.filter((found) => found === id).length / drawn.length;
+  expect(share('empty')).toBeGreaterThan(0.5);
+  expect(share('half')).toBeGreaterThan(0.2);
+  expect(share('full')).toBeLessThan(0.05);
+});
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -20,6 +20,10 @@
   avoidedCost: 10,
   /** Candidates whose costs differ by less are taken as equal and drawn from. */
   equalCost: 0.02,
+  /** Weight of a destination of copied memory by distance; a copy across zones takes twice as long. */
+  destinationWeights: { 'same-data-centre': 1, 'same-region': 0.5, 'other-region': 0.4 },
+  /** Least weight of a destination by its room, so that a full one is still tried at last. */
+  leastRoomWeight: 0.01,
 } as const;
 
 /** @public */
@@ -79,6 +83,50 @@
   );
 }
 
+/**
+ * Draws a destination for a run that is moved. When an engine leaves, all nodes look for room at
+ * the same moment and know the same; the emptiest engine alone can't take what all would send it.
+ * @param draw uniform in [0, 1).
+ */
+export function drawDestination(
+  candidates: ReadonlyArray<PlacementCandidate>,
+  requestTokens: number,
+  draw: number,
+): Placement {
+  const { destinationWeights, leastRoomWeight } = PLACEMENT_OPTIONS;
+  const weighted = candidates
+    .filter(({ isAvoided }) => !isAvoided)
+    .map((candidate) => {
+      const takenShare = computeTakenShare(candidate, requestTokens);
+      const roomWeight = Math.max(
+        leastRoomWeight,
+        (1 - takenShare) ** 2 * Math.sign(1 - takenShare),
+      );
+      return { candidate, takenShare, weight: roomWeight * destinationWeights[candidate.distance] };
+    });
+  const total = weighted.reduce((sum, { weight }) => sum + weight, 0);
+  let left = draw * total;
+  const drawn =
+    weighted.find(({ weight }) => {
+      left -= weight;
+      return left < 0;
+    }) ?? weighted.at(-1);
+  if (!drawn) {
+    return {
+      outcome: 'refuse',
+      reason: 'no other endpoint of the service is in service',
+      candidates: candidates.length,
+    };
+  }
+  return {
+    outcome: 'place',
+    endpointId: drawn.candidate.endpointId,
+    cost: computePlacementCost(drawn.candidate, requestTokens),
+    candidates: candidates.length,
+    takenShare: drawn.takenShare,
+  };
+}
+
 /** @param draw uniform in [0, 1). */
 export function choosePlacement(
   candidates: ReadonlyArray<PlacementCandidate>,
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -10,6 +10,7 @@
 } from '../../core';
 import {
   choosePlacement,
+  drawDestination,
   EndpointHealth,
   expectRemainingTokens,
   InFlightReservations,
@@ -72,7 +73,7 @@
 
   /**
    * Chooses an endpoint and reserves room there.
-   * @param knownTokens tokens of the prompt and of what was made on another engine.
+   * @param step `place` moves a run that has made `producedTokens`.
    * @throws ServingError `no-endpoint`.
    */
   place(
@@ -88,7 +89,8 @@
       .filter(({ endpointId }) => !excluded.includes(endpointId));
     const requestTokens = this.estimateTokens(work, producedTokens);
     const candidates = backEnds.map((backEnd) => this.describe(work, backEnd));
-    const verdict = choosePlacement(candidates, requestTokens, Math.random());
+    const choose = step === 'place' ? drawDestination : choosePlacement;
+    const verdict = choose(candidates, requestTokens, Math.random());
     const inputs = {
       requestId: work.requestId,
       customer: work.customer,
--- /dev/null
+++ b/src/plugins/forwarding/EventSplitter.test.ts
@@ -0,0 +1,35 @@
+import fc from 'fast-check';
+import { EventSplitter } from './EventSplitter';
+
+const STREAM = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweights: 3\nid: 3\ndata: c\n\n';
+
+// Guards against a part of an event that reaches the caller before another engine goes on.
+test('hands on only whole events, wherever the chunks end', () => {
+  fc.assert(
+    fc.property(fc.array(fc.integer({ min: 1, max: STREAM.length - 1 })), (cuts) => {
+      const splitter = new EventSplitter();
+      const ends = [...cuts, STREAM.length].sort((a, b) => a - b);
+      let out = '';
+      let events = 0;
+      let start = 0;
+      ends.forEach((end) => {
+        const whole = splitter.push(Buffer.from(STREAM.slice(start, end)));
+        start = end;
+        if (!whole) return;
+        out += Buffer.from(whole.bytes).toString();
+        events += whole.count;
+        expect(out).toMatch(/\n\r?\n$/);
+        expect(whole.lastEventId).toBe(String(events));
+      });
+      expect(out).toBe(STREAM);
+      expect(events).toBe(3);
+    }),
+    { seed: 20261204 },
+  );
+});
+
+test('keeps what is left of a broken event', () => {
+  const splitter = new EventSplitter();
+  expect(splitter.push(Buffer.from('id: 1\nda'))).toBeUndefined();
+  expect(Buffer.from(splitter.rest).toString()).toBe('id: 1\nda');
+});
--- a/src/plugins/forwarding/RunMover.ts
+++ b/src/plugins/forwarding/RunMover.ts
@@ -1,13 +1,19 @@
 /**
  * Moves runs away from engines that are leaving.
  *
- * The memory is copied while the run goes on; then the run is stopped, the little that is new is
- * copied too, and the same run goes on at the other engine.
+ * The memory is copied while the run goes on. Then the engine is told to stop the run, and the same
+ * run goes on at the other engine from the copy; it reads anew only what was made meanwhile.
  */
 import { request as callEngine } from 'undici';
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import { Deployment, RequestDialect, type CopyOutcome, type KnownBackEnd } from '../../services';
+import {
+  Deployment,
+  RequestDialect,
+  type CopiedMemory,
+  type CopyOutcome,
+  type KnownBackEnd,
+} from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointPlacer, PlacedRequest } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
@@ -65,53 +71,44 @@
   }
 
   private async move(stream: RunningStream): Promise<NextLeg | undefined> {
-    const { admitted, leg } = stream;
+    const { leg } = stream;
     const from = leg.placed.backEnd;
-    let excluded: ReadonlyArray<EndpointId> = [from.endpointId];
+    let refusedBy: ReadonlyArray<EndpointId> = [];
     while (!leg.ended.aborted) {
-      const placed = this.placeElsewhere(stream, excluded);
-      if (!placed) return undefined;
-      const to = placed.backEnd;
-      try {
-        const first = await this.copy(admitted, from, to, false);
-        this.log(stream, to, 'first copy', first);
-        if (first.outcome === 'copied') {
-          const fromFirst = { continueFrom: { address: from.address, handle: first.handle } };
-          // The engine was lost meanwhile: the copy lacks only what was made since.
-          if (leg.ended.aborted) return { placed, continuation: fromFirst };
-          const last = await this.copyLast(stream, to);
-          if (last.outcome === 'copied') {
-            const continueFrom = { address: from.address, handle: last.handle };
-            return { placed, continuation: { continueFrom } };
-          }
-          if (last.outcome === 'no-room' && last.handle !== undefined) {
-            return this.stay(placed, stream, last.handle);
-          }
-          if (leg.ended.aborted) return { placed, continuation: fromFirst };
-        }
-        if (first.outcome === 'no-such-run') return void this.giveUp(placed);
-      } catch (thrown) {
-        this.log(stream, to, 'copy failed', undefined, ServingError.from(thrown).detail);
+      const placed = this.placeElsewhere(stream, [from.endpointId, ...refusedBy]);
+      if (placed) {
+        const first = await this.copy(stream, placed.backEnd, false);
+        if (first.outcome === 'copied') return this.handOver(stream, placed, first.handle);
+        placed.release();
+        if (first.outcome === 'no-such-run') return undefined;
+        refusedBy = [...refusedBy, placed.backEnd.endpointId];
+      } else {
+        // Every engine has refused; others' moves may free room until this engine is gone.
+        if (refusedBy.length === 0) return undefined;
+        refusedBy = [];
+        await this.kernel.clock.sleep(FORWARDING_OPTIONS.moveRetryMs, leg.ended);
       }
-      placed.release();
-      excluded = [...excluded, to.endpointId];
     }
     return undefined;
   }
 
-  /** Stops the run and copies what is new. A failure of the call counts as no such run. */
-  private async copyLast(stream: RunningStream, to: KnownBackEnd): Promise<CopyOutcome> {
-    const { admitted, leg } = stream;
-    try {
-      const last = await this.copy(admitted, leg.placed.backEnd, to, true);
-      this.log(stream, to, 'last copy', last);
-      return last;
-    } catch (thrown) {
-      this.log(stream, to, 'last copy', undefined, ServingError.from(thrown).detail);
-      // The engine may have stopped the run or not; closing the stream makes sure of it.
-      leg.answer.cut();
-      return { outcome: 'no-such-run' };
-    }
+  /** Stops the run where it is. Its stream closes without an end, and the next leg takes over. */
+  private handOver(stream: RunningStream, placed: PlacedRequest, handle: string): NextLeg {
+    const { leg } = stream;
+    const { address } = leg.placed.backEnd;
+    const laterCopy = leg.ended.aborted
+      ? Promise.resolve(undefined)
+      : this.stop(stream, placed.backEnd);
+    return { placed, continueFrom: { address, handle }, laterCopy };
+  }
+
+  private async stop(stream: RunningStream, to: KnownBackEnd): Promise<CopiedMemory | undefined> {
+    const { leg } = stream;
+    const last = await this.copy(stream, to, true);
+    // Unless the engine says that it has stopped the run, closing the stream makes it stop.
+    if (last.outcome !== 'copied') leg.answer.cut();
+    const handle = 'handle' in last ? last.handle : undefined;
+    return handle === undefined ? undefined : { address: leg.placed.backEnd.address, handle };
   }
 
   private placeElsewhere(
@@ -121,27 +118,42 @@
     try {
       return this.placer.place(admitted.work, excluded, 'place', getOutputTokens());
     } catch {
-      // The placement has logged why; the run stays where it is.
+      // The placement has logged why.
       return undefined;
     }
   }
 
-  /** The run has stopped but couldn't be moved: it goes on where its memory is. */
-  private stay(placed: PlacedRequest, { leg }: RunningStream, handle: string): NextLeg {
-    placed.release();
-    const { backEnd } = leg.placed;
-    return {
-      placed: { ...leg.placed, release: () => {} },
-      continuation: { continueFrom: { address: backEnd.address, handle } },
-    };
-  }
-
-  private giveUp(placed: PlacedRequest): undefined {
-    placed.release();
-    return undefined;
+  /** Orders a copy; a failure of the call counts as a refusal. */
+  private async copy(
+    stream: RunningStream,
+    to: KnownBackEnd,
+    isLast: boolean,
+  ): Promise<CopyOutcome> {
+    const { clock, log } = this.kernel;
+    const startedAtMs = clock.nowMs();
+    const from = stream.leg.placed.backEnd;
+    let outcome: CopyOutcome = { outcome: 'no-room', handle: undefined };
+    let reason: string | undefined;
+    try {
+      outcome = await this.callCopy(stream.admitted, from, to, isLast);
+    } catch (thrown) {
+      reason = ServingError.from(thrown).detail;
+    }
+    log.info('decision', {
+      requestId: stream.admitted.request.requestId,
+      step: 'place',
+      what: isLast ? 'stop and copy the rest' : 'copy',
+      from: from.endpointId,
+      to: to.endpointId,
+      outcome: reason === undefined ? outcome.outcome : 'failed',
+      reason,
+      tookMs: Math.round(clock.nowMs() - startedAtMs),
+      outputTokens: stream.getOutputTokens(),
+    });
+    return outcome;
   }
 
-  private async copy(
+  private async callCopy(
     { request }: AdmittedRequest,
     from: KnownBackEnd,
     to: KnownBackEnd,
@@ -149,32 +161,12 @@
   ): Promise<CopyOutcome> {
     const dialect = this.kernel.get(RequestDialect);
     const call = dialect.writeCopyOrder(request.requestId, to.address, isLast);
-    const { copyTimeoutMs, lastCopyTimeoutMs } = FORWARDING_OPTIONS;
     const answer = await callEngine(`http://${from.address}${call.target}`, {
       method: call.method as 'POST',
       headers: { 'content-type': 'application/json' },
       body: call.body,
-      signal: AbortSignal.timeout(isLast ? lastCopyTimeoutMs : copyTimeoutMs),
+      signal: AbortSignal.timeout(FORWARDING_OPTIONS.copyTimeoutMs),
     });
     return dialect.readCopyAnswer(answer.statusCode, await answer.body.text());
   }
-
-  private log(
-    stream: RunningStream,
-    to: KnownBackEnd,
-    what: string,
-    outcome: CopyOutcome | undefined,
-    reason?: string,
-  ): void {
-    this.kernel.log.info('decision', {
-      requestId: stream.admitted.request.requestId,
-      step: 'place',
-      what,
-      from: stream.leg.placed.backEnd.endpointId,
-      to: to.endpointId,
-      outcome: outcome?.outcome ?? 'failed',
-      outputTokens: stream.getOutputTokens(),
-      reason,
-    });
-  }
 }
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -203,12 +203,15 @@
 
   private async openNext(
     admitted: AdmittedRequest,
-    { placed, continuation }: NextLeg,
+    { placed, continueFrom, laterCopy }: NextLeg,
     lastEventId: string | undefined,
   ): Promise<StreamLeg | undefined> {
-    const { continueFrom } = continuation;
     const sent = await this.sendTo(admitted, placed, { continueFrom, lastEventId });
-    return sent instanceof StreamLeg ? this.checkContinued(admitted, sent) : undefined;
+    if (sent instanceof StreamLeg) return this.checkContinued(admitted, sent);
+    const later = await laterCopy;
+    if (!later || sent.outcome === 'lost') return undefined;
+    const again = await this.sendTo(admitted, placed, { continueFrom: later, lastEventId });
+    return again instanceof StreamLeg ? this.checkContinued(admitted, again) : undefined;
   }
 
   /** A new run after the last event, where the route allows it. */
--- a/src/plugins/forwarding/StreamLeg.ts
+++ b/src/plugins/forwarding/StreamLeg.ts
@@ -1,15 +1,17 @@
 /**
  * The part of a stream that one engine makes.
  */
-import type { AnswerHead } from '../../services';
-import type { PlacedRequest } from './EndpointPlacer';
+import type { AnswerHead, CopiedMemory } from '../../services';
 import type { EndpointAnswer } from './EndpointAnswer';
-import type { RunContinuation } from './EndpointSender';
+import type { PlacedRequest } from './EndpointPlacer';
 
 /** Where a run goes on after its engine has given it up. @internal */
 export interface NextLeg {
   readonly placed: PlacedRequest;
-  readonly continuation: Pick<RunContinuation, 'continueFrom'>;
+  /** Copy from which to go on; one that was made a little earlier lacks the newest tokens. */
+  readonly continueFrom: CopiedMemory;
+  /** A later copy, to be used when the first is refused. */
+  readonly laterCopy: Promise<CopiedMemory | undefined>;
 }
 
 /** @internal */
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -33,8 +33,8 @@
   minMovedTokens: 48,
   /** Time limit for an order to copy a run's memory. */
   copyTimeoutMs: 2_500,
-  /** Time limit for the last part of a copy, during which the run stands still. */
-  lastCopyTimeoutMs: 1_200,
+  /** Pause before all engines are asked again for room for a run that has to move. */
+  moveRetryMs: 60,
   /** After the signal to stop: how long short requests are still taken. */
   drainAcceptMs: 2_500,
   /** Time before the process is killed at which it ends by itself. */
