Move runs only within their region and leave room to evacuate an engine

Change: destinations of moved runs are engines of the same region; distance counts from the engine that is left. Memory counts at placement only as far as the other engines of the region could take the runs over. A new engine is avoided less.

--- a/src/decisions/placement.test.ts
+++ b/src/decisions/placement.test.ts
@@ -11,6 +11,7 @@
     memoryTokens: 34_000,
     requests: 2,
     neededTokens: 8_000,
+    endpointsInRegion: 4,
     distance: 'same-data-centre',
     failureShare: 0,
     isWarmingUp: false,
@@ -28,6 +29,7 @@
 // Guards against work on an endpoint that costs the caller more than another.
 test.each([
   ['one with less memory needed', { neededTokens: 20_000 }],
+  ['one whose runs could move elsewhere', { endpointsInRegion: 1 }],
   ['one with free slots', { requests: 23 }],
   ['the nearer one', { distance: 'other-region' as const }],
   ['one that answers', { failureShare: 0.4 }],
@@ -70,3 +72,9 @@
   expect(share('half')).toBeGreaterThan(0.2);
   expect(share('full')).toBeLessThan(0.05);
 });
+
+// Guards against copies over the link between regions, which hold up the others and never end.
+test('moves no run to another region', () => {
+  const far = createCandidate('far', { distance: 'other-region', neededTokens: 0 });
+  expect(drawDestination([far], 4_000, 0.5).outcome).toBe('refuse');
+});
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -15,13 +15,18 @@
   /** Addition at a failure share of 1. */
   failureCost: 3,
   /** Addition while the endpoint is slow after its start. */
-  warmUpCost: 0.5,
+  warmUpCost: 0.2,
   /** Addition for an endpoint that fails in a row; it is used only when all do. */
   avoidedCost: 10,
   /** Candidates whose costs differ by less are taken as equal and drawn from. */
   equalCost: 0.02,
-  /** Weight of a destination of copied memory by distance; a copy across zones takes twice as long. */
-  destinationWeights: { 'same-data-centre': 1, 'same-region': 0.5, 'other-region': 0.4 },
+  /**
+   * Weight of a destination of copied memory by distance. A copy to another data centre takes twice
+   * as long, and one over the narrow link between regions never ends in time.
+   */
+  destinationWeights: { 'same-data-centre': 1, 'same-region': 0.5, 'other-region': 0 },
+  /** Least part of an engine's memory that counts where its runs could go nowhere else. */
+  leastEvacuablePart: 0.3,
   /** Least weight of a destination by its room, so that a full one is still tried at last. */
   leastRoomWeight: 0.01,
 } as const;
@@ -36,6 +41,8 @@
   readonly requests: number;
   /** Memory that they will need. */
   readonly neededTokens: number;
+  /** Endpoints of the service in its region, with this one. */
+  readonly endpointsInRegion: number;
   readonly distance: 'same-data-centre' | 'same-region' | 'other-region';
   readonly failureShare: number;
   readonly isWarmingUp: boolean;
@@ -56,13 +63,29 @@
     }
   | { readonly outcome: 'refuse'; readonly reason: string; readonly candidates: number };
 
+/**
+ * Share of the scarcer of slots and memory. Memory counts as far as the other engines of the region
+ * could take the runs over when this one leaves.
+ */
 function computeTakenShare(
-  { slots, memoryTokens, requests, neededTokens }: PlacementCandidate,
+  { slots, memoryTokens, requests, neededTokens, endpointsInRegion }: PlacementCandidate,
   requestTokens: number,
 ): number {
   const slotShare = (requests + 1) / Math.max(1, slots);
   if (memoryTokens === undefined) return slotShare;
-  return Math.max(slotShare, (neededTokens + requestTokens) / memoryTokens);
+  const evacuablePart = Math.max(
+    PLACEMENT_OPTIONS.leastEvacuablePart,
+    (endpointsInRegion - 1) / endpointsInRegion,
+  );
+  return Math.max(slotShare, (neededTokens + requestTokens) / (memoryTokens * evacuablePart));
+}
+
+/** Share of the memory itself. */
+function computeRoomShare(
+  { memoryTokens = Infinity, neededTokens }: PlacementCandidate,
+  requestTokens: number,
+): number {
+  return (neededTokens + requestTokens) / memoryTokens;
 }
 
 /** Cost of sending a request of a size to an endpoint. */
@@ -95,13 +118,10 @@
 ): Placement {
   const { destinationWeights, leastRoomWeight } = PLACEMENT_OPTIONS;
   const weighted = candidates
-    .filter(({ isAvoided }) => !isAvoided)
+    .filter(({ isAvoided, distance }) => !isAvoided && destinationWeights[distance] > 0)
     .map((candidate) => {
-      const takenShare = computeTakenShare(candidate, requestTokens);
-      const roomWeight = Math.max(
-        leastRoomWeight,
-        (1 - takenShare) ** 2 * Math.sign(1 - takenShare),
-      );
+      const takenShare = computeRoomShare(candidate, requestTokens);
+      const roomWeight = Math.max(leastRoomWeight, Math.max(0, 1 - takenShare) ** 2);
       return { candidate, takenShare, weight: roomWeight * destinationWeights[candidate.distance] };
     });
   const total = weighted.reduce((sum, { weight }) => sum + weight, 0);
@@ -114,7 +134,7 @@
   if (!drawn) {
     return {
       outcome: 'refuse',
-      reason: 'no other endpoint of the service is in service',
+      reason: 'no other endpoint of the service is in service in the region',
       candidates: candidates.length,
     };
   }
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -73,7 +73,7 @@
 
   /**
    * Chooses an endpoint and reserves room there.
-   * @param step `place` moves a run that has made `producedTokens`.
+   * @param step `place` moves a run that has made `producedTokens` away from `from`.
    * @throws ServingError `no-endpoint`.
    */
   place(
@@ -81,6 +81,7 @@
     excluded: ReadonlyArray<EndpointId>,
     step: 'route' | 'retry' | 'place',
     producedTokens = 0,
+    from?: KnownBackEnd,
   ): PlacedRequest {
     const { clock, log } = this.kernel;
     const backEnds = this.kernel
@@ -88,7 +89,8 @@
       .listAssignable(work.service)
       .filter(({ endpointId }) => !excluded.includes(endpointId));
     const requestTokens = this.estimateTokens(work, producedTokens);
-    const candidates = backEnds.map((backEnd) => this.describe(work, backEnd));
+    const near = from ?? this.kernel.settings;
+    const candidates = backEnds.map((backEnd) => this.describe(work, backEnd, near.dataCentre));
     const choose = step === 'place' ? drawDestination : choosePlacement;
     const verdict = choose(candidates, requestTokens, Math.random());
     const inputs = {
@@ -168,9 +170,13 @@
       .filter(({ requests }) => requests > 0);
   }
 
-  private describe(work: PlacedWork, backEnd: KnownBackEnd): PlacementCandidate {
-    const { clock, settings } = this.kernel;
-    const nowMs = clock.nowMs();
+  /** @param nearDataCentre the one from which the distance counts. */
+  private describe(
+    work: PlacedWork,
+    backEnd: KnownBackEnd,
+    nearDataCentre: string,
+  ): PlacementCandidate {
+    const nowMs = this.kernel.clock.nowMs();
     const own = this.sumOwn(backEnd.endpointId);
     const others = this.kernel.get(Members).getLoadOfOthers(backEnd.endpointId);
     const profile = work.configuration.services.get(work.service);
@@ -180,7 +186,8 @@
       memoryTokens: profile?.engine?.memoryTokens,
       requests: own.requests + others.requests,
       neededTokens: own.memoryTokens + others.memoryTokens,
-      distance: this.getDistance(backEnd, settings),
+      endpointsInRegion: this.countInRegion(backEnd),
+      distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
       failureShare: this.health.getFailureShare(backEnd.endpointId, nowMs),
       isWarmingUp: backEnd.warmUpUntilMs > nowMs,
       isAvoided: this.health.isAvoided(backEnd.endpointId, nowMs),
@@ -189,13 +196,18 @@
     };
   }
 
-  private getDistance(
-    { dataCentre }: KnownBackEnd,
-    own: Kernel['settings'],
-  ): PlacementCandidate['distance'] {
-    if (dataCentre === own.dataCentre) return 'same-data-centre';
-    const region = this.kernel.get(Deployment).getRegion(dataCentre);
-    return region === own.region ? 'same-region' : 'other-region';
+  private getDistance(dataCentre: string, other: string): PlacementCandidate['distance'] {
+    if (dataCentre === other) return 'same-data-centre';
+    const deployment = this.kernel.get(Deployment);
+    const isSameRegion = deployment.getRegion(dataCentre) === deployment.getRegion(other);
+    return isSameRegion ? 'same-region' : 'other-region';
+  }
+
+  private countInRegion({ service, dataCentre }: KnownBackEnd): number {
+    return this.kernel
+      .get(Deployment)
+      .listAssignable(service)
+      .filter((other) => this.getDistance(other.dataCentre, dataCentre) !== 'other-region').length;
   }
 
   private getConnectionShare(maxConnections = Infinity): number {
--- a/src/plugins/forwarding/RunMover.ts
+++ b/src/plugins/forwarding/RunMover.ts
@@ -112,11 +112,12 @@
   }
 
   private placeElsewhere(
-    { admitted, getOutputTokens }: RunningStream,
+    { admitted, leg, getOutputTokens }: RunningStream,
     excluded: ReadonlyArray<EndpointId>,
   ): PlacedRequest | undefined {
+    const from = leg.placed.backEnd;
     try {
-      return this.placer.place(admitted.work, excluded, 'place', getOutputTokens());
+      return this.placer.place(admitted.work, excluded, 'place', getOutputTokens(), from);
     } catch {
       // The placement has logged why.
       return undefined;
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -30,7 +30,7 @@
   /** Part of the time for a prompt answer after which a repeatable request is sent once more. */
   hedgeAfterPart: 0.45,
   /** Remaining output below which a run isn't moved away from a leaving engine. */
-  minMovedTokens: 48,
+  minMovedTokens: 80,
   /** Time limit for an order to copy a run's memory. */
   copyTimeoutMs: 2_500,
   /** Pause before all engines are asked again for room for a run that has to move. */
