Count how much others grow while a request runs, and exchange member states once

Cause: short streams were kept from engines that fill only long after their end; two nodes exchanged their states in both directions, though one exchange serves both.

Change: nodes tell the memory that their requests hold now and at their ends; a placement counts the growth of others only as far as the request itself grows. The node with the lower id starts an exchange; the other one does after a second of silence or when it has news.

--- a/src/decisions/placement.test.ts
+++ b/src/decisions/placement.test.ts
@@ -1,6 +1,8 @@
 import type { EndpointId } from '../core';
 import { choosePlacement, drawDestination, type PlacementCandidate } from './placement';
 
+const NEED = { knownTokens: 3_000, growthTokens: 1_000 };
+
 function createCandidate(
   id: string,
   changes: Partial<PlacementCandidate> = {},
@@ -10,7 +12,8 @@
     slots: 24,
     memoryTokens: 34_000,
     requests: 2,
-    neededTokens: 8_000,
+    heldTokens: 7_000,
+    finalTokens: 8_000,
     endpointsInRegion: 4,
     distance: 'same-data-centre',
     failureShare: 0,
@@ -22,13 +25,13 @@
 }
 
 function choose(candidates: ReadonlyArray<PlacementCandidate>): string | undefined {
-  const verdict = choosePlacement(candidates, 4_000, 0.5);
+  const verdict = choosePlacement(candidates, NEED, 0.5);
   return verdict.outcome === 'place' ? verdict.endpointId : undefined;
 }
 
 // Guards against work on an endpoint that costs the caller more than another.
 test.each([
-  ['one with less memory needed', { neededTokens: 20_000 }],
+  ['one with less memory needed', { heldTokens: 20_000, finalTokens: 20_000 }],
   ['one whose runs could move elsewhere', { endpointsInRegion: 1 }],
   ['one with free slots', { requests: 23 }],
   ['the nearer one', { distance: 'other-region' as const }],
@@ -47,24 +50,24 @@
 
 // Guards against a nearness that outweighs a full endpoint.
 test('goes to another region when the near one is full', () => {
-  const near = createCandidate('near', { neededTokens: 30_000 });
+  const near = createCandidate('near', { heldTokens: 30_000, finalTokens: 30_000 });
   expect(choose([near, createCandidate('far', { distance: 'other-region' })])).toBe('far');
 });
 
 test('refuses without candidates', () => {
-  expect(choosePlacement([], 0, 0).outcome).toBe('refuse');
-  expect(drawDestination([], 0, 0).outcome).toBe('refuse');
+  expect(choosePlacement([], NEED, 0).outcome).toBe('refuse');
+  expect(drawDestination([], NEED, 0).outcome).toBe('refuse');
 });
 
 // Guards against all nodes sending their runs to the emptiest engine when another one leaves.
 test('spreads moved runs by room', () => {
   const candidates = [
-    createCandidate('empty', { neededTokens: 0 }),
-    createCandidate('half', { neededTokens: 13_000 }),
-    createCandidate('full', { neededTokens: 34_000 }),
+    createCandidate('empty', { heldTokens: 0, finalTokens: 0 }),
+    createCandidate('half', { heldTokens: 13_000, finalTokens: 13_000 }),
+    createCandidate('full', { heldTokens: 34_000, finalTokens: 34_000 }),
   ];
   const drawn = Array.from({ length: 1_000 }, (_, index) => {
-    const verdict = drawDestination(candidates, 4_000, index / 1_000);
+    const verdict = drawDestination(candidates, NEED, index / 1_000);
     return verdict.outcome === 'place' ? verdict.endpointId : '';
   });
   const share = (id: string): number => drawn.filter((found) => found === id).length / drawn.length;
@@ -75,6 +78,17 @@
 
 // Guards against copies over the link between regions, which hold up the others and never end.
 test('moves no run to another region', () => {
-  const far = createCandidate('far', { distance: 'other-region', neededTokens: 0 });
-  expect(drawDestination([far], 4_000, 0.5).outcome).toBe('refuse');
+  const far = createCandidate('far', { distance: 'other-region', heldTokens: 0, finalTokens: 0 });
+  expect(drawDestination([far], NEED, 0.5).outcome).toBe('refuse');
+});
+
+// Guards against short work that is kept from an engine whose memory fills only long after its end.
+test('a short request sees little of the growth of others', () => {
+  const growing = createCandidate('growing', { heldTokens: 9_000, finalTokens: 30_000 });
+  const steady = createCandidate('steady', { heldTokens: 15_000, finalTokens: 15_000 });
+  const chooseFor = (growthTokens: number): unknown =>
+    choosePlacement([growing, steady], { knownTokens: 2_000, growthTokens }, 0.5);
+  expect(chooseFor(16)).toMatchObject({ endpointId: 'growing' });
+  expect(chooseFor(2_000)).toMatchObject({ endpointId: 'growing' });
+  expect(chooseFor(16_000)).toMatchObject({ endpointId: 'steady' });
 });
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -39,8 +39,10 @@
   readonly memoryTokens: number | undefined;
   /** Requests under way from all nodes, as far as they are known. */
   readonly requests: number;
-  /** Memory that they will need. */
-  readonly neededTokens: number;
+  /** Memory that they hold now. */
+  readonly heldTokens: number;
+  /** Memory that they are expected to hold at their ends. */
+  readonly finalTokens: number;
   /** Endpoints of the service in its region, with this one. */
   readonly endpointsInRegion: number;
   readonly distance: 'same-data-centre' | 'same-region' | 'other-region';
@@ -51,6 +53,12 @@
   readonly hasConnection: boolean;
 }
 
+/** Memory that a request takes: at once, and by growing until its end. @public */
+export interface MemoryNeed {
+  readonly knownTokens: number;
+  readonly growthTokens: number;
+}
+
 /** @public */
 export type Placement =
   | {
@@ -63,33 +71,40 @@
     }
   | { readonly outcome: 'refuse'; readonly reason: string; readonly candidates: number };
 
+/**
+ * Memory in use when the request ends. All requests of an engine grow at the same pace, so a short
+ * one sees little of the growth of the others.
+ */
+function computePeakTokens(
+  { requests, heldTokens, finalTokens }: PlacementCandidate,
+  { knownTokens, growthTokens }: MemoryNeed,
+): number {
+  const growthOfOthers = Math.min(finalTokens - heldTokens, requests * growthTokens);
+  return heldTokens + Math.max(0, growthOfOthers) + knownTokens + growthTokens;
+}
+
 /**
  * Share of the scarcer of slots and memory. Memory counts as far as the other engines of the region
  * could take the runs over when this one leaves.
  */
-function computeTakenShare(
-  { slots, memoryTokens, requests, neededTokens, endpointsInRegion }: PlacementCandidate,
-  requestTokens: number,
-): number {
+function computeTakenShare(candidate: PlacementCandidate, need: MemoryNeed): number {
+  const { slots, memoryTokens, requests, endpointsInRegion } = candidate;
   const slotShare = (requests + 1) / Math.max(1, slots);
   if (memoryTokens === undefined) return slotShare;
   const evacuablePart = Math.max(
     PLACEMENT_OPTIONS.leastEvacuablePart,
     (endpointsInRegion - 1) / endpointsInRegion,
   );
-  return Math.max(slotShare, (neededTokens + requestTokens) / (memoryTokens * evacuablePart));
+  return Math.max(slotShare, computePeakTokens(candidate, need) / (memoryTokens * evacuablePart));
 }
 
 /** Share of the memory itself. */
-function computeRoomShare(
-  { memoryTokens = Infinity, neededTokens }: PlacementCandidate,
-  requestTokens: number,
-): number {
-  return (neededTokens + requestTokens) / memoryTokens;
+function computeRoomShare(candidate: PlacementCandidate, need: MemoryNeed): number {
+  return computePeakTokens(candidate, need) / (candidate.memoryTokens ?? Infinity);
 }
 
 /** Cost of sending a request of a size to an endpoint. */
-export function computePlacementCost(candidate: PlacementCandidate, requestTokens: number): number {
+export function computePlacementCost(candidate: PlacementCandidate, need: MemoryNeed): number {
   const { otherDataCentreCost, otherRegionCost, failureCost, warmUpCost, avoidedCost } =
     PLACEMENT_OPTIONS;
   const distanceCosts = {
@@ -98,7 +113,7 @@
     'other-region': otherRegionCost,
   } as const;
   return (
-    computeTakenShare(candidate, requestTokens) +
+    computeTakenShare(candidate, need) +
     distanceCosts[candidate.distance] +
     failureCost * candidate.failureShare +
     (candidate.isWarmingUp ? warmUpCost : 0) +
@@ -113,14 +128,14 @@
  */
 export function drawDestination(
   candidates: ReadonlyArray<PlacementCandidate>,
-  requestTokens: number,
+  need: MemoryNeed,
   draw: number,
 ): Placement {
   const { destinationWeights, leastRoomWeight } = PLACEMENT_OPTIONS;
   const weighted = candidates
     .filter(({ isAvoided, distance }) => !isAvoided && destinationWeights[distance] > 0)
     .map((candidate) => {
-      const takenShare = computeRoomShare(candidate, requestTokens);
+      const takenShare = computeRoomShare(candidate, need);
       const roomWeight = Math.max(leastRoomWeight, Math.max(0, 1 - takenShare) ** 2);
       return { candidate, takenShare, weight: roomWeight * destinationWeights[candidate.distance] };
     });
@@ -141,7 +156,7 @@
   return {
     outcome: 'place',
     endpointId: drawn.candidate.endpointId,
-    cost: computePlacementCost(drawn.candidate, requestTokens),
+    cost: computePlacementCost(drawn.candidate, need),
     candidates: candidates.length,
     takenShare: drawn.takenShare,
   };
@@ -150,12 +165,12 @@
 /** @param draw uniform in [0, 1). */
 export function choosePlacement(
   candidates: ReadonlyArray<PlacementCandidate>,
-  requestTokens: number,
+  need: MemoryNeed,
   draw: number,
 ): Placement {
   const usable = candidates
     .filter(({ hasConnection }) => hasConnection)
-    .map((candidate) => ({ candidate, cost: computePlacementCost(candidate, requestTokens) }))
+    .map((candidate) => ({ candidate, cost: computePlacementCost(candidate, need) }))
     .sort((a, b) => a.cost - b.cost);
   const [best] = usable;
   if (!best) {
@@ -172,6 +187,6 @@
     endpointId: chosen.candidate.endpointId,
     cost: chosen.cost,
     candidates: candidates.length,
-    takenShare: computeTakenShare(chosen.candidate, requestTokens),
+    takenShare: computeTakenShare(chosen.candidate, need),
   };
 }
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -18,6 +18,7 @@
   type EndpointOutcome,
   type LengthForecast,
   type LengthKey,
+  type MemoryNeed,
   type PlacementCandidate,
   type ReservationHandle,
 } from '../../decisions';
@@ -88,11 +89,11 @@
       .get(Deployment)
       .listAssignable(work.service)
       .filter(({ endpointId }) => !excluded.includes(endpointId));
-    const requestTokens = this.estimateTokens(work, producedTokens);
+    const need = this.describeNeed(work, producedTokens);
     const near = from ?? this.kernel.settings;
     const candidates = backEnds.map((backEnd) => this.describe(work, backEnd, near.dataCentre));
     const choose = step === 'place' ? drawDestination : choosePlacement;
-    const verdict = choose(candidates, requestTokens, Math.random());
+    const verdict = choose(candidates, need, Math.random());
     const inputs = {
       requestId: work.requestId,
       customer: work.customer,
@@ -100,7 +101,8 @@
       clause: `routes.${work.routeName}.targets`,
       step,
       service: work.service,
-      requestTokens: Math.round(requestTokens),
+      knownTokens: need.knownTokens,
+      growthTokens: Math.round(need.growthTokens),
       candidates: candidates.length,
       excluded,
       confirmedAgeMs: Math.round(this.kernel.get(Deployment).getConfirmedAgeMs()),
@@ -185,7 +187,8 @@
       slots: backEnd.slots,
       memoryTokens: profile?.engine?.memoryTokens,
       requests: own.requests + others.requests,
-      neededTokens: own.memoryTokens + others.memoryTokens,
+      heldTokens: own.heldTokens + others.heldTokens,
+      finalTokens: own.finalTokens + others.finalTokens,
       endpointsInRegion: this.countInRegion(backEnd),
       distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
       failureShare: this.health.getFailureShare(backEnd.endpointId, nowMs),
@@ -220,18 +223,24 @@
     const held = this.reservations.listHandles(endpointId);
     return {
       requests: held.length,
-      memoryTokens: held.reduce((sum, [handle, { producedTokens }]) => {
+      heldTokens: held.reduce(
+        (sum, [, { promptTokens, producedTokens }]) => sum + promptTokens + producedTokens,
+        0,
+      ),
+      finalTokens: held.reduce((sum, [handle, { promptTokens, producedTokens }]) => {
         const work = this.works.get(handle);
-        return sum + (work ? this.estimateTokens(work, producedTokens) : 0);
+        const remaining = work ? this.expectRemaining(work, producedTokens) : 0;
+        return sum + promptTokens + producedTokens + remaining;
       }, 0),
     };
   }
 
-  /** Memory that a generation is expected to need at its end. */
-  private estimateTokens(work: PlacedWork, producedTokens: number): number {
-    if (!work.prompt) return 0;
-    const remaining = this.expectRemaining(work, producedTokens);
-    return work.prompt.promptTokens + producedTokens + remaining;
+  /** Memory that a generation takes where it is placed. */
+  private describeNeed(work: PlacedWork, producedTokens: number): MemoryNeed {
+    return {
+      knownTokens: (work.prompt?.promptTokens ?? 0) + producedTokens,
+      growthTokens: this.expectRemaining(work, producedTokens),
+    };
   }
 
   private getForecast(work: PlacedWork): LengthForecast {
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -38,6 +38,11 @@
     return this.members.get(vmId)?.state;
   }
 
+  getHeardAgeMs(vmId: VmId): number {
+    const heardAtMs = this.members.get(vmId)?.heardAtMs ?? -Infinity;
+    return this.kernel.clock.nowMs() - heardAtMs;
+  }
+
   getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
     return this.listAll()
       .filter(({ heardAgeMs }) => heardAgeMs < MEMBER_OPTIONS.loadMaxAgeMs)
@@ -45,9 +50,10 @@
       .reduce(
         (sum, load) => ({
           requests: sum.requests + load.requests,
-          memoryTokens: sum.memoryTokens + load.memoryTokens,
+          heldTokens: sum.heldTokens + load.heldTokens,
+          finalTokens: sum.finalTokens + load.finalTokens,
         }),
-        { requests: 0, memoryTokens: 0 },
+        { requests: 0, heldTokens: 0, finalTokens: 0 },
       );
   }
 
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -88,18 +88,19 @@
       loads: this.kernel.getAll(LoadSource).flatMap((source) => source.listLoads()),
     };
     const loads = self.loads.map(
-      ({ endpointId, requests, memoryTokens }) =>
-        [endpointId, requests, Math.round(memoryTokens)] as const,
+      ({ endpointId, requests, heldTokens, finalTokens }) =>
+        [endpointId, requests, Math.round(heldTokens), Math.round(finalTokens)] as const,
     );
     const knownAddresses = this.table.listLive().map(({ peerAddress }) => peerAddress);
     return { self: { ...self, loads }, knownAddresses };
   }
 
   take({ self, knownAddresses }: MemberExchange): void {
-    const loads = self.loads.map(([endpointId, requests, memoryTokens]) => ({
+    const loads = self.loads.map(([endpointId, requests, heldTokens, finalTokens]) => ({
       endpointId,
       requests,
-      memoryTokens,
+      heldTokens,
+      finalTokens,
     }));
     this.table.hear({ ...self, loads }, this.kernel.clock.nowMs());
     [self.peerAddress, ...knownAddresses].forEach((address) => this.startTask(address));
@@ -131,14 +132,27 @@
   private async runMember(address: string, signal: AbortSignal): Promise<void> {
     const { clock } = this.kernel;
     let lastHeardMs = clock.nowMs();
+    let hasNews = false;
     while (!signal.aborted && clock.nowMs() - lastHeardMs < MEMBER_OPTIONS.forgottenAfterMs) {
       const vmId = this.findMember(address) ?? (await this.join(address));
-      const isHeard = vmId !== undefined && (await this.exchange(vmId));
+      const isHeard = vmId !== undefined && (await this.hearFrom(vmId, hasNews));
       if (isHeard) lastHeardMs = clock.nowMs();
-      await this.pause(isHeard ? this.chooseIntervalMs() : MEMBER_OPTIONS.joinIntervalMs, signal);
+      const delayMs = isHeard ? this.chooseIntervalMs() : MEMBER_OPTIONS.joinIntervalMs;
+      hasNews = await this.pause(delayMs, signal);
     }
   }
 
+  /**
+   * Exchanges states unless the other node does so: an exchange serves both, so the one with the
+   * lower id starts it while they hear each other.
+   */
+  private async hearFrom(vmId: VmId, hasNews: boolean): Promise<boolean> {
+    const isOurTurn = this.kernel.settings.vmId < vmId || hasNews;
+    const heardAgeMs = this.table.getHeardAgeMs(vmId);
+    if (!isOurTurn && heardAgeMs < MEMBER_OPTIONS.otherTurnMs) return true;
+    return this.exchange(vmId);
+  }
+
   private findMember(address: string): VmId | undefined {
     return this.table.listAll().find(({ peerAddress }) => peerAddress === address)?.vmId;
   }
@@ -177,14 +191,16 @@
     return Math.max(intervalMs, (this.tasks.size * MS_PER_SECOND) / exchangesPerSecond) * share;
   }
 
-  /** Waits, or until this node has something to announce. */
-  private async pause(delayMs: number, signal: AbortSignal): Promise<void> {
+  /** Waits, or until this node has something to announce; tells whether it has. */
+  private async pause(delayMs: number, signal: AbortSignal): Promise<boolean> {
     const woken = new AbortController();
     const stop = (): void => woken.abort();
     const ended = AbortSignal.any([signal, woken.signal]);
     this.table.onAnnounce(stop, ended);
     await this.kernel.clock.sleep(delayMs, ended);
+    const hasNews = woken.signal.aborted;
     woken.abort();
+    return hasNews;
   }
 }
 
--- a/src/plugins/members/memberMessages.ts
+++ b/src/plugins/members/memberMessages.ts
@@ -4,7 +4,9 @@
 import { z } from 'zod';
 import { endpointIdSchema, incarnationSchema, vmIdSchema } from '../../core';
 
-const loadSchema = z.tuple([endpointIdSchema, z.number().min(0), z.number().min(0)]).readonly();
+const countSchema = z.number().min(0);
+
+const loadSchema = z.tuple([endpointIdSchema, countSchema, countSchema, countSchema]).readonly();
 
 /** @internal */
 export const memberStateSchema = z
@@ -16,7 +18,7 @@
     peerAddress: z.string(),
     callerAddress: z.string(),
     takesCallers: z.boolean(),
-    /** Endpoint, requests, memory in tokens. */
+    /** Endpoint, requests, tokens held now and at their ends. */
     loads: z.array(loadSchema).readonly(),
   })
   .readonly();
--- a/src/plugins/members/options.ts
+++ b/src/plugins/members/options.ts
@@ -2,6 +2,8 @@
 export const MEMBER_OPTIONS = {
   /** Pause between two exchanges with the same node. */
   intervalMs: 350,
+  /** Silence of a node whose turn it is after which this node starts the exchange. */
+  otherTurnMs: 1_000,
   /** Share by which the pause varies at random. */
   jitterShare: 0.2,
   /** Exchanges that one node starts a second; with more members each is asked less often. */
--- a/src/services/Members.ts
+++ b/src/services/Members.ts
@@ -8,8 +8,10 @@
   readonly endpointId: EndpointId;
   /** Requests under way. */
   readonly requests: number;
-  /** Engine memory that they are expected to need at their longest, in tokens. */
-  readonly memoryTokens: number;
+  /** Engine memory that they hold now, in tokens. */
+  readonly heldTokens: number;
+  /** Engine memory that they are expected to hold at their ends. */
+  readonly finalTokens: number;
 }
 
 /** What a node says of itself. @public */
