Place generations by the prompts that wait to be read, and hold them for room

Traced: nearly all had been placed on an engine in the first seconds of its life, which all nodes saw as empty; prompts are read one after another at about 7 tokens a ms under load, so eight prompts at once wait three seconds.

Change: nodes tell each other the prompt tokens that no first token has come of; the expected wait for the first token, at a learnt speed, is part of the cost. A generation waits at its node, in rank order and for at most 0.4 of the time for a prompt first event, while no engine has room. Placements are told at once in small fleets.

What is left of lost summaries are streams whose copy doesn't end before their engine is gone.

--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -29,6 +29,7 @@
 export * from './expectedOutput';
 export * from './findRoute';
 export * from './placement';
+export * from './PrefillSpeed';
 export * from './RetryBudget';
 export * from './entryOrder';
 export * from './hashText';
--- a/src/decisions/placement.test.ts
+++ b/src/decisions/placement.test.ts
@@ -1,7 +1,13 @@
 import type { EndpointId } from '../core';
 import { choosePlacement, drawDestination, type PlacementCandidate } from './placement';
 
-const NEED = { knownTokens: 3_000, growthTokens: 1_000 };
+const NEED = {
+  knownTokens: 3_000,
+  growthTokens: 1_000,
+  unreadTokens: 3_000,
+  tokensPerMs: 8,
+  promptWithinMs: 1_800,
+};
 
 function createCandidate(
   id: string,
@@ -14,6 +20,7 @@
     requests: 2,
     heldTokens: 7_000,
     finalTokens: 8_000,
+    unreadTokens: 0,
     endpointsInRegion: 4,
     distance: 'same-data-centre',
     failureShare: 0,
@@ -36,6 +43,7 @@
   ['one with free slots', { requests: 23 }],
   ['the nearer one', { distance: 'other-region' as const }],
   ['one that answers', { failureShare: 0.4 }],
+  ['one with fewer prompts to read', { unreadTokens: 6_000 }],
   ['one that is warm', { isWarmingUp: true }],
   ['one that is not avoided', { isAvoided: true }],
   ['one with a connection left', { hasConnection: false }],
@@ -87,8 +95,27 @@
   const growing = createCandidate('growing', { heldTokens: 9_000, finalTokens: 30_000 });
   const steady = createCandidate('steady', { heldTokens: 15_000, finalTokens: 15_000 });
   const chooseFor = (growthTokens: number): unknown =>
-    choosePlacement([growing, steady], { knownTokens: 2_000, growthTokens }, 0.5);
+    choosePlacement([growing, steady], { ...NEED, knownTokens: 2_000, growthTokens }, 0.5);
   expect(chooseFor(16)).toMatchObject({ endpointId: 'growing' });
   expect(chooseFor(2_000)).toMatchObject({ endpointId: 'growing' });
   expect(chooseFor(16_000)).toMatchObject({ endpointId: 'steady' });
 });
+
+// Guards against a long prompt at the head of an engine's queue that blocks the short ones behind it.
+test.each([
+  ['memory', { heldTokens: 33_000, finalTokens: 34_000 }],
+  ['slots', { requests: 24 }],
+])('waits at the node while the %s of every engine is taken', (_name, changes) => {
+  const full = createCandidate('full', changes);
+  expect(choosePlacement([full], NEED, 0.5, true).outcome).toBe('wait');
+  expect(choosePlacement([full], NEED, 0.5).outcome).toBe('place');
+  const candidates = [full, createCandidate('far', { distance: 'other-region' })];
+  expect(choosePlacement(candidates, NEED, 0.5, true)).toMatchObject({ endpointId: 'far' });
+});
+
+// Guards against a request that waits for room which no engine can ever have.
+test('sends what is larger than the memory to an idle engine', () => {
+  const idle = createCandidate('idle', { requests: 0, heldTokens: 0, finalTokens: 0 });
+  const need = { ...NEED, knownTokens: 40_000, growthTokens: 0 };
+  expect(choosePlacement([idle], need, 0.5, true).outcome).toBe('place');
+});
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -14,7 +14,11 @@
   otherRegionCost: 0.12,
   /** Addition at a failure share of 1. */
   failureCost: 3,
-  /** Addition while the endpoint is slow after its start. */
+  /** Addition when a prompt waits as long for its first token as counts as prompt. */
+  firstTokenCost: 0.6,
+  /** How much slower an endpoint is taken to be after its start. */
+  warmUpFactor: 2,
+  /** Addition for a plain service while it is slow after its start. */
   warmUpCost: 0.2,
   /** Addition for an endpoint that fails in a row; it is used only when all do. */
   avoidedCost: 10,
@@ -25,6 +29,8 @@
    * as long, and one over the narrow link between regions never ends in time.
    */
   destinationWeights: { 'same-data-centre': 1, 'same-region': 0.5, 'other-region': 0 },
+  /** Part of its memory up to which an engine has room for another prompt. */
+  fullPart: 0.96,
   /** Least part of an engine's memory that counts where its runs could go nowhere else. */
   leastEvacuablePart: 0.3,
   /** Least weight of a destination by its room, so that a full one is still tried at last. */
@@ -43,6 +49,8 @@
   readonly heldTokens: number;
   /** Memory that they are expected to hold at their ends. */
   readonly finalTokens: number;
+  /** Prompt tokens there that haven't been read, of requests without a first token. */
+  readonly unreadTokens: number;
   /** Endpoints of the service in its region, with this one. */
   readonly endpointsInRegion: number;
   readonly distance: 'same-data-centre' | 'same-region' | 'other-region';
@@ -57,6 +65,12 @@
 export interface MemoryNeed {
   readonly knownTokens: number;
   readonly growthTokens: number;
+  /** Prompt tokens to be read; 0 for a run that goes on from copied memory. */
+  readonly unreadTokens: number;
+  /** Speed at which engines read prompts. */
+  readonly tokensPerMs: number;
+  /** Time to the first token that counts as prompt. */
+  readonly promptWithinMs: number;
 }
 
 /** @public */
@@ -69,6 +83,8 @@
       /** Share of the scarcer of slots and memory that is taken with this request. */
       readonly takenShare: number;
     }
+  /** Endpoints are in service, but none has room at this moment. */
+  | { readonly outcome: 'wait'; readonly reason: string; readonly candidates: number }
   | { readonly outcome: 'refuse'; readonly reason: string; readonly candidates: number };
 
 /**
@@ -98,6 +114,28 @@
   return Math.max(slotShare, computePeakTokens(candidate, need) / (memoryTokens * evacuablePart));
 }
 
+/** Expected wait for the first token, as a share of what counts as prompt. */
+function computeFirstTokenShare(
+  { unreadTokens, isWarmingUp }: PlacementCandidate,
+  need: MemoryNeed,
+): number {
+  if (need.unreadTokens === 0 || need.promptWithinMs === 0) return 0;
+  const delayMs = (unreadTokens + need.unreadTokens) / need.tokensPerMs;
+  const factor = isWarmingUp ? PLACEMENT_OPTIONS.warmUpFactor : 1;
+  return (delayMs * factor) / need.promptWithinMs;
+}
+
+/** Whether the engine can take the request in now, instead of letting it wait in its queue. */
+function hasRoomNow(
+  { slots, memoryTokens, requests, heldTokens }: PlacementCandidate,
+  { knownTokens }: MemoryNeed,
+): boolean {
+  if (memoryTokens === undefined) return true;
+  const isFull = heldTokens + knownTokens > memoryTokens * PLACEMENT_OPTIONS.fullPart;
+  // A request that is larger than the memory would wait for ever; the engine says so at once.
+  return requests < slots && (!isFull || requests === 0);
+}
+
 /** Share of the memory itself. */
 function computeRoomShare(candidate: PlacementCandidate, need: MemoryNeed): number {
   return computePeakTokens(candidate, need) / (candidate.memoryTokens ?? Infinity);
@@ -105,8 +143,14 @@
 
 /** Cost of sending a request of a size to an endpoint. */
 export function computePlacementCost(candidate: PlacementCandidate, need: MemoryNeed): number {
-  const { otherDataCentreCost, otherRegionCost, failureCost, warmUpCost, avoidedCost } =
-    PLACEMENT_OPTIONS;
+  const {
+    otherDataCentreCost,
+    otherRegionCost,
+    failureCost,
+    firstTokenCost,
+    warmUpCost,
+    avoidedCost,
+  } = PLACEMENT_OPTIONS;
   const distanceCosts = {
     'same-data-centre': 0,
     'same-region': otherDataCentreCost,
@@ -116,7 +160,8 @@
     computeTakenShare(candidate, need) +
     distanceCosts[candidate.distance] +
     failureCost * candidate.failureShare +
-    (candidate.isWarmingUp ? warmUpCost : 0) +
+    firstTokenCost * computeFirstTokenShare(candidate, need) +
+    (candidate.isWarmingUp && candidate.memoryTokens === undefined ? warmUpCost : 0) +
     (candidate.isAvoided ? avoidedCost : 0)
   );
 }
@@ -162,24 +207,35 @@
   };
 }
 
-/** @param draw uniform in [0, 1). */
+function explainNone(candidates: number, connected: number): Placement {
+  if (connected > 0) {
+    return { outcome: 'wait', reason: 'no engine has room for the prompt now', candidates };
+  }
+  const reason =
+    candidates === 0
+      ? 'no endpoint of the service is known to be in service'
+      : 'this node has no connection left to any endpoint of the service';
+  return { outcome: 'refuse', reason, candidates };
+}
+
+/**
+ * @param draw uniform in [0, 1).
+ * @param mayWait whether a request that no engine can take in now may wait at the node, where it
+ *   stands in the way of no shorter one and goes to the first engine that has room.
+ */
 export function choosePlacement(
   candidates: ReadonlyArray<PlacementCandidate>,
   need: MemoryNeed,
   draw: number,
+  mayWait = false,
 ): Placement {
-  const usable = candidates
-    .filter(({ hasConnection }) => hasConnection)
+  const connected = candidates.filter(({ hasConnection }) => hasConnection);
+  const usable = connected
+    .filter((candidate) => !mayWait || hasRoomNow(candidate, need))
     .map((candidate) => ({ candidate, cost: computePlacementCost(candidate, need) }))
     .sort((a, b) => a.cost - b.cost);
   const [best] = usable;
-  if (!best) {
-    const reason =
-      candidates.length === 0
-        ? 'no endpoint of the service is known to be in service'
-        : 'this node has no connection left to any endpoint of the service';
-    return { outcome: 'refuse', reason, candidates: candidates.length };
-  }
+  if (!best) return explainNone(candidates.length, connected.length);
   const equals = usable.filter(({ cost }) => cost - best.cost < PLACEMENT_OPTIONS.equalCost);
   const chosen = equals[Math.floor(draw * equals.length)] ?? best;
   return {
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -15,10 +15,12 @@
   expectRemainingTokens,
   InFlightReservations,
   LengthEstimator,
+  PrefillSpeed,
   type EndpointOutcome,
   type LengthForecast,
   type LengthKey,
   type MemoryNeed,
+  type Placement,
   type PlacementCandidate,
   type ReservationHandle,
 } from '../../decisions';
@@ -33,6 +35,7 @@
 } from '../../services';
 import type { EndpointConnections } from './EndpointConnections';
 import { FORWARDING_OPTIONS } from './options';
+import { RoomWaiters } from './RoomWaiters';
 
 /** What a placement needs to know of a request. @internal */
 export interface PlacedWork {
@@ -42,6 +45,8 @@
   readonly routeName: string;
   readonly service: string;
   readonly rank: number;
+  /** Time to the first event that counts as prompt. */
+  readonly promptWithinMs: number;
   readonly prompt: PromptSize | undefined;
 }
 
@@ -52,16 +57,32 @@
   readonly release: () => void;
 }
 
+/** Why a request is placed: anew, once more, or away from an engine that leaves. @internal */
+export type PlacementStep = 'route' | 'retry' | 'place';
+
+interface PlacementAttempt {
+  readonly work: PlacedWork;
+  readonly excluded: ReadonlyArray<EndpointId>;
+  readonly step: PlacementStep;
+  readonly producedTokens: number;
+  readonly from: KnownBackEnd | undefined;
+  readonly mayWait: boolean;
+}
+
 const ANONYMOUS = 'anonymous' as CustomerId;
 
 /** @internal */
 export class EndpointPlacer extends LoadSource {
   readonly health = new EndpointHealth();
 
+  private readonly prefillSpeed = new PrefillSpeed();
+
   private readonly estimator = new LengthEstimator();
 
   private readonly reservations = new InFlightReservations();
 
+  private readonly waiters: RoomWaiters;
+
   /** Hints of the requests under way, by the handles of their reservations. */
   private readonly works = new Map<ReservationHandle, PlacedWork>();
 
@@ -70,6 +91,12 @@
     private readonly connections: EndpointConnections,
   ) {
     super();
+    this.waiters = new RoomWaiters(kernel.clock);
+  }
+
+  /** Lets the requests that wait look again, after something may have become free. */
+  lookForRoom(): void {
+    this.waiters.look();
   }
 
   /**
@@ -80,65 +107,123 @@
   place(
     work: PlacedWork,
     excluded: ReadonlyArray<EndpointId>,
-    step: 'route' | 'retry' | 'place',
+    step: PlacementStep,
     producedTokens = 0,
     from?: KnownBackEnd,
   ): PlacedRequest {
-    const { clock, log } = this.kernel;
-    const backEnds = this.kernel
-      .get(Deployment)
+    const placed = this.tryPlace({ work, excluded, step, producedTokens, from, mayWait: false });
+    if (!placed) throw new Error('A placement that may not wait has waited.');
+    return placed;
+  }
+
+  /**
+   * The same for a new generation, which waits in rank order while no engine has room for it.
+   * @param holdDeadlineMs monotonic time after which it goes to the queue of an engine.
+   */
+  async placeWhenRoom(
+    work: PlacedWork,
+    holdDeadlineMs: number,
+    signal: AbortSignal,
+  ): Promise<PlacedRequest> {
+    const attempt = {
+      work,
+      excluded: [],
+      step: 'route',
+      producedTokens: 0,
+      from: undefined,
+    } as const;
+    const first = this.tryPlace({ ...attempt, mayWait: true });
+    if (first) return first;
+    let placed: PlacedRequest | undefined;
+    await this.waiters.wait(work.rank, holdDeadlineMs, signal, () => {
+      placed = this.tryPlace({ ...attempt, mayWait: true });
+      return placed !== undefined;
+    });
+    return placed ?? this.place(work, [], 'route');
+  }
+
+  /** Undefined when the request should wait. */
+  private tryPlace(attempt: PlacementAttempt): PlacedRequest | undefined {
+    const { work, excluded, step, producedTokens, from, mayWait } = attempt;
+    const deployment = this.kernel.get(Deployment);
+    const backEnds = deployment
       .listAssignable(work.service)
       .filter(({ endpointId }) => !excluded.includes(endpointId));
     const need = this.describeNeed(work, producedTokens);
     const near = from ?? this.kernel.settings;
     const candidates = backEnds.map((backEnd) => this.describe(work, backEnd, near.dataCentre));
-    const choose = step === 'place' ? drawDestination : choosePlacement;
-    const verdict = choose(candidates, need, Math.random());
-    const inputs = {
+    const verdict =
+      step === 'place'
+        ? drawDestination(candidates, need, Math.random())
+        : choosePlacement(candidates, need, Math.random(), mayWait);
+    if (verdict.outcome === 'wait') return undefined;
+    this.logPlacement(attempt, need, verdict);
+    if (verdict.outcome === 'refuse') {
+      throw new ServingError('no-endpoint', {
+        detail: verdict.reason,
+        clause: `routes.${work.routeName}.targets`,
+        retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
+      });
+    }
+    const backEnd = backEnds.find(({ endpointId }) => endpointId === verdict.endpointId);
+    const candidate = candidates.find(({ endpointId }) => endpointId === verdict.endpointId);
+    const unreadTokens = (candidate?.unreadTokens ?? 0) + need.unreadTokens;
+    return this.reserve(work, backEnd as KnownBackEnd, producedTokens, unreadTokens);
+  }
+
+  private logPlacement(
+    { work, excluded, step }: PlacementAttempt,
+    { knownTokens, growthTokens }: MemoryNeed,
+    verdict: Exclude<Placement, { outcome: 'wait' }>,
+  ): void {
+    this.kernel.log.info('decision', {
       requestId: work.requestId,
       customer: work.customer,
       configurationVersion: work.configuration.version,
       clause: `routes.${work.routeName}.targets`,
       step,
       service: work.service,
-      knownTokens: need.knownTokens,
-      growthTokens: Math.round(need.growthTokens),
-      candidates: candidates.length,
+      knownTokens,
+      growthTokens: Math.round(growthTokens),
       excluded,
       confirmedAgeMs: Math.round(this.kernel.get(Deployment).getConfirmedAgeMs()),
-    };
-    if (verdict.outcome === 'refuse') {
-      log.info('decision', { ...inputs, outcome: 'refused', reason: verdict.reason });
-      throw new ServingError('no-endpoint', {
-        detail: verdict.reason,
-        clause: inputs.clause,
-        retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
-      });
-    }
-    const { endpointId, cost, takenShare } = verdict;
-    const backEnd = backEnds.find((found) => found.endpointId === endpointId) as KnownBackEnd;
-    log.info('decision', {
-      ...inputs,
-      outcome: 'placed',
-      chosen: endpointId,
-      cost: Number(cost.toFixed(3)),
-      takenShare: Number(takenShare.toFixed(3)),
+      ...verdict,
     });
+  }
+
+  private reserve(
+    work: PlacedWork,
+    backEnd: KnownBackEnd,
+    producedTokens: number,
+    unreadTokens: number,
+  ): PlacedRequest {
+    const { endpointId } = backEnd;
+    const placedAtMs = this.kernel.clock.nowMs();
+    let isFirst = producedTokens === 0;
     const handle = this.reservations.add({
       endpointId,
-      startedAtMs: clock.nowMs(),
+      startedAtMs: placedAtMs,
       rank: work.rank,
       promptTokens: work.prompt?.promptTokens ?? 0,
       producedTokens,
       forecast: work.prompt && this.getForecast(work),
     });
     this.works.set(handle, work);
+    // Other nodes that place at the same moment should know of it.
+    if (work.prompt) this.kernel.get(Members).announce();
     return {
       backEnd,
-      noteTokens: (tokens) => this.reservations.noteTokens(endpointId, handle, tokens),
+      noteTokens: (tokens) => {
+        this.reservations.noteTokens(endpointId, handle, tokens);
+        if (!isFirst) return;
+        isFirst = false;
+        const delayMs = this.kernel.clock.nowMs() - placedAtMs;
+        this.prefillSpeed.observe(work.service, unreadTokens, delayMs);
+      },
       release: () => {
         this.reservations.release(endpointId, handle);
         this.works.delete(handle);
+        if (work.prompt) this.waiters.look();
       },
     };
   }
@@ -189,6 +274,7 @@
       requests: own.requests + others.requests,
       heldTokens: own.heldTokens + others.heldTokens,
       finalTokens: own.finalTokens + others.finalTokens,
+      unreadTokens: own.unreadTokens + others.unreadTokens,
       endpointsInRegion: this.countInRegion(backEnd),
       distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
       failureShare: this.health.getFailureShare(backEnd.endpointId, nowMs),
@@ -227,6 +313,11 @@
         (sum, [, { promptTokens, producedTokens }]) => sum + promptTokens + producedTokens,
         0,
       ),
+      unreadTokens: held.reduce(
+        (sum, [, { promptTokens, producedTokens }]) =>
+          sum + (producedTokens === 0 ? promptTokens : 0),
+        0,
+      ),
       finalTokens: held.reduce((sum, [handle, { promptTokens, producedTokens }]) => {
         const work = this.works.get(handle);
         const remaining = work ? this.expectRemaining(work, producedTokens) : 0;
@@ -240,6 +331,9 @@
     return {
       knownTokens: (work.prompt?.promptTokens ?? 0) + producedTokens,
       growthTokens: this.expectRemaining(work, producedTokens),
+      unreadTokens: producedTokens === 0 ? (work.prompt?.promptTokens ?? 0) : 0,
+      tokensPerMs: this.prefillSpeed.get(work.service),
+      promptWithinMs: work.promptWithinMs,
     };
   }
 
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -2,7 +2,7 @@
  * Forwarding of callers' requests to endpoints.
  */
 import { Plugin, registerPlugin } from '../../kernel';
-import { CallerAdmission, Deployment, LoadSource } from '../../services';
+import { CallerAdmission, Deployment, LoadSource, Members } from '../../services';
 import { EndpointConnections } from './EndpointConnections';
 import { EndpointPlacer } from './EndpointPlacer';
 import { EndpointSender } from './EndpointSender';
@@ -59,6 +59,7 @@
       placer.health.forget(backEnd.endpointId);
       mover.moveAll(backEnd);
     });
+    kernel.get(Members).onHeard(() => placer.lookForRoom());
     kernel.provide(LoadSource, placer);
     kernel.provide(
       CallerAdmission,
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -94,6 +94,7 @@
         routeName: route.name,
         service,
         rank: holder?.rank ?? route.rank,
+        promptWithinMs: route.promptWithinMs,
         prompt: request.prompt,
       },
       body,
--- /dev/null
+++ b/src/plugins/forwarding/RoomWaiters.ts
@@ -0,0 +1,58 @@
+/**
+ * Requests that wait at the node until an engine has room for them.
+ *
+ * Whenever something may have become free, they look again in the order of their rank, and among
+ * equals of their arrival.
+ */
+import type { Clock } from '../../core';
+
+interface Waiter {
+  readonly rank: number;
+  readonly arrival: number;
+  /** Takes room if there is some. */
+  readonly tryToPlace: () => boolean;
+  readonly wake: () => void;
+}
+
+/** @internal */
+export class RoomWaiters {
+  private waiting: ReadonlyArray<Waiter> = [];
+
+  private arrivals = 0;
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Resolves when the request was placed, at the deadline, or when the signal aborts. */
+  async wait(
+    rank: number,
+    deadlineMs: number,
+    signal: AbortSignal,
+    tryToPlace: () => boolean,
+  ): Promise<void> {
+    const placed = new AbortController();
+    this.arrivals += 1;
+    const waiter: Waiter = {
+      rank,
+      arrival: this.arrivals,
+      tryToPlace,
+      wake: () => placed.abort(),
+    };
+    this.waiting = [...this.waiting, waiter].sort(
+      (a, b) => a.rank - b.rank || a.arrival - b.arrival,
+    );
+    try {
+      const ended = AbortSignal.any([signal, placed.signal]);
+      await this.clock.sleep(deadlineMs - this.clock.nowMs(), ended);
+    } finally {
+      this.waiting = this.waiting.filter((other) => other !== waiter);
+    }
+  }
+
+  look(): void {
+    this.waiting.forEach((waiter) => {
+      if (!waiter.tryToPlace()) return;
+      this.waiting = this.waiting.filter((other) => other !== waiter);
+      waiter.wake();
+    });
+  }
+}
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -76,7 +76,9 @@
   ): Promise<StreamLeg | undefined> {
     let excluded: ReadonlyArray<EndpointId> = [];
     for (let isFirst = true; ; isFirst = false) {
-      const placed = this.placer.place(admitted.work, excluded, isFirst ? 'route' : 'retry');
+      const placed = isFirst
+        ? await this.placeFirst(admitted)
+        : this.placer.place(admitted.work, excluded, 'retry');
       const sent = await this.sendTo(admitted, placed, undefined);
       if (sent instanceof StreamLeg) return this.begin(admitted, sent, progress);
       admitted.ended.throwIfAborted();
@@ -92,6 +94,20 @@
     }
   }
 
+  /** Waits a part of the time for a prompt first event while no engine has room. */
+  private async placeFirst({
+    work,
+    route,
+    ended,
+    exchange,
+  }: AdmittedRequest): Promise<PlacedRequest> {
+    const holdMs = route.promptWithinMs * FORWARDING_OPTIONS.holdPart;
+    const placed = await this.placer.placeWhenRoom(work, exchange.arrivedAtMs + holdMs, ended);
+    if (ended.aborted) placed.release();
+    ended.throwIfAborted();
+    return placed;
+  }
+
   private async begin(
     admitted: AdmittedRequest,
     leg: StreamLeg,
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -29,6 +29,8 @@
   otherNodeRetryAfterMs: 20,
   /** Part of the time for a prompt answer after which a repeatable request is sent once more. */
   hedgeAfterPart: 0.45,
+  /** Part of the time for a prompt first event that a request waits at the node for room. */
+  holdPart: 0.4,
   /** Remaining output below which a run isn't moved away from a leaving engine. */
   minMovedTokens: 80,
   /** Time limit for an order to copy a run's memory. */
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -17,6 +17,8 @@
 
   private readonly wakers = new Set<() => void>();
 
+  private heardListeners: ReadonlyArray<() => void> = [];
+
   constructor(private readonly kernel: Kernel) {
     super();
   }
@@ -52,12 +54,22 @@
           requests: sum.requests + load.requests,
           heldTokens: sum.heldTokens + load.heldTokens,
           finalTokens: sum.finalTokens + load.finalTokens,
+          unreadTokens: sum.unreadTokens + load.unreadTokens,
         }),
-        { requests: 0, heldTokens: 0, finalTokens: 0 },
+        { requests: 0, heldTokens: 0, finalTokens: 0, unreadTokens: 0 },
       );
   }
 
+  onHeard(listener: () => void): void {
+    this.heardListeners = [...this.heardListeners, listener];
+  }
+
   announce(): void {
+    if (this.members.size <= MEMBER_OPTIONS.announceToMembers) this.announceToAll();
+  }
+
+  /** Tells all nodes at once, however many they are. */
+  announceToAll(): void {
     this.wakers.forEach((wake) => wake());
   }
 
@@ -81,6 +93,7 @@
         silentForMs: before ? Math.round(heardAtMs - before.heardAtMs) : undefined,
       });
     }
+    this.heardListeners.forEach((listener) => listener());
   }
 
   forgetSilent(): void {
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -71,7 +71,7 @@
   }
 
   override async drain(): Promise<void> {
-    this.table.announce();
+    this.table.announceToAll();
   }
 
   /** This node's state and the addresses of the nodes that it knows. */
@@ -88,20 +88,23 @@
       loads: this.kernel.getAll(LoadSource).flatMap((source) => source.listLoads()),
     };
     const loads = self.loads.map(
-      ({ endpointId, requests, heldTokens, finalTokens }) =>
-        [endpointId, requests, Math.round(heldTokens), Math.round(finalTokens)] as const,
+      ({ endpointId, requests, heldTokens, finalTokens, unreadTokens }) =>
+        [endpointId, requests, heldTokens, Math.round(finalTokens), unreadTokens] as const,
     );
     const knownAddresses = this.table.listLive().map(({ peerAddress }) => peerAddress);
     return { self: { ...self, loads }, knownAddresses };
   }
 
   take({ self, knownAddresses }: MemberExchange): void {
-    const loads = self.loads.map(([endpointId, requests, heldTokens, finalTokens]) => ({
-      endpointId,
-      requests,
-      heldTokens,
-      finalTokens,
-    }));
+    const loads = self.loads.map(
+      ([endpointId, requests, heldTokens, finalTokens, unreadTokens]) => ({
+        endpointId,
+        requests,
+        heldTokens,
+        finalTokens,
+        unreadTokens,
+      }),
+    );
     this.table.hear({ ...self, loads }, this.kernel.clock.nowMs());
     [self.peerAddress, ...knownAddresses].forEach((address) => this.startTask(address));
   }
--- a/src/plugins/members/memberMessages.ts
+++ b/src/plugins/members/memberMessages.ts
@@ -6,7 +6,9 @@
 
 const countSchema = z.number().min(0);
 
-const loadSchema = z.tuple([endpointIdSchema, countSchema, countSchema, countSchema]).readonly();
+const loadSchema = z
+  .tuple([endpointIdSchema, countSchema, countSchema, countSchema, countSchema])
+  .readonly();
 
 /** @internal */
 export const memberStateSchema = z
@@ -18,7 +20,7 @@
     peerAddress: z.string(),
     callerAddress: z.string(),
     takesCallers: z.boolean(),
-    /** Endpoint, requests, tokens held now and at their ends. */
+    /** Endpoint, requests, tokens held now, at their ends, and not read yet. */
     loads: z.array(loadSchema).readonly(),
   })
   .readonly();
--- a/src/plugins/members/options.ts
+++ b/src/plugins/members/options.ts
@@ -1,13 +1,15 @@
 /** Tunables of the exchange of states between nodes. */
 export const MEMBER_OPTIONS = {
   /** Pause between two exchanges with the same node. */
-  intervalMs: 350,
+  intervalMs: 450,
   /** Silence of a node whose turn it is after which this node starts the exchange. */
   otherTurnMs: 1_000,
   /** Share by which the pause varies at random. */
   jitterShare: 0.2,
   /** Exchanges that one node starts a second; with more members each is asked less often. */
   exchangesPerSecond: 24,
+  /** Up to this many members a node tells each new piece of work at once. */
+  announceToMembers: 16,
   /** Time limit of one exchange. */
   callTimeoutMs: 700,
   /** Silence after which callers aren't sent to a node. */
--- a/src/services/Members.ts
+++ b/src/services/Members.ts
@@ -12,6 +12,8 @@
   readonly heldTokens: number;
   /** Engine memory that they are expected to hold at their ends. */
   readonly finalTokens: number;
+  /** Prompt tokens of those that have made no token yet. */
+  readonly unreadTokens: number;
 }
 
 /** What a node says of itself. @public */
@@ -40,7 +42,10 @@
   /** Sums the work of the other live nodes at an endpoint. */
   abstract getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'>;
 
-  /** Tells all nodes of a change of this node's state at once. */
+  /** Calls the listener whenever another node has told its state. */
+  abstract onHeard(listener: () => void): void;
+
+  /** Tells the other nodes of a change of this node's state at once, unless they are many. */
   abstract announce(): void;
 }
 
