Keep copies of runs on engines with room, and move little memory first

Ruled out: copies for every run, which would need more memory than the engines have.

Change: a run gets a copy, which its engine sends as it grows, on an engine of the same region that stays under 0.6 of its memory with it. Such a run stays where it is when its engine leaves and goes on from the copy when it is lost, also without notice; the others have the link for themselves, little memory first. A run that is nearly done is moved after all when it isn't done 450 ms later.

--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -28,11 +28,13 @@
    * Weight of a destination of copied memory by distance. A copy to another data centre takes twice
    * as long, and one over the narrow link between regions never ends in time.
    */
-  destinationWeights: { 'same-data-centre': 1, 'same-region': 0.5, 'other-region': 0 },
+  destinationWeights: { 'same-data-centre': 1, 'same-region': 0.35, 'other-region': 0 },
   /** Part of its memory up to which an engine has room for another prompt. */
   fullPart: 0.96,
   /** Least part of an engine's memory that counts where its runs could go nowhere else. */
   leastEvacuablePart: 0.3,
+  /** Share of its memory up to which an engine keeps copies of runs of other engines. */
+  copyHolderPart: 0.6,
   /** Least weight of a destination by its room, so that a full one is still tried at last. */
   leastRoomWeight: 0.01,
 } as const;
@@ -207,6 +209,28 @@
   };
 }
 
+/**
+ * The engine of the same region with the most room for a copy of a run as it grows. Undefined when
+ * all are so full that the copy would stand in the way of requests.
+ */
+export function chooseCopyHolder(
+  candidates: ReadonlyArray<PlacementCandidate>,
+  need: MemoryNeed,
+): EndpointId | undefined {
+  const { copyHolderPart, destinationWeights } = PLACEMENT_OPTIONS;
+  const [best] = candidates
+    .filter(({ isAvoided, distance }) => !isAvoided && destinationWeights[distance] > 0)
+    .map((candidate) => ({
+      endpointId: candidate.endpointId,
+      share:
+        (candidate.finalTokens + need.knownTokens + need.growthTokens) /
+        (candidate.memoryTokens ?? Infinity),
+    }))
+    .filter(({ share }) => share <= copyHolderPart)
+    .sort((a, b) => a.share - b.share);
+  return best?.endpointId;
+}
+
 function explainNone(candidates: number, connected: number): Placement {
   if (connected > 0) {
     return { outcome: 'wait', reason: 'no engine has room for the prompt now', candidates };
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -9,6 +9,7 @@
   type ServingConfiguration,
 } from '../../core';
 import {
+  chooseCopyHolder,
   choosePlacement,
   drawDestination,
   EndpointHealth,
@@ -81,6 +82,9 @@
 
   private readonly reservations = new InFlightReservations();
 
+  /** Memory that other engines keep as copies of runs. */
+  private readonly copies = new InFlightReservations();
+
   private readonly waiters: RoomWaiters;
 
   /** Hints of the requests under way, by the handles of their reservations. */
@@ -142,6 +146,48 @@
     return placed ?? this.place(work, [], 'route');
   }
 
+  /** Reserves room at the engine that has a copy of the run's memory. */
+  placeAtCopy(work: PlacedWork, backEnd: KnownBackEnd, producedTokens: number): PlacedRequest {
+    return this.reserve(work, backEnd, producedTokens, 0);
+  }
+
+  /** Reserves room for a copy of a run, on an engine that can take the run over, if there is room. */
+  placeCopy(
+    work: PlacedWork,
+    primary: KnownBackEnd,
+    producedTokens = 0,
+  ): PlacedRequest | undefined {
+    const profile = work.configuration.services.get(work.service)?.engine;
+    if (!profile?.canBackUp || !work.prompt) return undefined;
+    const need = this.describeNeed(work, producedTokens);
+    const backEnds = this.kernel
+      .get(Deployment)
+      .listAssignable(work.service)
+      .filter(({ endpointId }) => endpointId !== primary.endpointId);
+    const candidates = backEnds.map((backEnd) => this.describe(work, backEnd, primary.dataCentre));
+    const chosenId = chooseCopyHolder(candidates, need);
+    const backEnd = backEnds.find(({ endpointId }) => endpointId === chosenId);
+    if (!backEnd) return undefined;
+    const { endpointId } = backEnd;
+    const handle = this.copies.add({
+      endpointId,
+      startedAtMs: this.kernel.clock.nowMs(),
+      rank: work.rank,
+      promptTokens: work.prompt.promptTokens,
+      producedTokens,
+      forecast: this.getForecast(work),
+    });
+    this.works.set(handle, work);
+    return {
+      backEnd,
+      noteTokens: (tokens) => this.copies.noteTokens(endpointId, handle, tokens),
+      release: () => {
+        this.copies.release(endpointId, handle);
+        this.works.delete(handle);
+      },
+    };
+  }
+
   /** Undefined when the request should wait. */
   private tryPlace(attempt: PlacementAttempt): PlacedRequest | undefined {
     const { work, excluded, step, producedTokens, from, mayWait } = attempt;
@@ -254,7 +300,7 @@
       .get(Deployment)
       .listAll()
       .map(({ endpointId }) => ({ endpointId, ...this.sumOwn(endpointId) }))
-      .filter(({ requests }) => requests > 0);
+      .filter(({ heldTokens, requests }) => requests > 0 || heldTokens > 0);
   }
 
   /** @param nearDataCentre the one from which the distance counts. */
@@ -306,14 +352,15 @@
   }
 
   private sumOwn(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
-    const held = this.reservations.listHandles(endpointId);
+    const running = this.reservations.listHandles(endpointId);
+    const held = [...running, ...this.copies.listHandles(endpointId)];
     return {
-      requests: held.length,
+      requests: running.length,
       heldTokens: held.reduce(
         (sum, [, { promptTokens, producedTokens }]) => sum + promptTokens + producedTokens,
         0,
       ),
-      unreadTokens: held.reduce(
+      unreadTokens: running.reduce(
         (sum, [, { promptTokens, producedTokens }]) =>
           sum + (producedTokens === 0 ? promptTokens : 0),
         0,
--- a/src/plugins/forwarding/RunMover.ts
+++ b/src/plugins/forwarding/RunMover.ts
@@ -43,20 +43,24 @@
     if (known?.leavingSinceMs !== undefined) this.start(stream);
   }
 
-  /** Starts to move every stream on an engine, the one with the most still to come first. */
+  /** Starts to move every stream on an engine; copies of little memory first, so that most get away. */
   moveAll({ endpointId, startedAtWallMs }: KnownBackEnd): void {
     [...this.running]
       .filter(({ leg }) => {
         const { backEnd } = leg.placed;
         return backEnd.endpointId === endpointId && backEnd.startedAtWallMs === startedAtWallMs;
       })
-      .map((stream) => ({ stream, remaining: this.expectRemaining(stream) }))
-      .sort((a, b) => b.remaining - a.remaining)
+      .map((stream) => ({ stream, heldTokens: this.countHeldTokens(stream) }))
+      .sort((a, b) => a.heldTokens - b.heldTokens)
       .forEach(({ stream }) => {
         this.start(stream);
       });
   }
 
+  private countHeldTokens({ admitted, getOutputTokens }: RunningStream): number {
+    return (admitted.work.prompt?.promptTokens ?? 0) + getOutputTokens();
+  }
+
   private expectRemaining({ admitted, getOutputTokens }: RunningStream): number {
     return this.placer.expectRemaining(admitted.work, getOutputTokens());
   }
@@ -66,8 +70,34 @@
     if (leg.move || leg.ended.aborted) return;
     const profile = admitted.work.configuration.services.get(admitted.work.service)?.engine;
     if (!profile?.canMove || !admitted.work.prompt) return;
-    if (this.expectRemaining(stream) < FORWARDING_OPTIONS.minMovedTokens) return;
-    leg.move = this.move(stream);
+    leg.move = this.moveWhenNeeded(stream);
+  }
+
+  /** Lets a run that is nearly done end where it is, and one that has a copy go on until it is lost. */
+  private async moveWhenNeeded(stream: RunningStream): Promise<NextLeg | undefined> {
+    const { leg } = stream;
+    const { minMovedTokens, nearlyDoneMs } = FORWARDING_OPTIONS;
+    if (this.findCopyHolder(leg)) return undefined;
+    if (this.expectRemaining(stream) < minMovedTokens) {
+      await this.kernel.clock.sleep(nearlyDoneMs, leg.ended);
+    }
+    return this.move(stream);
+  }
+
+  /** The next leg of a run whose engine was lost, where another engine has a copy. */
+  recover({ admitted, leg, getOutputTokens }: RunningStream): NextLeg | undefined {
+    const holder = this.findCopyHolder(leg);
+    if (!holder) return undefined;
+    const placed = this.placer.placeAtCopy(admitted.work, holder, getOutputTokens());
+    const handle = this.kernel.get(RequestDialect).nameBackup(admitted.request.requestId);
+    return { placed, continueFrom: { address: holder.address, handle }, laterCopy: undefined };
+  }
+
+  private findCopyHolder({ copy }: StreamLeg): KnownBackEnd | undefined {
+    if (!copy) return undefined;
+    const known = this.kernel.get(Deployment).find(copy.backEnd.endpointId);
+    const isSame = known?.startedAtWallMs === copy.backEnd.startedAtWallMs;
+    return isSame && known.leavingSinceMs === undefined ? known : undefined;
   }
 
   private async move(stream: RunningStream): Promise<NextLeg | undefined> {
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -135,15 +135,21 @@
     admitted: AdmittedRequest,
     placed: PlacedRequest,
     continuation: RunContinuation | undefined,
+    producedTokens = 0,
   ): Promise<
     StreamLeg | Exclude<Awaited<ReturnType<EndpointSender['send']>>, { outcome: 'answered' }>
   > {
     const target = admitted;
     const { endpointId } = placed.backEnd;
     target.sentTo = [...admitted.sentTo, endpointId];
-    const sent = await this.sender.send(admitted, placed.backEnd, admitted.ended, { continuation });
-    if (sent.outcome === 'answered') return new StreamLeg(placed, sent.head, sent.answer);
+    const copy = this.placer.placeCopy(admitted.work, placed.backEnd, producedTokens);
+    const sent = await this.sender.send(admitted, placed.backEnd, admitted.ended, {
+      continuation,
+      backUpTo: copy?.backEnd.address,
+    });
+    if (sent.outcome === 'answered') return new StreamLeg(placed, sent.head, sent.answer, copy);
     placed.release();
+    copy?.release();
     if (sent.outcome === 'not-run' && !sent.wasSent) {
       target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
     }
@@ -167,7 +173,7 @@
         this.writeHead(admitted, state);
         state.lastEventId = whole.lastEventId ?? state.lastEventId;
         state.events += whole.count;
-        leg.placed.noteTokens(state.outputTokens);
+        leg.noteTokens(state.outputTokens);
         await admitted.exchange.write(whole.bytes);
       }
       this.placer.noteOutcome(endpointId, 'answered');
@@ -193,7 +199,8 @@
   ): Promise<StreamLeg> {
     const from = leg.placed.backEnd.endpointId;
     const { lastEventId } = progress;
-    const next = await leg.move;
+    const stream = { admitted, leg, getOutputTokens: () => progress.outputTokens };
+    const next = (await leg.move) ?? this.mover.recover(stream);
     this.kernel.log.info('decision', {
       requestId: admitted.request.requestId,
       step: 'retry',
@@ -205,7 +212,7 @@
       outcome: next ? 'goes on from copied memory' : 'no copy',
     });
     if (next) {
-      const moved = await this.openNext(admitted, next, lastEventId);
+      const moved = await this.openNext(admitted, next, progress);
       if (moved) return moved;
     }
     if (!next) this.placer.noteOutcome(from, 'failed');
@@ -220,13 +227,18 @@
   private async openNext(
     admitted: AdmittedRequest,
     { placed, continueFrom, laterCopy }: NextLeg,
-    lastEventId: string | undefined,
+    { lastEventId, outputTokens }: StreamProgress,
   ): Promise<StreamLeg | undefined> {
-    const sent = await this.sendTo(admitted, placed, { continueFrom, lastEventId });
+    const sent = await this.sendTo(admitted, placed, { continueFrom, lastEventId }, outputTokens);
     if (sent instanceof StreamLeg) return this.checkContinued(admitted, sent);
     const later = await laterCopy;
     if (!later || sent.outcome === 'lost') return undefined;
-    const again = await this.sendTo(admitted, placed, { continueFrom: later, lastEventId });
+    const again = await this.sendTo(
+      admitted,
+      placed,
+      { continueFrom: later, lastEventId },
+      outputTokens,
+    );
     return again instanceof StreamLeg ? this.checkContinued(admitted, again) : undefined;
   }
 
--- a/src/plugins/forwarding/StreamLeg.ts
+++ b/src/plugins/forwarding/StreamLeg.ts
@@ -11,7 +11,7 @@
   /** Copy from which to go on; one that was made a little earlier lacks the newest tokens. */
   readonly continueFrom: CopiedMemory;
   /** A later copy, to be used when the first is refused. */
-  readonly laterCopy: Promise<CopiedMemory | undefined>;
+  readonly laterCopy: Promise<CopiedMemory | undefined> | undefined;
 }
 
 /** @internal */
@@ -25,6 +25,8 @@
     readonly placed: PlacedRequest,
     readonly head: AnswerHead,
     readonly answer: EndpointAnswer,
+    /** Room at the engine that gets a copy of the run's memory as it grows. */
+    readonly copy: PlacedRequest | undefined,
   ) {}
 
   /** Aborted when the engine's part is over, however it ended. */
@@ -35,6 +37,12 @@
   end(): void {
     this.endedController.abort();
     this.placed.release();
+    this.copy?.release();
+  }
+
+  noteTokens(outputTokens: number): void {
+    this.placed.noteTokens(outputTokens);
+    this.copy?.noteTokens(outputTokens);
   }
 
   /** Frees what a move has reserved for a run that doesn't need it any more. */
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -33,6 +33,8 @@
   holdPart: 0.4,
   /** Remaining output below which a run isn't moved away from a leaving engine. */
   minMovedTokens: 80,
+  /** Time after which a run that was nearly done on a leaving engine is moved all the same. */
+  nearlyDoneMs: 450,
   /** Time limit for an order to copy a run's memory. */
   copyTimeoutMs: 2_500,
   /** Pause before all engines are asked again for room for a run that has to move. */
