--- a/src/decisions/EndpointHealth.test.ts
+++ b/src/decisions/EndpointHealth.test.ts
@@ -29,3 +29,21 @@
   const before = health.getFailureShare(id, 0);
   expect(health.getFailureShare(id, HEALTH_OPTIONS.halfLifeMs)).toBeCloseTo(before / 2);
 });
+
+// Guards against streams that stand still on an engine that went dark without closing anything.
+test('counts as silent only when all the work there brings nothing', () => {
+  const health = new EndpointHealth();
+  const { silentAfterMs } = HEALTH_OPTIONS;
+  expect(health.isSilent(id, silentAfterMs * 2)).toBe(false);
+  health.noteSent(id, 0);
+  health.noteSent(id, 500);
+  health.noteHeard(id, 600);
+  expect(health.isSilent(id, 600 + silentAfterMs)).toBe(false);
+  expect(health.isSilent(id, 601 + silentAfterMs)).toBe(true);
+  expect(health.isAvoided(id, 601 + silentAfterMs)).toBe(true);
+  health.noteEnded(id);
+  health.noteHeard(id, 3_000);
+  expect(health.isSilent(id, 3_100)).toBe(false);
+  health.noteEnded(id);
+  expect(health.isSilent(id, 60_000)).toBe(false);
+});
--- a/src/decisions/EndpointHealth.ts
+++ b/src/decisions/EndpointHealth.ts
@@ -17,6 +17,8 @@
   /** First time for which it is avoided, and the longest; each further failure doubles it. */
   firstAvoidMs: 500,
   longestAvoidMs: 4_000,
+  /** Time without a byte after which an endpoint with work under way counts as silent. */
+  silentAfterMs: 1_000,
 } as const;
 
 /** @public */
@@ -29,6 +31,12 @@
   readonly avoidUntilMs: number;
 }
 
+/** Work of this node at an endpoint and the last sign of life. */
+interface Pulse {
+  readonly underWay: number;
+  readonly lastHeardMs: number;
+}
+
 const UNKNOWN: HealthRecord = {
   failureShare: 0,
   notedAtMs: 0,
@@ -40,6 +48,39 @@
 export class EndpointHealth {
   private readonly records = new Map<EndpointId, HealthRecord>();
 
+  private readonly pulses = new Map<EndpointId, Pulse>();
+
+  /** Notes a request on its way; the silence of an idle endpoint says nothing. */
+  noteSent(endpointId: EndpointId, nowMs: number): void {
+    const { underWay, lastHeardMs } = this.pulses.get(endpointId) ?? {
+      underWay: 0,
+      lastHeardMs: 0,
+    };
+    this.pulses.set(endpointId, {
+      underWay: underWay + 1,
+      lastHeardMs: underWay === 0 ? nowMs : lastHeardMs,
+    });
+  }
+
+  /** Notes any bytes of an endpoint. */
+  noteHeard(endpointId: EndpointId, nowMs: number): void {
+    const pulse = this.pulses.get(endpointId);
+    if (pulse) this.pulses.set(endpointId, { ...pulse, lastHeardMs: nowMs });
+  }
+
+  noteEnded(endpointId: EndpointId): void {
+    const pulse = this.pulses.get(endpointId);
+    if (!pulse) return;
+    if (pulse.underWay <= 1) this.pulses.delete(endpointId);
+    else this.pulses.set(endpointId, { ...pulse, underWay: pulse.underWay - 1 });
+  }
+
+  /** Whether nothing has come of all the work under way for a while. */
+  isSilent(endpointId: EndpointId, nowMs: number): boolean {
+    const pulse = this.pulses.get(endpointId);
+    return pulse !== undefined && nowMs - pulse.lastHeardMs > HEALTH_OPTIONS.silentAfterMs;
+  }
+
   note(endpointId: EndpointId, outcome: EndpointOutcome, nowMs: number): void {
     const before = this.records.get(endpointId) ?? UNKNOWN;
     const { outcomeWeight, avoidAfterFailures, firstAvoidMs, longestAvoidMs } = HEALTH_OPTIONS;
@@ -63,6 +104,7 @@
   }
 
   isAvoided(endpointId: EndpointId, nowMs: number): boolean {
+    if (this.isSilent(endpointId, nowMs)) return true;
     return (this.records.get(endpointId) ?? UNKNOWN).avoidUntilMs > nowMs;
   }
 
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -255,20 +255,23 @@
       forecast: work.prompt && this.getForecast(work),
     });
     this.works.set(handle, work);
+    this.health.noteSent(endpointId, placedAtMs);
     // Other nodes that place at the same moment should know of it.
     if (work.prompt) this.kernel.get(Members).announce();
     return {
       backEnd,
       noteTokens: (tokens) => {
         this.reservations.noteTokens(endpointId, handle, tokens);
+        this.health.noteHeard(endpointId, this.kernel.clock.nowMs());
         if (!isFirst) return;
         isFirst = false;
         const delayMs = this.kernel.clock.nowMs() - placedAtMs;
         this.prefillSpeed.observe(work.service, unreadTokens, delayMs);
       },
       release: () => {
-        this.reservations.release(endpointId, handle);
+        if (!this.reservations.release(endpointId, handle)) return;
         this.works.delete(handle);
+        this.health.noteEnded(endpointId);
         if (work.prompt) this.waiters.look();
       },
     };
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -34,6 +34,9 @@
   readonly backUpTo?: string;
 }
 
+/** Reason of a sending that another one made needless. */
+const CANCELLED = 'cancelled';
+
 const SUCCESS = 200;
 const REDIRECT = 300;
 
@@ -77,7 +80,7 @@
       answer = await this.connections.send(backEnd, message, signal);
     } catch (thrown) {
       const error = ServingError.from(thrown);
-      const reason = signal.aborted ? 'aborted' : error.detail;
+      const reason = this.explainFailure(admitted, signal, error);
       if (error.kind === 'endpoint-unreachable') {
         return { outcome: 'not-run', reason, wasSent: false };
       }
@@ -102,13 +105,27 @@
     return { outcome: 'answered', head, answer };
   }
 
+  private explainFailure(
+    admitted: AdmittedRequest,
+    signal: AbortSignal,
+    error: ServingError,
+  ): string {
+    if (admitted.exchange.gone.aborted) return 'the caller has gone';
+    if (admitted.ended.aborted) return 'no answer in time';
+    return signal.aborted ? CANCELLED : error.detail;
+  }
+
   private note(admitted: AdmittedRequest, endpointId: EndpointId, outcome: SendOutcome): void {
     const nowMs = this.kernel.clock.nowMs();
     if (outcome.outcome === 'answered') {
+      this.placer.health.noteHeard(endpointId, nowMs);
       admitted.noteAttempt(endpointId, String(outcome.head.status), nowMs);
       return;
     }
     admitted.noteAttempt(endpointId, `${outcome.outcome}: ${outcome.reason}`, nowMs);
-    if (!admitted.ended.aborted) this.placer.noteOutcome(endpointId, 'failed');
+    // A caller that leaves says nothing about the endpoint; the end of the time for an answer does.
+    if (!admitted.exchange.gone.aborted && outcome.reason !== CANCELLED) {
+      this.placer.noteOutcome(endpointId, 'failed');
+    }
   }
 }
--- a/src/plugins/forwarding/RunMover.ts
+++ b/src/plugins/forwarding/RunMover.ts
@@ -37,12 +37,34 @@
   /** Follows a stream until its leg ends; moves it when its engine leaves. */
   follow(stream: RunningStream): void {
     this.running.add(stream);
+    this.kernel.runTask('watch engine of stream', async () => this.watchSilence(stream));
     stream.leg.ended.addEventListener('abort', () => this.running.delete(stream), { once: true });
     const { endpointId } = stream.leg.placed.backEnd;
     const known = this.kernel.get(Deployment).find(endpointId);
     if (known?.leavingSinceMs !== undefined) this.start(stream);
   }
 
+  /** Gives up a stream on an engine that has gone silent, where it can go on elsewhere. */
+  private async watchSilence(stream: RunningStream): Promise<void> {
+    const { clock, log } = this.kernel;
+    const { leg, admitted } = stream;
+    const { endpointId } = leg.placed.backEnd;
+    while (!leg.ended.aborted) {
+      await clock.sleep(FORWARDING_OPTIONS.silenceCheckIntervalMs, leg.ended);
+      if (leg.ended.aborted || !this.placer.health.isSilent(endpointId, clock.nowMs())) continue;
+      if (!this.canGoOn(stream)) continue;
+      log.warn('decision', {
+        requestId: admitted.request.requestId,
+        step: 'retry',
+        what: 'engine silent',
+        from: endpointId,
+        outputTokens: stream.getOutputTokens(),
+      });
+      leg.answer.cut();
+      return;
+    }
+  }
+
   /** Starts to move every stream on an engine; copies of little memory first, so that most get away. */
   moveAll({ endpointId, startedAtWallMs }: KnownBackEnd): void {
     [...this.running]
@@ -84,6 +106,11 @@
     return this.move(stream);
   }
 
+  /** Whether the stream could go on elsewhere if its engine were lost now. */
+  canGoOn({ admitted, leg }: RunningStream): boolean {
+    return admitted.route.isResumable || this.findCopyHolder(leg) !== undefined;
+  }
+
   /** The next leg of a run whose engine was lost, where another engine has a copy. */
   recover({ admitted, leg, getOutputTokens }: RunningStream): NextLeg | undefined {
     const holder = this.findCopyHolder(leg);
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -35,6 +35,8 @@
   minMovedTokens: 80,
   /** Time after which a run that was nearly done on a leaving engine is moved all the same. */
   nearlyDoneMs: 450,
+  /** Interval at which streams look whether their engine has gone silent. */
+  silenceCheckIntervalMs: 250,
   /** Time limit for an order to copy a run's memory. */
   copyTimeoutMs: 2_500,
   /** Pause before all engines are asked again for room for a run that has to move. */
