Take a reset for a broken answer, also when it looks like a proper end

Traced in two steps. undici takes ECONNRESET for the end of an answer without a length; and when the reset comes together with data, libuv reports an end of file in place of the reset, so that the socket shows no error at all.

Change: an answer counts as complete only if its connection had no system error, and if the peer is still known to the system when the end is reported.

--- a/src/plugins/forwarding/EndpointAnswer.ts
+++ b/src/plugins/forwarding/EndpointAnswer.ts
@@ -35,6 +35,7 @@
     let isComplete = false;
     try {
       for await (const chunk of this.body) yield chunk;
+      if (this.connection.failure) throw this.connection.failure;
       isComplete = true;
     } finally {
       this.giveBack(isComplete);
--- a/src/plugins/forwarding/EndpointConnection.ts
+++ b/src/plugins/forwarding/EndpointConnection.ts
@@ -65,6 +65,11 @@
     return !this.isClosed;
   }
 
+  /** The error that ended it, such as a reset. The HTTP client takes one for the end of an answer. */
+  get failure(): Error | undefined {
+    return this.single.failure;
+  }
+
   /** Longest idle time after which it may be used again. */
   get maxIdleMs(): number {
     return this.idleTimeoutMs;
--- a/src/wire/SingleConnection.ts
+++ b/src/wire/SingleConnection.ts
@@ -15,6 +15,8 @@
 
   private isOpened = false;
 
+  private error: Error | undefined;
+
   private readonly open: buildConnector.connector;
 
   /** @param maySend asked when the connection stands, right before the request is written. */
@@ -30,6 +32,11 @@
     return this.isOpened;
   }
 
+  /** The error that ended the connection, such as a reset; undefined when it was closed properly. */
+  get failure(): Error | undefined {
+    return this.error;
+  }
+
   /** A connection that comes to stand later is closed unused. */
   end(): void {
     this.isOver = true;
@@ -44,6 +51,16 @@
       const [, socket] = result;
       if (!socket || (!this.isOver && this.maySend())) {
         this.isOpened = this.isOpened || Boolean(socket);
+        socket?.on('error', (error) => {
+          // The HTTP client ends a socket with errors of its own; those of the system name a call.
+          if ('syscall' in error) this.error = error;
+        });
+        socket?.on('end', () => {
+          // A reset that comes together with data is reported as an end. Only the system knows then
+          // that the connection has no peer any more.
+          if (socket.remoteAddress === undefined)
+            this.error = new Error('The connection was reset.');
+        });
         callback(...result);
         return;
       }
