Bound the log, never wait for its reader, and explain forwarded requests from it

Cause: a line was written for each decision without a bound, and a pipe whose reader stops blocks a Node.js process at its next line.

Change: standard output is written without blocking; lines a second are bounded, with room of their own for refused, repeated, continued and failed requests, and what is left out is counted by event.

--- a/src/cli/WhyCommand.ts
+++ b/src/cli/WhyCommand.ts
@@ -7,7 +7,7 @@
 import { request } from 'undici';
 import { z } from 'zod';
 import { decisionSchema } from '../core';
-import { describeDecision } from '../decisions';
+import { describeDecision, describeLogLine, type LogLine } from '../decisions';
 import { CliCommand, EXIT_CODE_HELP, EXIT_CODES } from './CliCommand';
 
 const answerSchema = z.object({ plainWords: z.array(z.string()) });
@@ -17,14 +17,26 @@
   readonly log?: string;
 }
 
+/** The JSON of a line; collectors often write a time or a name before it. */
+function parseLine(line: string): LogLine {
+  try {
+    return JSON.parse(line.slice(line.indexOf('{'))) as LogLine;
+  } catch {
+    return {};
+  }
+}
+
 async function findInLog(file: string, requestId: string): Promise<ReadonlyArray<string>> {
   const found: string[] = [];
   for await (const line of createInterface({ input: createReadStream(file) })) {
     if (!line.includes(requestId)) continue;
-    const decision = decisionSchema.safeParse(JSON.parse(line));
-    if (decision.success && decision.data.requestId === requestId) {
-      found.push(describeDecision(decision.data));
-    }
+    const parsed = parseLine(line);
+    const decision = decisionSchema.safeParse(parsed);
+    const described =
+      decision.success && decision.data.requestId === requestId
+        ? describeDecision(decision.data)
+        : describeLogLine(parsed, requestId);
+    if (described !== undefined) found.push(described);
   }
   return found;
 }
--- /dev/null
+++ b/src/decisions/describeLogLine.ts
@@ -0,0 +1,65 @@
+/**
+ * Lines of a forwarding node's log about one request, in plain words.
+ */
+
+/** A parsed line. @public */
+export type LogLine = Readonly<Record<string, unknown>>;
+
+interface SentAttempt {
+  readonly endpointId: string;
+  readonly outcome: string;
+  readonly afterMs: number;
+}
+
+function describePlacement(line: LogLine): string {
+  const why = line.step === 'retry' ? 'Sent once more' : 'Placed';
+  const load = typeof line.takenShare === 'number' ? Math.round(line.takenShare * 100) : undefined;
+  const taken = load === undefined ? '' : `, whose scarcest resource was then ${load} % taken`;
+  return (
+    `${why} on ${String(line.endpointId)} of ${String(line.service)}${taken}; ` +
+    `${String(line.candidates)} endpoints could have taken it, as of ${String(line.confirmedAgeMs)} ms ago ` +
+    `(clause ${String(line.clause)}, version ${String(line.configurationVersion)}).`
+  );
+}
+
+function describeRefusal(line: LogLine): string {
+  const clause = line.clause === undefined ? '' : ` by the clause ${String(line.clause)}`;
+  const again =
+    line.retryAfterMs === undefined
+      ? ''
+      : ` The caller was told to come back after ${String(line.retryAfterMs)} ms.`;
+  return `Refused as ${String(line.kind)}${clause}: ${String(line.reason)}${again}`;
+}
+
+function describeStep(line: LogLine): string {
+  const from = line.from === undefined ? '' : ` from ${String(line.from)}`;
+  const to = line.to === undefined ? '' : ` to ${String(line.to)}`;
+  const reason = line.reason === undefined ? '' : ` because: ${String(line.reason)}`;
+  const made =
+    line.outputTokens === undefined ? '' : ` after ${String(line.outputTokens)} tokens of output`;
+  return `${String(line.what)}${from}${to}${made}: ${String(line.outcome ?? 'noted')}${reason}.`;
+}
+
+function describeEnd(line: LogLine): string {
+  const attempts = (line.attempts ?? []) as ReadonlyArray<SentAttempt>;
+  const sent = attempts.map(
+    ({ endpointId, outcome, afterMs }) => `${endpointId} after ${afterMs} ms: ${outcome}`,
+  );
+  const where = sent.length === 0 ? 'It was sent to no endpoint.' : `Sent to ${sent.join('; ')}.`;
+  return `Ended as ${String(line.outcome)} after ${String(line.totalMs)} ms on route ${String(line.route)}. ${where}`;
+}
+
+function describe(line: LogLine): string {
+  if (line.event === 'request') return describeEnd(line);
+  if (line.step === 'refuse') return describeRefusal(line);
+  if (line.what !== undefined) return describeStep(line);
+  if (line.endpointId !== undefined) return describePlacement(line);
+  return `${String(line.step)}: ${String(line.outcome)}${line.reason === undefined ? '' : ` (${String(line.reason)})`}.`;
+}
+
+/** One sentence or two with the node and the time; undefined for lines about something else. */
+export function describeLogLine(line: LogLine, requestId: string): string | undefined {
+  const isAbout = line.event === 'request' || line.event === 'decision';
+  if (!isAbout || line.requestId !== requestId) return undefined;
+  return `${String(line.time)} ${String(line.vmId)}: ${describe(line)}`;
+}
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -6,6 +6,7 @@
 export * from './chooseEntryAddresses';
 export * from './confirmation';
 export * from './describeDecision';
+export * from './describeLogLine';
 export * from './options';
 export * from './SeededRandom';
 export * from './HistogramPool';
--- a/src/kernel/Log.ts
+++ b/src/kernel/Log.ts
@@ -2,7 +2,8 @@
  * Structured log: one JSON object a line on standard output, written through consola.
  */
 import { createConsola, LogLevels, type ConsolaInstance, type ConsolaReporter } from 'consola';
-import type { Decision } from '../core';
+import { SystemClock, type Decision } from '../core';
+import { BoundedWriter } from './BoundedWriter';
 
 /** Level, event name and fields of a line; the event name is a short fixed phrase. @public */
 export type LogFields = Readonly<Record<string, unknown>>;
@@ -22,10 +23,36 @@
   readonly level: LogLevelName;
   /** Fields that stand in every line, such as the VM. */
   readonly fields: LogFields;
-  /** Takes a finished line; standard output by default. */
+  /** Takes a finished line; by default standard output, bounded and without waiting. */
   readonly write?: (line: string) => void;
 }
 
+/** Steps of decisions about requests that went the usual way. */
+const USUAL_STEPS: ReadonlySet<unknown> = new Set(['admit', 'route', 'finish']);
+
+/** Status of an answer that needs no explanation. */
+const USUAL_OUTCOME = /^2\d\d$/;
+
+function isImportant(level: string, event: string, fields: LogFields = {}): boolean {
+  if (level === 'warn' || level === 'error') return true;
+  if (event === 'decision') return !USUAL_STEPS.has(fields.step);
+  if (event === 'request') return !USUAL_OUTCOME.test(String(fields.outcome));
+  return true;
+}
+
+/** Standard output is shared by all logs of the process. */
+let standardOutput: BoundedWriter | undefined;
+
+function getStandardOutput(): BoundedWriter {
+  // A pipe blocks by default, and a reader that stops would hold up every request.
+  const { _handle: handle } = process.stdout as {
+    readonly _handle?: { readonly setBlocking?: (isBlocking: boolean) => void };
+  };
+  if (!standardOutput) handle?.setBlocking?.(false);
+  standardOutput ??= new BoundedWriter(process.stdout, new SystemClock());
+  return standardOutput;
+}
+
 function serializeError(_key: string, value: unknown): unknown {
   if (!(value instanceof Error)) return value;
   return { name: value.name, message: value.message };
@@ -36,7 +63,6 @@
   private readonly console: ConsolaInstance;
 
   constructor({ level, fields, write }: LogOptions) {
-    const writeLine = write ?? ((line: string): unknown => process.stdout.write(line));
     const reporter: ConsolaReporter = {
       log: (entry) => {
         const [event, extra] = entry.args as [string, LogFields | undefined];
@@ -47,7 +73,12 @@
           ...fields,
           ...extra,
         };
-        writeLine(`${JSON.stringify(line, serializeError)}\n`);
+        const text = `${JSON.stringify(line, serializeError)}\n`;
+        if (write) write(text);
+        else {
+          const isNeeded = isImportant(entry.type, event, extra);
+          getStandardOutput().write({ text, event, isImportant: isNeeded });
+        }
       },
     };
     // A throttled logger would drop decisions that look alike, so throttling is off.
--- a/src/plugins/forwarding/EndpointConnections.test.ts
+++ b/src/plugins/forwarding/EndpointConnections.test.ts
@@ -8,7 +8,7 @@
 
 const clock = new SystemClock();
 const servers: Server[] = [];
-const signal = new AbortController().signal;
+const { signal } = new AbortController();
 
 afterEach(() => {
   servers.splice(0).forEach((server) => server.close());
--- a/src/wire/SingleConnection.ts
+++ b/src/wire/SingleConnection.ts
@@ -58,8 +58,9 @@
         socket?.on('end', () => {
           // A reset that comes together with data is reported as an end. Only the system knows then
           // that the connection has no peer any more.
-          if (socket.remoteAddress === undefined)
+          if (socket.remoteAddress === undefined) {
             this.error = new Error('The connection was reset.');
+          }
         });
         callback(...result);
         return;
