Split what a node has under way from the placer, and drop what nothing uses

Change: OwnWork holds requests and copies by endpoint and tells the loads; OutputExpectation wraps the length estimator. Unused fields of routes, engines, bounds and prompts are gone. Headers over the limit of the configuration are refused with 431.

Ruled out: keeping InFlightReservations for both; its forecast and handles had to be paired with a second table.

--- a/src/core/FrontSettings.ts
+++ b/src/core/FrontSettings.ts
@@ -18,8 +18,6 @@
 
 const fileBoundsSchema = z
   .object({
-    leavingWithinMs: boundSchema(2_500),
-    configurationWithinMs: boundSchema(2_500),
     revocationWithinMs: boundSchema(5_000),
     shutdownGraceSeconds: boundSchema(8),
     retryShare: boundSchema(0.2),
--- a/src/core/ServingBounds.ts
+++ b/src/core/ServingBounds.ts
@@ -8,10 +8,6 @@
 /** @public */
 export const servingBoundsSchema = z
   .object({
-    /** From the notice that an endpoint leaves until it gets no new work. */
-    leavingWithinMs: positiveSchema,
-    /** From the acknowledgement of a configuration until it is in force everywhere. */
-    configurationWithinMs: positiveSchema,
     /** From the removal of a key until no request with it runs, on any node. */
     revocationWithinMs: positiveSchema,
     /** From the signal to stop until the process is killed. */
--- a/src/core/ServingConfiguration.ts
+++ b/src/core/ServingConfiguration.ts
@@ -28,8 +28,6 @@
   readonly answerWithinMs: number;
   /** Time to the answer, or to the first event, that counts as prompt. */
   readonly promptWithinMs: number;
-  /** Longest pause between two events that counts as prompt. */
-  readonly pauseWithinMs: number;
   /** 0 goes first. */
   readonly rank: number;
   /** Endpoints that one request may be sent to. */
@@ -37,21 +35,14 @@
   readonly targets: ReadonlyArray<RouteTarget>;
   /** Whether a request needs no key. */
   readonly isAnonymous: boolean;
-  /** Whether requests say of which parts their prompt is made. */
-  readonly carriesPrompt: boolean;
 }
 
 /** What the engines of a service can do. @public */
 export interface EngineProfile {
-  readonly slots: number;
   readonly memoryTokens: number;
-  readonly tokenBytes: number;
-  readonly linkMbps: number;
   readonly canMove: boolean;
   readonly canBackUp: boolean;
   readonly tokensPerEvent: number;
-  /** How long an engine keeps memory that was copied and isn't used. */
-  readonly copyKeptMs: number;
 }
 
 /** @public */
--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -67,6 +67,12 @@
     mayRepeat: false,
     reason: 'The request body is over the limit.',
   },
+  'headers-too-large': {
+    status: 431,
+    run: 'not-run',
+    mayRepeat: false,
+    reason: 'The headers of the request are over the limit.',
+  },
   'operation-key-required': {
     status: 428,
     run: 'not-run',
--- a/src/decisions/InFlightReservations.ts
+++ b/src/decisions/InFlightReservations.ts
@@ -57,11 +57,6 @@
     return held ? [...held.values()] : NONE;
   }
 
-  /** Reservations with the handles by which they were made. */
-  listHandles(endpointId: EndpointId): ReadonlyArray<readonly [ReservationHandle, Reservation]> {
-    return [...(this.byEndpoint.get(endpointId) ?? [])];
-  }
-
   get size(): number {
     return [...this.byEndpoint.values()].reduce((sum, held) => sum + held.size, 0);
   }
--- a/src/decisions/servingFixtures.ts
+++ b/src/decisions/servingFixtures.ts
@@ -4,8 +4,6 @@
 import type { CustomerId, Route, ServingBounds, ServingConfiguration } from '../core';
 
 export const BOUNDS: ServingBounds = {
-  leavingWithinMs: 2_500,
-  configurationWithinMs: 2_500,
   revocationWithinMs: 5_000,
   shutdownGraceMs: 8_000,
   retryShare: 0.2,
@@ -24,12 +22,10 @@
     isResumable: false,
     answerWithinMs: 1_000,
     promptWithinMs: 200,
-    pauseWithinMs: 0,
     rank: 1,
     maxEndpoints: 2,
     targets: [{ service: 'desk', weight: 1 }],
     isAnonymous: false,
-    carriesPrompt: false,
     ...changes,
   };
 }
--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -10,7 +10,6 @@
   type DispatchOrder,
   type EngineCall,
   type HeaderList,
-  type PromptPart,
   type PromptSize,
   type ServingRequest,
 } from '../services';
@@ -65,26 +64,15 @@
   }
 }
 
-/** `id:tokens,id:tokens`; parts that can't be read are left out. */
-function readParts(text: string | undefined): ReadonlyArray<PromptPart> {
-  return (text ?? '').split(',').flatMap((entry) => {
-    const [partId, tokens] = entry.trim().split(':');
-    const count = Number(tokens);
-    return partId && Number.isFinite(count) ? [{ partId, tokens: count }] : [];
-  });
-}
-
 /** `prompt tokens,most output tokens`. */
 function readPrompt(headers: Headers): PromptSize | undefined {
   const [prompt, output] = (headers.get(HEADER_NAMES.tokenCounts) ?? '').split(',').map(Number);
   if (prompt === undefined || output === undefined) return undefined;
   if (!Number.isFinite(prompt) || !Number.isFinite(output)) return undefined;
   return {
-    model: headers.get(HEADER_NAMES.model) ?? '',
     promptTokens: prompt,
     maxOutputTokens: output,
     expectedOutputTokens: headers.getNumber(HEADER_NAMES.expectedOutput),
-    parts: readParts(headers.get(HEADER_NAMES.promptParts)),
   };
 }
 
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -13,8 +13,6 @@
   type ServingConfiguration,
 } from '../core';
 
-const MS_PER_SECOND = 1_000;
-
 const routeSchema = z.object({
   name: z.string(),
   host: z.string(),
@@ -27,22 +25,15 @@
   weightedServices: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
   maxAttempts: z.number().default(1),
   anonymous: z.boolean().default(false),
-  sticky: z.boolean().default(false),
   streamResume: z.boolean().default(false),
-  gapTargetMs: z.number().default(0),
 });
 
 const engineSchema = z.object({
-  slots: z.number(),
   kvCapacity: z.number(),
-  kvTokenBytes: z.number(),
-  linkMbps: z.number(),
   moves: z.boolean().default(false),
   backups: z.boolean().default(false),
   /** Tokens in one event. */
   stride: z.number().default(1),
-  /** How long a copied memory is kept unused. */
-  handleS: z.number().default(0),
 });
 
 const serviceSchema = z.object({
@@ -93,14 +84,12 @@
     isResumable: route.kind === 'streaming' && route.streamResume,
     answerWithinMs: route.timeoutMs,
     promptWithinMs: route.latencyGoalMs,
-    pauseWithinMs: route.gapTargetMs,
     rank: route.priority,
     maxEndpoints: route.maxAttempts,
     targets:
       route.weightedServices ??
       (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]),
     isAnonymous: route.anonymous,
-    carriesPrompt: route.sticky,
   };
 }
 
@@ -113,14 +102,10 @@
     name,
     maxConnections,
     engine: engine && {
-      slots: engine.slots,
       memoryTokens: engine.kvCapacity,
-      tokenBytes: engine.kvTokenBytes,
-      linkMbps: engine.linkMbps,
       canMove: engine.moves,
       canBackUp: engine.backups,
       tokensPerEvent: engine.stride,
-      copyKeptMs: engine.handleS * MS_PER_SECOND,
     },
   };
 }
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -2,12 +2,10 @@
  * Names of the platform's wire: headers, calls and keys. Nothing outside this folder knows them.
  */
 
-/** Headers, in lower case for comparison. */
+/** Headers. */
 export const HEADER_NAMES = {
   requestId: 'X-Bramleyvane-Request-Id',
   remainingMs: 'X-Bramleyvane-Deadline-Ms',
-  promptParts: 'X-Bramleyvane-Prompt-Prefix',
-  model: 'X-Bramleyvane-Model',
   tokenCounts: 'X-Bramleyvane-Token-Usage',
   expectedOutput: 'X-Bramleyvane-Length-Hint',
   lastEventId: 'Last-Event-Id',
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -70,6 +70,16 @@
     return this.failureOfAnswer ? `${status} ${this.failureOfAnswer}` : `${status}`;
   }
 
+  /** @throws ServingError `headers-too-large`. */
+  checkHeaders(maxBytes: number): void {
+    const size = this.request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
+    if (size <= maxBytes) return;
+    throw new ServingError('headers-too-large', {
+      detail: `The headers are larger than ${maxBytes} bytes.`,
+      clause: 'limits.maxHeaderBytes',
+    });
+  }
+
   /**
    * Reads the body. One that is larger than `keptBytes` is handed on as it comes.
    * @throws ServingError `request-too-large`, `malformed-request`.
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -1,10 +1,9 @@
 /**
- * Places requests on endpoints and keeps count of what this node has under way there.
+ * Places requests, and copies of runs, on endpoints.
  */
 import {
   ServingError,
   type CallerRequestId,
-  type CustomerId,
   type EndpointId,
   type ServingConfiguration,
 } from '../../core';
@@ -13,49 +12,35 @@
   choosePlacement,
   drawDestination,
   EndpointHealth,
-  expectRemainingTokens,
-  InFlightReservations,
-  LengthEstimator,
   PrefillSpeed,
   type EndpointOutcome,
-  type LengthForecast,
-  type LengthKey,
   type MemoryNeed,
   type Placement,
   type PlacementCandidate,
-  type ReservationHandle,
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import {
-  Deployment,
-  LoadSource,
-  Members,
-  type EndpointLoad,
-  type KnownBackEnd,
-  type PromptSize,
-} from '../../services';
+import { Deployment, Members, type KnownBackEnd } from '../../services';
 import type { EndpointConnections } from './EndpointConnections';
 import { FORWARDING_OPTIONS } from './options';
+import type { ExpectedWork, OutputExpectation } from './OutputExpectation';
+import type { OwnWork } from './OwnWork';
 import { RoomWaiters } from './RoomWaiters';
 
 /** What a placement needs to know of a request. @internal */
-export interface PlacedWork {
+export interface PlacedWork extends ExpectedWork {
   readonly requestId: CallerRequestId;
-  readonly customer: CustomerId | undefined;
   readonly configuration: ServingConfiguration;
-  readonly routeName: string;
   readonly service: string;
   readonly rank: number;
   /** Time to the first event that counts as prompt. */
   readonly promptWithinMs: number;
-  readonly prompt: PromptSize | undefined;
 }
 
 /** A request's room at an endpoint, until it is released. @internal */
 export interface PlacedRequest {
   readonly backEnd: KnownBackEnd;
   readonly noteTokens: (outputTokens: number) => void;
-  readonly release: () => void;
+  readonly release: () => unknown;
 }
 
 /** Why a request is placed: anew, once more, or away from an engine that leaves. @internal */
@@ -70,31 +55,20 @@
   readonly mayWait: boolean;
 }
 
-const ANONYMOUS = 'anonymous' as CustomerId;
-
 /** @internal */
-export class EndpointPlacer extends LoadSource {
+export class EndpointPlacer {
   readonly health = new EndpointHealth();
 
   private readonly prefillSpeed = new PrefillSpeed();
 
-  private readonly estimator = new LengthEstimator();
-
-  private readonly reservations = new InFlightReservations();
-
-  /** Memory that other engines keep as copies of runs. */
-  private readonly copies = new InFlightReservations();
-
   private readonly waiters: RoomWaiters;
 
-  /** Hints of the requests under way, by the handles of their reservations. */
-  private readonly works = new Map<ReservationHandle, PlacedWork>();
-
   constructor(
     private readonly kernel: Kernel,
     private readonly connections: EndpointConnections,
+    private readonly ownWork: OwnWork,
+    private readonly expectation: OutputExpectation,
   ) {
-    super();
     this.waiters = new RoomWaiters(kernel.clock);
   }
 
@@ -168,24 +142,13 @@
     const chosenId = chooseCopyHolder(candidates, need);
     const backEnd = backEnds.find(({ endpointId }) => endpointId === chosenId);
     if (!backEnd) return undefined;
-    const { endpointId } = backEnd;
-    const handle = this.copies.add({
-      endpointId,
-      startedAtMs: this.kernel.clock.nowMs(),
-      rank: work.rank,
-      promptTokens: work.prompt.promptTokens,
+    const { noteTokens, release } = this.ownWork.hold(
+      backEnd.endpointId,
+      'copy',
+      work,
       producedTokens,
-      forecast: this.getForecast(work),
-    });
-    this.works.set(handle, work);
-    return {
-      backEnd,
-      noteTokens: (tokens) => this.copies.noteTokens(endpointId, handle, tokens),
-      release: () => {
-        this.copies.release(endpointId, handle);
-        this.works.delete(handle);
-      },
-    };
+    );
+    return { backEnd, noteTokens, release };
   }
 
   /** Undefined when the request should wait. */
@@ -246,22 +209,14 @@
     const { endpointId } = backEnd;
     const placedAtMs = this.kernel.clock.nowMs();
     let isFirst = producedTokens === 0;
-    const handle = this.reservations.add({
-      endpointId,
-      startedAtMs: placedAtMs,
-      rank: work.rank,
-      promptTokens: work.prompt?.promptTokens ?? 0,
-      producedTokens,
-      forecast: work.prompt && this.getForecast(work),
-    });
-    this.works.set(handle, work);
+    const room = this.ownWork.hold(endpointId, 'request', work, producedTokens);
     this.health.noteSent(endpointId, placedAtMs);
     // Other nodes that place at the same moment should know of it.
     if (work.prompt) this.kernel.get(Members).announce();
     return {
       backEnd,
       noteTokens: (tokens) => {
-        this.reservations.noteTokens(endpointId, handle, tokens);
+        room.noteTokens(tokens);
         this.health.noteHeard(endpointId, this.kernel.clock.nowMs());
         if (!isFirst) return;
         isFirst = false;
@@ -269,8 +224,7 @@
         this.prefillSpeed.observe(work.service, unreadTokens, delayMs);
       },
       release: () => {
-        if (!this.reservations.release(endpointId, handle)) return;
-        this.works.delete(handle);
+        if (!room.release()) return;
         this.health.noteEnded(endpointId);
         if (work.prompt) this.waiters.look();
       },
@@ -281,31 +235,6 @@
     this.health.note(endpointId, outcome, this.kernel.clock.nowMs());
   }
 
-  /** Learns from a generation that came to its end. */
-  learnLength(work: PlacedWork, outputTokens: number): void {
-    const key = this.getLengthKey(work);
-    if (key) this.estimator.observe(key, outputTokens);
-  }
-
-  /** Tokens that a generation is still expected to make. */
-  expectRemaining(work: PlacedWork, producedTokens: number): number {
-    if (!work.prompt) return 0;
-    return expectRemainingTokens(
-      this.getForecast(work),
-      work.prompt.expectedOutputTokens,
-      producedTokens,
-      work.prompt.maxOutputTokens,
-    );
-  }
-
-  override listLoads(): ReadonlyArray<EndpointLoad> {
-    return this.kernel
-      .get(Deployment)
-      .listAll()
-      .map(({ endpointId }) => ({ endpointId, ...this.sumOwn(endpointId) }))
-      .filter(({ heldTokens, requests }) => requests > 0 || heldTokens > 0);
-  }
-
   /** @param nearDataCentre the one from which the distance counts. */
   private describe(
     work: PlacedWork,
@@ -313,7 +242,7 @@
     nearDataCentre: string,
   ): PlacementCandidate {
     const nowMs = this.kernel.clock.nowMs();
-    const own = this.sumOwn(backEnd.endpointId);
+    const own = this.ownWork.getLoad(backEnd.endpointId);
     const others = this.kernel.get(Members).getLoadOfOthers(backEnd.endpointId);
     const profile = work.configuration.services.get(work.service);
     return {
@@ -354,49 +283,14 @@
     return Math.max(FORWARDING_OPTIONS.minConnections, share);
   }
 
-  private sumOwn(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
-    const running = this.reservations.listHandles(endpointId);
-    const held = [...running, ...this.copies.listHandles(endpointId)];
-    return {
-      requests: running.length,
-      heldTokens: held.reduce(
-        (sum, [, { promptTokens, producedTokens }]) => sum + promptTokens + producedTokens,
-        0,
-      ),
-      unreadTokens: running.reduce(
-        (sum, [, { promptTokens, producedTokens }]) =>
-          sum + (producedTokens === 0 ? promptTokens : 0),
-        0,
-      ),
-      finalTokens: held.reduce((sum, [handle, { promptTokens, producedTokens }]) => {
-        const work = this.works.get(handle);
-        const remaining = work ? this.expectRemaining(work, producedTokens) : 0;
-        return sum + promptTokens + producedTokens + remaining;
-      }, 0),
-    };
-  }
-
   /** Memory that a generation takes where it is placed. */
   private describeNeed(work: PlacedWork, producedTokens: number): MemoryNeed {
     return {
       knownTokens: (work.prompt?.promptTokens ?? 0) + producedTokens,
-      growthTokens: this.expectRemaining(work, producedTokens),
+      growthTokens: this.expectation.getRemaining(work, producedTokens),
       unreadTokens: producedTokens === 0 ? (work.prompt?.promptTokens ?? 0) : 0,
       tokensPerMs: this.prefillSpeed.get(work.service),
       promptWithinMs: work.promptWithinMs,
     };
   }
-
-  private getForecast(work: PlacedWork): LengthForecast {
-    return this.estimator.getForecast(this.getLengthKey(work) as LengthKey);
-  }
-
-  private getLengthKey({ customer, routeName, prompt }: PlacedWork): LengthKey | undefined {
-    if (!prompt) return undefined;
-    return {
-      customer: customer ?? ANONYMOUS,
-      kindOfWork: routeName,
-      maxOutputTokens: prompt.maxOutputTokens,
-    };
-  }
 }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -8,6 +8,8 @@
 import { EndpointSender } from './EndpointSender';
 import { FrontListener } from './FrontListener';
 import { FORWARDING_OPTIONS } from './options';
+import { OutputExpectation } from './OutputExpectation';
+import { OwnWork } from './OwnWork';
 import { RepeatRules } from './RepeatRules';
 import { RequestForwarder } from './RequestForwarder';
 import { RunMover } from './RunMover';
@@ -36,7 +38,16 @@
 
   private readonly connections = new EndpointConnections(this.kernel.clock);
 
-  private readonly placer = new EndpointPlacer(this.kernel, this.connections);
+  private readonly expectation = new OutputExpectation();
+
+  private readonly ownWork = new OwnWork(this.expectation);
+
+  private readonly placer = new EndpointPlacer(
+    this.kernel,
+    this.connections,
+    this.ownWork,
+    this.expectation,
+  );
 
   private forwarder!: RequestForwarder;
 
@@ -45,12 +56,18 @@
   override setUp(): void {
     const { kernel, connections, placer } = this;
     const deployment = kernel.get(Deployment);
-    const mover = new RunMover(kernel, placer);
+    const mover = new RunMover(kernel, placer, this.expectation);
     const sender = new EndpointSender(kernel, connections, placer);
     const repeats = new RepeatRules(kernel);
     this.forwarder = new RequestForwarder(kernel, {
       whole: new WholeDelivery(kernel, placer, sender, repeats),
-      stream: new StreamDelivery(kernel, placer, sender, repeats, mover),
+      stream: new StreamDelivery(kernel, {
+        placer,
+        sender,
+        repeats,
+        mover,
+        expectation: this.expectation,
+      }),
       repeats,
     });
     this.listener = new FrontListener(kernel, this.forwarder);
@@ -60,7 +77,7 @@
       mover.moveAll(backEnd);
     });
     kernel.get(Members).onHeard(() => placer.lookForRoom());
-    kernel.provide(LoadSource, placer);
+    kernel.provide(LoadSource, this.ownWork);
     kernel.provide(
       CallerAdmission,
       new FreshKnowledge(deployment, () => kernel.state === 'serving'),
--- /dev/null
+++ b/src/plugins/forwarding/OutputExpectation.ts
@@ -0,0 +1,38 @@
+/**
+ * Output that this node expects of generations, by customer and route.
+ */
+import type { CustomerId } from '../../core';
+import { expectRemainingTokens, LengthEstimator, type LengthKey } from '../../decisions';
+import type { PromptSize } from '../../services';
+
+const ANONYMOUS = 'anonymous' as CustomerId;
+
+/** What the length of an output depends on. @internal */
+export interface ExpectedWork {
+  readonly customer: CustomerId | undefined;
+  readonly routeName: string;
+  readonly prompt: PromptSize | undefined;
+}
+
+function getKey({ customer, routeName }: ExpectedWork, maxOutputTokens: number): LengthKey {
+  return { customer: customer ?? ANONYMOUS, kindOfWork: routeName, maxOutputTokens };
+}
+
+/** @internal */
+export class OutputExpectation {
+  private readonly estimator = new LengthEstimator();
+
+  /** Learns from a generation that came to its end. */
+  learn(work: ExpectedWork, outputTokens: number): void {
+    if (!work.prompt) return;
+    this.estimator.observe(getKey(work, work.prompt.maxOutputTokens), outputTokens);
+  }
+
+  /** Tokens that a generation is still expected to make; 0 for calls. */
+  getRemaining(work: ExpectedWork, producedTokens: number): number {
+    if (!work.prompt) return 0;
+    const { maxOutputTokens, expectedOutputTokens } = work.prompt;
+    const forecast = this.estimator.getForecast(getKey(work, maxOutputTokens));
+    return expectRemainingTokens(forecast, expectedOutputTokens, producedTokens, maxOutputTokens);
+  }
+}
--- /dev/null
+++ b/src/plugins/forwarding/OwnWork.ts
@@ -0,0 +1,83 @@
+/**
+ * What this node has under way at endpoints: requests, and copies of runs of other engines.
+ */
+import type { EndpointId } from '../../core';
+import { LoadSource, type EndpointLoad } from '../../services';
+import type { ExpectedWork, OutputExpectation } from './OutputExpectation';
+
+/** A copy takes memory but no slot, and its prompt needn't be read. @internal */
+export type HeldKind = 'request' | 'copy';
+
+/** @internal */
+export interface HeldRoom {
+  readonly noteTokens: (outputTokens: number) => void;
+  /** True the first time. */
+  readonly release: () => boolean;
+}
+
+interface Held {
+  readonly work: ExpectedWork;
+  readonly kind: HeldKind;
+  readonly promptTokens: number;
+  readonly producedTokens: number;
+}
+
+/** @internal */
+export class OwnWork extends LoadSource {
+  private readonly byEndpoint = new Map<EndpointId, Map<symbol, Held>>();
+
+  constructor(private readonly expectation: OutputExpectation) {
+    super();
+  }
+
+  hold(
+    endpointId: EndpointId,
+    kind: HeldKind,
+    work: ExpectedWork,
+    producedTokens: number,
+  ): HeldRoom {
+    const id = Symbol(kind);
+    const held = this.byEndpoint.get(endpointId) ?? new Map<symbol, Held>();
+    this.byEndpoint.set(endpointId, held);
+    const promptTokens = work.prompt?.promptTokens ?? 0;
+    held.set(id, { work, kind, promptTokens, producedTokens });
+    return {
+      noteTokens: (outputTokens) => {
+        const before = held.get(id);
+        if (before) held.set(id, { ...before, producedTokens: outputTokens });
+      },
+      release: () => {
+        const wasHeld = held.delete(id);
+        if (held.size === 0) this.byEndpoint.delete(endpointId);
+        return wasHeld;
+      },
+    };
+  }
+
+  getLoad(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
+    const held = [...(this.byEndpoint.get(endpointId)?.values() ?? [])];
+    const requests = held.filter(({ kind }) => kind === 'request');
+    const sum = (parts: ReadonlyArray<Held>, count: (part: Held) => number): number =>
+      parts.reduce((total, part) => total + count(part), 0);
+    const countHeld = ({ promptTokens, producedTokens }: Held): number =>
+      promptTokens + producedTokens;
+    return {
+      requests: requests.length,
+      heldTokens: sum(held, countHeld),
+      unreadTokens: sum(requests, ({ promptTokens, producedTokens }) =>
+        producedTokens === 0 ? promptTokens : 0,
+      ),
+      finalTokens: sum(
+        held,
+        (part) => countHeld(part) + this.expectation.getRemaining(part.work, part.producedTokens),
+      ),
+    };
+  }
+
+  override listLoads(): ReadonlyArray<EndpointLoad> {
+    return [...this.byEndpoint.keys()].map((endpointId) => ({
+      endpointId,
+      ...this.getLoad(endpointId),
+    }));
+  }
+}
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -105,6 +105,7 @@
 
   private async readBody(exchange: CallerExchange): Promise<CallerBody> {
     const { limits } = this.kernel.get(Deployment).configuration ?? {};
+    if (limits) exchange.checkHeaders(limits.maxHeaderBytes);
     const maxBytes = limits?.maxBodyBytes ?? UNKNOWN_LIMIT_BYTES;
     return exchange.readBody(FORWARDING_OPTIONS.replayableBodyBytes, maxBytes);
   }
--- a/src/plugins/forwarding/RunMover.ts
+++ b/src/plugins/forwarding/RunMover.ts
@@ -17,6 +17,7 @@
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointPlacer, PlacedRequest } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
+import type { OutputExpectation } from './OutputExpectation';
 import type { NextLeg, StreamLeg } from './StreamLeg';
 
 interface RunningStream {
@@ -32,6 +33,7 @@
   constructor(
     private readonly kernel: Kernel,
     private readonly placer: EndpointPlacer,
+    private readonly expectation: OutputExpectation,
   ) {}
 
   /** Follows a stream until its leg ends; moves it when its engine leaves. */
@@ -84,7 +86,7 @@
   }
 
   private expectRemaining({ admitted, getOutputTokens }: RunningStream): number {
-    return this.placer.expectRemaining(admitted.work, getOutputTokens());
+    return this.expectation.getRemaining(admitted.work, getOutputTokens());
   }
 
   private start(stream: RunningStream): void {
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -13,6 +13,7 @@
 import type { EndpointSender, RunContinuation } from './EndpointSender';
 import { EventSplitter } from './EventSplitter';
 import { FORWARDING_OPTIONS } from './options';
+import type { OutputExpectation } from './OutputExpectation';
 import type { RepeatRules } from './RepeatRules';
 import type { RunMover } from './RunMover';
 import { StreamLeg, type NextLeg } from './StreamLeg';
@@ -39,14 +40,20 @@
   }
 }
 
+/** @internal */
+export interface StreamParts {
+  readonly placer: EndpointPlacer;
+  readonly sender: EndpointSender;
+  readonly repeats: RepeatRules;
+  readonly mover: RunMover;
+  readonly expectation: OutputExpectation;
+}
+
 /** @internal */
 export class StreamDelivery {
   constructor(
     private readonly kernel: Kernel,
-    private readonly placer: EndpointPlacer,
-    private readonly sender: EndpointSender,
-    private readonly repeats: RepeatRules,
-    private readonly mover: RunMover,
+    private readonly parts: StreamParts,
   ) {}
 
   async deliver(admitted: AdmittedRequest): Promise<void> {
@@ -60,7 +67,7 @@
         void leg.abandonMove();
         this.writeHead(admitted, progress);
         exchange.end(ended.rest.length > 0 ? ended.rest : undefined);
-        this.placer.learnLength(work, progress.outputTokens);
+        this.parts.expectation.learn(work, progress.outputTokens);
         return;
       }
       if (admitted.ended.aborted) void leg.abandonMove();
@@ -78,14 +85,14 @@
     for (let isFirst = true; ; isFirst = false) {
       const placed = isFirst
         ? await this.placeFirst(admitted)
-        : this.placer.place(admitted.work, excluded, 'retry');
+        : this.parts.placer.place(admitted.work, excluded, 'retry');
       const sent = await this.sendTo(admitted, placed, undefined);
       if (sent instanceof StreamLeg) return this.begin(admitted, sent, progress);
       admitted.ended.throwIfAborted();
       excluded = [...excluded, placed.backEnd.endpointId];
       const isFree = sent.outcome === 'not-run' && !sent.wasSent;
       const mayRepeat = isFree || sent.outcome === 'not-run' || admitted.route.isResumable;
-      if (mayRepeat && (isFree || this.repeats.takeRepeat(admitted))) continue;
+      if (mayRepeat && (isFree || this.parts.repeats.takeRepeat(admitted))) continue;
       throw new ServingError(sent.outcome === 'lost' ? 'answer-lost' : 'overloaded', {
         detail: sent.reason,
         clause: admitted.clause,
@@ -102,7 +109,11 @@
     exchange,
   }: AdmittedRequest): Promise<PlacedRequest> {
     const holdMs = route.promptWithinMs * FORWARDING_OPTIONS.holdPart;
-    const placed = await this.placer.placeWhenRoom(work, exchange.arrivedAtMs + holdMs, ended);
+    const placed = await this.parts.placer.placeWhenRoom(
+      work,
+      exchange.arrivedAtMs + holdMs,
+      ended,
+    );
     if (ended.aborted) placed.release();
     ended.throwIfAborted();
     return placed;
@@ -142,8 +153,8 @@
     const target = admitted;
     const { endpointId } = placed.backEnd;
     target.sentTo = [...admitted.sentTo, endpointId];
-    const copy = this.placer.placeCopy(admitted.work, placed.backEnd, producedTokens);
-    const sent = await this.sender.send(admitted, placed.backEnd, admitted.ended, {
+    const copy = this.parts.placer.placeCopy(admitted.work, placed.backEnd, producedTokens);
+    const sent = await this.parts.sender.send(admitted, placed.backEnd, admitted.ended, {
       continuation,
       backUpTo: copy?.backEnd.address,
     });
@@ -164,7 +175,7 @@
   ): Promise<LegEnd> {
     const state = progress;
     const splitter = new EventSplitter();
-    this.mover.follow({ admitted, leg, getOutputTokens: () => state.outputTokens });
+    this.parts.mover.follow({ admitted, leg, getOutputTokens: () => state.outputTokens });
     const { endpointId } = leg.placed.backEnd;
     try {
       for await (const chunk of leg.answer.read()) {
@@ -176,7 +187,7 @@
         leg.noteTokens(state.outputTokens);
         await admitted.exchange.write(whole.bytes);
       }
-      this.placer.noteOutcome(endpointId, 'answered');
+      this.parts.placer.noteOutcome(endpointId, 'answered');
       return { end: 'complete', rest: splitter.rest };
     } catch (thrown) {
       return { end: 'broken', reason: ServingError.from(thrown).detail };
@@ -200,7 +211,7 @@
     const from = leg.placed.backEnd.endpointId;
     const { lastEventId } = progress;
     const stream = { admitted, leg, getOutputTokens: () => progress.outputTokens };
-    const next = (await leg.move) ?? this.mover.recover(stream);
+    const next = (await leg.move) ?? this.parts.mover.recover(stream);
     this.kernel.log.info('decision', {
       requestId: admitted.request.requestId,
       step: 'retry',
@@ -215,7 +226,7 @@
       const moved = await this.openNext(admitted, next, progress);
       if (moved) return moved;
     }
-    if (!next) this.placer.noteOutcome(from, 'failed');
+    if (!next) this.parts.placer.noteOutcome(from, 'failed');
     const resumed = await this.resume(admitted, from, lastEventId);
     if (resumed) return resumed;
     throw new ServingError('answer-lost', {
@@ -248,8 +259,8 @@
     from: EndpointId,
     lastEventId: string | undefined,
   ): Promise<StreamLeg | undefined> {
-    if (!admitted.route.isResumable || !this.repeats.takeRepeat(admitted)) return undefined;
-    const placed = this.placer.place(admitted.work, [from], 'retry');
+    if (!admitted.route.isResumable || !this.parts.repeats.takeRepeat(admitted)) return undefined;
+    const placed = this.parts.placer.place(admitted.work, [from], 'retry');
     const sent = await this.sendTo(admitted, placed, { continueFrom: undefined, lastEventId });
     return sent instanceof StreamLeg ? this.checkContinued(admitted, sent) : undefined;
   }
--- a/src/services/ServingRequest.ts
+++ b/src/services/ServingRequest.ts
@@ -9,20 +9,12 @@
 /** Name and value as they stand on the wire, in their order. @public */
 export type HeaderList = ReadonlyArray<readonly [string, string]>;
 
-/** One part of a prompt; requests share parts. @public */
-export interface PromptPart {
-  readonly partId: string;
-  readonly tokens: number;
-}
-
 /** @public */
 export interface PromptSize {
-  readonly model: string;
   readonly promptTokens: number;
   readonly maxOutputTokens: number;
   /** The caller's own estimate of the output. */
   readonly expectedOutputTokens: number | undefined;
-  readonly parts: ReadonlyArray<PromptPart>;
 }
 
 /** @public */
