Keep deadlines from being collected before their time, and test the whole path

Cause: a new test of a silent store waited for ever: a read of the store had no end. Traced to AbortSignal.any, which holds its sources weakly: a signal of AbortSignal.timeout that nothing else holds can be collected before it fires (Node.js 20). The same pattern stood behind the deadlines of requests and the reads of the product's own publishers.

Ruled out: the stand-in (its calls were answered again from the moment that it should), the retry interval.

Change: startDeadline holds its timer and listens to its parents; it replaces the pattern in all three places.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -15,3 +15,4 @@
 export * from './errorKinds';
 export * from './ids';
 export * from './signedToken';
+export * from './startDeadline';
--- a/src/plugins/deployment/DeploymentBook.ts
+++ b/src/plugins/deployment/DeploymentBook.ts
@@ -4,7 +4,13 @@
  * A configuration is replaced only by a newer version. An endpoint that has left the list, or that
  * said that it leaves, gets no new work; it is remembered for a while for the work that it still has.
  */
-import type { BackEnd, EndpointId, ServingBounds, ServingConfiguration } from '../../core';
+import type {
+  BackEnd,
+  Deadline,
+  EndpointId,
+  ServingBounds,
+  ServingConfiguration,
+} from '../../core';
 import { computeConfirmedAgeMs, type Confirmation } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Deployment, type KnownBackEnd } from '../../services';
@@ -148,11 +154,10 @@
   }
 
   /** Aborts when the age of the confirmation becomes unknown, as after a suspension. */
-  watchForDoubt(until: AbortSignal): AbortSignal {
+  watchForDoubt(): Deadline {
     const doubt = new AbortController();
     this.doubts.add(doubt);
-    until.addEventListener('abort', () => this.doubts.delete(doubt), { once: true });
-    return doubt.signal;
+    return { signal: doubt.signal, stop: () => this.doubts.delete(doubt) };
   }
 
   /** Turns lapsed entries into departures and forgets endpoints that left long ago. */
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -4,7 +4,7 @@
  * A watch that comes back empty proves that nothing changed while it waited, so its end, and not
  * its start, is the time up to which the book is complete.
  */
-import type { EndpointId } from '../../core';
+import { startDeadline, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
 import { DeploymentSource, type PublishedChange, type PublishedChanges } from '../../services';
 import type { DeploymentBook } from './DeploymentBook';
@@ -39,9 +39,13 @@
   private async readAll(signal: AbortSignal): Promise<void> {
     const askedAtMs = this.kernel.clock.nowMs();
     const source = this.kernel.get(DeploymentSource);
-    const all = await source.readAll(this.limit(DEPLOYMENT_OPTIONS.readTimeoutMs, signal));
-    this.take(all, true);
-    this.book.confirm(askedAtMs);
+    const limit = startDeadline(DEPLOYMENT_OPTIONS.readTimeoutMs, signal);
+    try {
+      this.take(await source.readAll(limit.signal), true);
+      this.book.confirm(askedAtMs);
+    } finally {
+      limit.stop();
+    }
   }
 
   private async watch(signal: AbortSignal): Promise<void> {
@@ -51,13 +55,7 @@
     const isConfirmed = this.book.getConfirmedAgeMs() < watchMs * 2;
     const waitMs = isConfirmed ? Math.round(this.vary(watchMs)) : 0;
     const askedAtMs = clock.nowMs();
-    const changes = await this.kernel
-      .get(DeploymentSource)
-      .readChanges(
-        this.position ?? 0,
-        waitMs,
-        this.limit(waitMs + watchMarginMs, signal, isConfirmed),
-      );
+    const changes = await this.readChanges(waitMs, waitMs + watchMarginMs, signal);
     if (!changes) {
       log.info('history of the source lost', { position: this.position });
       this.position = undefined;
@@ -95,10 +93,21 @@
       .forEach(({ endpointId }) => this.book.removeBackEnd(endpointId));
   }
 
-  /** Ends a call at its time limit, or early when a suspension has shown. */
-  private limit(timeoutMs: number, signal: AbortSignal, endsOnDoubt = false): AbortSignal {
-    const limit = AbortSignal.any([signal, AbortSignal.timeout(timeoutMs)]);
-    return endsOnDoubt ? AbortSignal.any([limit, this.book.watchForDoubt(limit)]) : limit;
+  /** Ends the call at its time limit, or early when a suspension has shown. */
+  private async readChanges(
+    waitMs: number,
+    timeoutMs: number,
+    signal: AbortSignal,
+  ): Promise<PublishedChanges | undefined> {
+    const doubt = this.book.watchForDoubt();
+    const limit = startDeadline(timeoutMs, signal, doubt.signal);
+    try {
+      const source = this.kernel.get(DeploymentSource);
+      return await source.readChanges(this.position ?? 0, waitMs, limit.signal);
+    } finally {
+      limit.stop();
+      doubt.stop();
+    }
   }
 
   /** Spreads the calls of nodes that started together. */
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -1,7 +1,7 @@
 /**
  * A request that is being served, with everything that was decided when it was admitted.
  */
-import type { EndpointId, Route } from '../../core';
+import type { Deadline, EndpointId, Route } from '../../core';
 import type { DispatchOrder, RequestDialect, ServingRequest } from '../../services';
 import type { CallerBody, CallerExchange } from './CallerExchange';
 import type { EndpointMessage } from './EndpointConnection';
@@ -29,10 +29,18 @@
     readonly body: CallerBody,
     /** Monotonic time at which the caller, or the route, gives up. */
     readonly deadlineMs: number,
-    /** Aborted at the deadline or when the caller has gone. */
-    readonly ended: AbortSignal,
+    private readonly deadline: Deadline,
   ) {}
 
+  /** Aborted at the deadline or when the caller has gone. */
+  get ended(): AbortSignal {
+    return this.deadline.signal;
+  }
+
+  stopDeadline(): void {
+    this.deadline.stop();
+  }
+
   get clause(): string {
     return `routes.${this.route.name}`;
   }
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -1,7 +1,7 @@
 /**
  * One task for each request of a caller, from its first byte to the last of its answer.
  */
-import { ServingError, type ErrorKind } from '../../core';
+import { ServingError, startDeadline, type ErrorKind } from '../../core';
 import { admitToRoute, chooseService } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Deployment, RequestDialect, ServingMetrics, type ServingRequest } from '../../services';
@@ -47,6 +47,7 @@
     } catch (thrown) {
       this.fail(exchange, request, admitted, thrown);
     }
+    admitted?.stopDeadline();
     this.finish(exchange, request, admitted);
   }
 
@@ -99,7 +100,7 @@
       },
       body,
       deadlineMs,
-      AbortSignal.any([exchange.gone, AbortSignal.timeout(leftMs)]),
+      startDeadline(leftMs, exchange.gone),
     );
   }
 
--- a/src/plugins/published/PublishedSource.ts
+++ b/src/plugins/published/PublishedSource.ts
@@ -6,6 +6,7 @@
 import {
   publishedRecordSchema,
   ServingError,
+  startDeadline,
   vmSchema,
   type PublishedRecord,
   type PublishedSourceName,
@@ -39,17 +40,19 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<z.infer<S>> {
-    const limit = AbortSignal.timeout(waitMs + PUBLISHED_OPTIONS.readTimeoutMs);
-    const response = await request(new URL(path, this.baseUrl), {
-      signal: AbortSignal.any([signal, limit]),
-    });
-    if (response.statusCode !== 200) {
-      await response.body.dump();
-      throw new ServingError('endpoint-failed', {
-        detail: `${this.name} answered ${response.statusCode}.`,
-      });
+    const limit = startDeadline(waitMs + PUBLISHED_OPTIONS.readTimeoutMs, signal);
+    try {
+      const response = await request(new URL(path, this.baseUrl), { signal: limit.signal });
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        throw new ServingError('endpoint-failed', {
+          detail: `${this.name} answered ${response.statusCode}.`,
+        });
+      }
+      return schema.parse(await response.body.json());
+    } finally {
+      limit.stop();
     }
-    return schema.parse(await response.body.json());
   }
 }
 
--- /dev/null
+++ b/tests/FrontScene.ts
@@ -0,0 +1,225 @@
+/**
+ * Forwarding nodes in one process, with stand-ins of the platform's store and of its engines.
+ */
+import { createServer, type AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { getGlobalDispatcher, type Dispatcher } from 'undici';
+import { parseFrontSettings, SystemClock, type FrontSettings } from '../src/core';
+import '../src/frontPlugins';
+import { Kernel, Log, type LogFields } from '../src/kernel';
+import { Deployment, FrontSettingsBook, Members } from '../src/services';
+import { MetadataStore } from '../stand-ins/MetadataStore';
+import { PlatformEngine, type PlatformEngineOptions } from '../stand-ins/PlatformEngine';
+import { waitUntil } from './waitUntil';
+
+export const HOST = 'desk.example';
+
+/** Configuration as the operator writes it. */
+export function createStoreConfiguration(
+  changes: Readonly<Record<string, unknown>> = {},
+): Readonly<Record<string, unknown>> {
+  const shared = { host: HOST, timeoutMs: 4_000, latencyGoalMs: 1_000, priority: 1 };
+  return {
+    version: 5,
+    routes: [
+      {
+        ...shared,
+        name: 'lookup',
+        prefix: '/lookup/',
+        kind: 'safe',
+        service: 'desk',
+        maxAttempts: 2,
+      },
+      {
+        ...shared,
+        name: 'credit',
+        prefix: '/credit/',
+        kind: 'unsafe',
+        service: 'desk',
+        maxAttempts: 1,
+      },
+      { ...shared, name: 'report', prefix: '/report/', kind: 'streaming', service: 'writers' },
+      {
+        ...shared,
+        name: 'label',
+        prefix: '/label/',
+        kind: 'streaming',
+        service: 'writers',
+        streamResume: true,
+        maxAttempts: 2,
+      },
+    ],
+    services: [
+      { name: 'desk', maxConnections: 40 },
+      {
+        name: 'writers',
+        maxConnections: 40,
+        engine: { kvCapacity: 30_000, stride: 4, moves: true, backups: false },
+      },
+    ],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 100_000,
+      headerTimeoutMs: 3_000,
+      idleTimeoutMs: 5_000,
+    },
+    tenants: [{ name: 'cafe-1', apiKeys: ['key-1'] }],
+    ...changes,
+  };
+}
+
+async function findFreePort(): Promise<number> {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
+class FixedSettings extends FrontSettingsBook {
+  constructor(readonly settings: FrontSettings) {
+    super();
+  }
+}
+
+export interface FrontNode {
+  readonly kernel: Kernel;
+  readonly settings: FrontSettings;
+  readonly lines: ReadonlyArray<LogFields>;
+}
+
+export class FrontScene {
+  readonly nodes: FrontNode[] = [];
+
+  readonly engines: PlatformEngine[] = [];
+
+  private constructor(readonly store: MetadataStore) {}
+
+  static async start(): Promise<FrontScene> {
+    return new FrontScene(await MetadataStore.start());
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all(this.nodes.map(async ({ kernel }) => kernel.dispose()));
+    await Promise.all(this.engines.map(async (engine) => engine.stop()));
+    await this.store.stop();
+  }
+
+  /** Starts an engine and registers it. */
+  async addEngine(
+    service: string,
+    options: PlatformEngineOptions,
+    entry: Readonly<Record<string, unknown>> = {},
+  ): Promise<PlatformEngine> {
+    const engine = await PlatformEngine.start(options);
+    this.engines.push(engine);
+    this.store.put(`servers/${options.instanceId}`, engine.describe(service, entry));
+    return engine;
+  }
+
+  async addNode(bounds: Readonly<Record<string, number>> = {}): Promise<FrontNode> {
+    const ports = await Promise.all(Array.from({ length: 5 }, findFreePort));
+    const [caller, peer, operator, readiness, directory] = ports.map((port) => `127.0.0.1:${port}`);
+    const settings = parseFrontSettings(
+      JSON.stringify({
+        node: {
+          vmId: `front-${this.nodes.length + 1}`,
+          dataCentre: 'brisbane',
+          region: 'seq',
+          callerAddress: caller,
+          peerAddress: peer,
+          operatorAddress: operator,
+          configurationUrl: this.store.url,
+          vmListUrl: this.store.url,
+          fleetKey: 'test-fleet-key-0001',
+        },
+        readinessAddress: readiness,
+        directoryAddress: directory,
+        seeds: this.nodes.slice(0, 1).map((node) => node.settings.node.peerAddress),
+        regions: { brisbane: 'seq', cairns: 'fnq' },
+        bounds,
+      }),
+    );
+    const lines: LogFields[] = [];
+    const log = new Log({
+      level: 'info',
+      fields: {},
+      write: (line) => lines.push(JSON.parse(line) as LogFields),
+    });
+    const kernel = new Kernel({ settings: settings.node, clock: new SystemClock(), log });
+    kernel.provide(FrontSettingsBook, new FixedSettings(settings));
+    await kernel.start();
+    const node = { kernel, settings, lines };
+    this.nodes.push(node);
+    return node;
+  }
+
+  /** A node that knows the configuration and as many endpoints. */
+  async addReadyNode(
+    endpoints: number,
+    bounds?: Readonly<Record<string, number>>,
+  ): Promise<FrontNode> {
+    const node = await this.addNode(bounds);
+    const deployment = node.kernel.get(Deployment);
+    await waitUntil(
+      'the node knows the deployment',
+      () => deployment.configuration && deployment.listAll().length >= endpoints,
+    );
+    return node;
+  }
+
+  async waitForMembers(): Promise<void> {
+    await waitUntil('the nodes know each other', () =>
+      this.nodes.every(
+        ({ kernel }) => kernel.get(Members).listLive().length === this.nodes.length - 1,
+      ),
+    );
+  }
+}
+
+export interface FrontAnswer {
+  readonly status: number;
+  readonly headers: Dispatcher.ResponseData['headers'];
+  readonly text: string;
+}
+
+export interface FrontCall {
+  readonly method?: 'GET' | 'POST';
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+let lastRequest = 0;
+
+/** Sends a request as a caller does. @throws when the answer breaks off. */
+export async function callFront(
+  { settings }: FrontNode,
+  target: string,
+  { method = 'GET', body, headers = {} }: FrontCall = {},
+): Promise<FrontAnswer> {
+  lastRequest += 1;
+  // The path goes as it is; a URL would be normalized.
+  const answer = await getGlobalDispatcher().request({
+    origin: `http://${settings.node.callerAddress}`,
+    path: target,
+    method,
+    body,
+    headers: {
+      host: HOST,
+      authorization: 'Token key-1',
+      'x-bramleyvane-request-id': `request-${lastRequest}`,
+      'x-bramleyvane-deadline-ms': '4000',
+      ...headers,
+    },
+  });
+  return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() };
+}
+
+/** Headers of a generation. */
+export const PROMPT = {
+  'x-bramleyvane-model': 'm',
+  'x-bramleyvane-token-usage': '400,4000',
+  'x-bramleyvane-length-hint': '2000',
+  'x-bramleyvane-prompt-prefix': 'aa:400',
+} as const;
--- /dev/null
+++ b/tests/front.test.ts
@@ -0,0 +1,301 @@
+import { request } from 'undici';
+import { Deployment } from '../src/services';
+import { callFront, createStoreConfiguration, FrontScene, HOST, PROMPT } from './FrontScene';
+import { waitUntil } from './waitUntil';
+
+let scene: FrontScene;
+
+beforeEach(async () => {
+  scene = await FrontScene.start();
+});
+
+afterEach(async () => {
+  await scene.stop();
+});
+
+const STREAM = (events: number): string =>
+  Array.from(
+    { length: events },
+    (_, index) => `id: ${index + 1}\ndata: token ${index + 1}\n\n`,
+  ).join('');
+
+// Guards against changed bytes, a key that reaches the engine, and headers that only the system sets.
+test('forwards a call unchanged, with the customer in place of the key', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const desk = await scene.addEngine('desk', { instanceId: 'i-desk' });
+  const node = await scene.addReadyNode(1);
+  const answer = await callFront(node, '/credit/a%2Fb/../c?x=1&x=2', {
+    method: 'POST',
+    body: '{"amount": 3}',
+    headers: {
+      'x-own': 'kept',
+      'x-bramleyvane-tenant': 'forged',
+      'x-bramleyvane-hold': 'forged',
+      'kv-from': '127.0.0.1:1/forged',
+    },
+  });
+  expect(answer.status).toBe(200);
+  expect(answer.headers['x-bramleyvane-server-seal']).toBe('seal-i-desk');
+  const [arrival] = desk.arrivals;
+  expect(arrival).toMatchObject({
+    method: 'POST',
+    target: '/credit/a%2Fb/../c?x=1&x=2',
+    body: '{"amount": 3}',
+    headers: {
+      'x-own': 'kept',
+      'x-bramleyvane-tenant': 'cafe-1',
+      'x-bramleyvane-expect-instance': 'i-desk',
+      host: HOST,
+    },
+  });
+  const names = Object.keys(arrival!.headers);
+  expect(names).not.toContain('authorization');
+  expect(names).not.toContain('x-bramleyvane-hold');
+  expect(names).not.toContain('kv-from');
+  expect(Number(arrival!.headers['x-bramleyvane-deadline-ms'])).toBeLessThanOrEqual(4_000);
+});
+
+// Guards against 401 or 404 from a node that can't know, and against 503 from one that does.
+test('answers 503 before a configuration is known, then by the configuration', async () => {
+  const node = await scene.addNode();
+  expect((await callFront(node, '/lookup/a')).status).toBe(503);
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('desk', { instanceId: 'i-desk' });
+  await waitUntil('configuration', () => node.kernel.get(Deployment).listAll().length === 1);
+  expect((await callFront(node, '/lookup/a')).status).toBe(200);
+  expect((await callFront(node, '/nothing/')).status).toBe(404);
+  expect(
+    (await callFront(node, '/lookup/a', { headers: { authorization: 'Token x' } })).status,
+  ).toBe(401);
+  const large = { method: 'POST', body: 'x'.repeat(100_001) } as const;
+  expect((await callFront(node, '/credit/a', large)).status).toBe(413);
+});
+
+// Guards against a second run of what may not be repeated, and against "not run" where it may have.
+test.each([
+  ['credit', 'shed', 503, 0],
+  ['credit', 'crossed', 502, 1],
+  ['credit', 'unsigned', 502, 1],
+  ['credit', 'reset', 502, 0],
+  ['credit', 'fail', 500, 1],
+  ['credit', 'silent', 504, 0],
+  ['lookup', 'shed', 503, 0],
+  ['lookup', 'fail', 500, 2],
+  ['lookup', 'crossed', 502, 2],
+] as const)('%s at engines that all %s: %i', async (route, behaviour, status, runs) => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const engines = await Promise.all(
+    ['i-1', 'i-2', 'i-3'].map(async (instanceId) => scene.addEngine('desk', { instanceId })),
+  );
+  engines.forEach((engine) => Object.assign(engine, { behaviour }));
+  const node = await scene.addReadyNode(3);
+  const headers = { 'x-bramleyvane-deadline-ms': '600' };
+  const answer = await callFront(node, `/${route}/a`, { method: 'POST', body: 'b', headers });
+  expect(answer.status).toBe(status);
+  expect(engines.flatMap((engine) => engine.runs)).toHaveLength(runs);
+  expect(engines.flatMap((engine) => engine.arrivals).length).toBeLessThanOrEqual(2);
+  if (status === 503) expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+  expect(answer.headers['x-bramleyvane-server-seal'] !== undefined).toBe(status === 500);
+});
+
+// Guards against a lookup that fails although another engine would answer it.
+test.each(['shed', 'fail', 'crossed', 'reset'] as const)(
+  'a lookup is answered when one engine would %s',
+  async (behaviour) => {
+    scene.store.put('op/config', createStoreConfiguration());
+    const bad = await scene.addEngine('desk', { instanceId: 'i-bad' });
+    bad.behaviour = behaviour;
+    await scene.addEngine('desk', { instanceId: 'i-good' }, { zone: 'cairns' });
+    const node = await scene.addReadyNode(2);
+    const answer = await callFront(node, '/lookup/a');
+    expect(answer).toMatchObject({ status: 200 });
+    expect(bad.arrivals.length).toBeLessThanOrEqual(1);
+  },
+);
+
+// Guards against work at an address that belongs to another engine by now.
+test('an address that another engine has taken runs nothing', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const other = await scene.addEngine('desk', { instanceId: 'i-new' });
+  scene.store.remove('servers/i-new');
+  scene.store.put('servers/i-old', other.describe('desk'));
+  const node = await scene.addReadyNode(1);
+  expect((await callFront(node, '/credit/a', { method: 'POST' })).status).toBe(503);
+  expect(other.runs).toEqual([]);
+});
+
+// Guards against lost, doubled or reordered events.
+test('hands on a stream event by event', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('writers', { instanceId: 'i-1', events: 40 });
+  const node = await scene.addReadyNode(1);
+  const answer = await callFront(node, '/report/a', { method: 'POST', headers: PROMPT });
+  expect(answer.status).toBe(200);
+  expect(answer.text).toBe(STREAM(40));
+});
+
+// Guards against a report that is cut when its engine leaves, and against one that runs twice.
+test.each([0, 2])('a run moves away from a leaving engine, %i copies refused', async (refusals) => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const first = await scene.addEngine('writers', { instanceId: 'i-1', events: 300 });
+  const node = await scene.addReadyNode(1);
+  const call = callFront(node, '/report/a', { method: 'POST', headers: PROMPT });
+  await waitUntil('the run starts', () => first.runs.length === 1);
+  first.copyRefusals = refusals;
+  const second = await scene.addEngine('writers', { instanceId: 'i-2', events: 300 });
+  await waitUntil('second engine', () => node.kernel.get(Deployment).listAll().length === 2);
+  scene.store.put('servers/i-1', first.describe('writers', { state: 'draining' }));
+  const answer = await call;
+  expect(answer.text).toBe(STREAM(300));
+  expect(second.runs).toHaveLength(1);
+  const went = second.arrivals.find(({ headers }) => headers['kv-from'] !== undefined);
+  expect(went?.headers['last-event-id']).toMatch(/^\d+$/);
+});
+
+// Guards against new work for a leaving engine.
+test.each([
+  ['says that it leaves', true],
+  ['is gone from the list', false],
+])('an engine that %s gets no new work', async (_name, isListed) => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const engine = await scene.addEngine('desk', { instanceId: 'i-1' });
+  const node = await scene.addReadyNode(1);
+  if (isListed) scene.store.put('servers/i-1', engine.describe('desk', { state: 'draining' }));
+  else scene.store.remove('servers/i-1');
+  const deployment = node.kernel.get(Deployment);
+  await waitUntil('the notice', () => deployment.listAssignable('desk').length === 0);
+  expect((await callFront(node, '/lookup/a')).status).toBe(503);
+  expect(engine.arrivals).toEqual([]);
+});
+
+// Guards against a label that is lost with its engine although a new run may go on.
+test('a resumable stream goes on at another engine after the last event', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const first = await scene.addEngine('writers', { instanceId: 'i-1', events: 60 });
+  const node = await scene.addReadyNode(1);
+  const call = callFront(node, '/label/a', { method: 'POST', headers: PROMPT });
+  await waitUntil('the run starts', () => first.runs.length === 1);
+  await scene.addEngine('writers', { instanceId: 'i-2', events: 60 });
+  await waitUntil('second engine', () => node.kernel.get(Deployment).listAll().length === 2);
+  first.crash();
+  expect((await call).text).toBe(STREAM(60));
+});
+
+// Guards against a broken report that looks complete, and against one made of two runs.
+test('a stream that may not be resumed is cut with its engine', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const first = await scene.addEngine('writers', { instanceId: 'i-1', events: 200 });
+  const second = await scene.addEngine(
+    'writers',
+    { instanceId: 'i-2', events: 200 },
+    { zone: 'cairns' },
+  );
+  const node = await scene.addReadyNode(2);
+  const call = callFront(node, '/report/a', { method: 'POST', headers: PROMPT });
+  const broken = expect(call).rejects.toThrow();
+  await waitUntil('the run starts', () => first.runs.length === 1);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 60);
+  });
+  first.crash();
+  await broken;
+  expect(second.runs).toEqual([]);
+});
+
+// Guards against service with a removed key by a node that can't hear of its removal.
+test('refuses keys when the configuration is not confirmed in time', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('desk', { instanceId: 'i-1' });
+  const node = await scene.addReadyNode(1, { revocationWithinMs: 2_500 });
+  expect((await callFront(node, '/lookup/a')).status).toBe(200);
+  scene.store.behaviour = 'silent';
+  const refused = await waitUntil('the refusal', async () => {
+    const answer = await callFront(node, '/lookup/a');
+    return answer.status === 200 ? undefined : answer;
+  });
+  expect(refused.status).toBe(503);
+  expect(JSON.parse(refused.text)).toMatchObject({ error: { kind: 'unconfirmed-configuration' } });
+  scene.store.behaviour = 'answer';
+  await waitUntil('service', async () => (await callFront(node, '/lookup/a')).status === 200);
+  expect(node.lines.map(({ event }) => event)).toEqual(
+    expect.arrayContaining(['source lost', 'source regained']),
+  );
+});
+
+// Guards against an older configuration that comes into force again, and against values of others.
+test('takes newer versions only and ignores what it cannot read', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  scene.store.put('servers/i-bad', '{"service":7}');
+  scene.store.put('servers/i-worse', 'not json');
+  await scene.addEngine('desk', { instanceId: 'i-1' });
+  const node = await scene.addReadyNode(1);
+  const deployment = node.kernel.get(Deployment);
+  expect(deployment.listAll().map(({ endpointId }) => endpointId)).toEqual(['i-1']);
+  scene.store.put('op/config', createStoreConfiguration({ version: 4, routes: [] }));
+  scene.store.put('op/config', 'broken');
+  scene.store.put('servers/i-2', scene.engines[0]!.describe('desk'));
+  await waitUntil('later value', () => deployment.listAll().length === 2);
+  expect(deployment.configuration).toMatchObject({ version: 5 });
+  scene.store.put('op/config', createStoreConfiguration({ version: 9, tenants: [] }));
+  await waitUntil('newer version', () => deployment.configuration?.version === 9);
+  expect((await callFront(node, '/lookup/a')).status).toBe(401);
+});
+
+// Guards against a node that stops following the store when its history is gone.
+test('reads everything again when the history is lost', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('desk', { instanceId: 'i-1' });
+  await scene.addEngine('desk', { instanceId: 'i-2' });
+  const node = await scene.addReadyNode(2);
+  const deployment = node.kernel.get(Deployment);
+  scene.store.behaviour = 'unavailable';
+  await waitUntil('outage', () => node.lines.some(({ event }) => event === 'source lost'));
+  scene.store.remove('servers/i-2');
+  scene.store.put('op/config', createStoreConfiguration({ version: 6 }));
+  scene.store.compact();
+  scene.store.behaviour = 'answer';
+  await waitUntil('newer version', () => deployment.configuration?.version === 6);
+  // The entry may have lapsed with the outage; it counts as gone only after the time to come back.
+  await waitUntil('departure', () => deployment.listAssignable('desk').length === 1);
+});
+
+// Guards against callers that are sent to nodes which shut down or have lost the store.
+test('nodes find each other and send callers to those that take them', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('desk', { instanceId: 'i-1' });
+  const first = await scene.addReadyNode(1);
+  const second = await scene.addReadyNode(1);
+  const third = await scene.addReadyNode(1);
+  await scene.waitForMembers();
+  const resolve = async (): Promise<ReadonlyArray<string>> => {
+    const url = `http://${first.settings.directoryAddress}/api/resolve?name=${HOST}&region=seq&zone=brisbane`;
+    const { body } = await request(url);
+    return ((await body.json()) as { addresses: string[] }).addresses;
+  };
+  const callers = [first, second, third].map(({ settings }) => settings.node.callerAddress);
+  await waitUntil('all addresses', async () => (await resolve()).length === 3);
+  expect([...(await resolve())].sort()).toEqual([...callers].sort());
+  const drained = third.kernel.drain();
+  await waitUntil('two addresses', async () => (await resolve()).length === 2);
+  expect(await resolve()).not.toContain(third.settings.node.callerAddress);
+  const ready = await request(`http://${third.settings.readinessAddress}/api/readyz`);
+  expect(ready.statusCode).toBe(503);
+  await drained;
+});
+
+// Guards against a stop that cuts a request, and against new long work during it.
+test('a drain finishes the stream that runs and refuses another', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const writers = await scene.addEngine('writers', { instanceId: 'i-1', events: 200 });
+  await scene.addEngine('desk', { instanceId: 'i-2' });
+  const node = await scene.addReadyNode(2);
+  const running = callFront(node, '/report/a', { method: 'POST', headers: PROMPT });
+  await waitUntil('the run starts', () => writers.runs.length === 1);
+  const drained = node.kernel.drain();
+  expect((await callFront(node, '/report/b', { method: 'POST', headers: PROMPT })).status).toBe(
+    503,
+  );
+  expect((await callFront(node, '/lookup/a')).status).toBe(200);
+  expect((await running).text).toBe(STREAM(200));
+  await drained;
+});
