Show the way from a request's id to its cause, and say the time limit that passed

The answer to a request whose time is over names the limit that passed, which may be the caller's own.

--- a/src/decisions/describeLogLine.ts
+++ b/src/decisions/describeLogLine.ts
@@ -46,12 +46,15 @@
     ({ endpointId, outcome, afterMs }) => `${endpointId} after ${afterMs} ms: ${outcome}`,
   );
   const where = sent.length === 0 ? 'It was sent to no endpoint.' : `Sent to ${sent.join('; ')}.`;
-  return `Ended as ${String(line.outcome)} after ${String(line.totalMs)} ms on route ${String(line.route)}. ${where}`;
+  return `Ended as ${String(line.outcome)} after ${String(line.totalMs)} ms on route ${String(line.route ?? 'none')}. ${where}`;
 }
 
 function describe(line: LogLine): string {
   if (line.event === 'request') return describeEnd(line);
   if (line.step === 'refuse') return describeRefusal(line);
+  if (line.outcome === 'refuse') {
+    return `Found no place (${String(line.step)}): ${String(line.reason)} (clause ${String(line.clause)}).`;
+  }
   if (line.what !== undefined) return describeStep(line);
   if (line.endpointId !== undefined) return describePlacement(line);
   return `${String(line.step)}: ${String(line.outcome)}${line.reason === undefined ? '' : ` (${String(line.reason)})`}.`;
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -120,7 +120,7 @@
     if (exchange.gone.aborted) return;
     const error = admitted?.ended.aborted
       ? new ServingError('answer-timeout', {
-          detail: `No complete answer within ${admitted.route.answerWithinMs} ms.`,
+          detail: `No complete answer within ${Math.round(admitted.deadlineMs - exchange.arrivedAtMs)} ms.`,
           clause: `${admitted.clause}.answerWithinMs`,
           cause: thrown,
         })
