--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -49,7 +49,7 @@
 const typedFiles = ['src/**/*.ts', 'stand-ins/**/*.ts', 'tests/**/*.ts', 'bench/**/*.ts'];
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'coverage/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'coverage/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
