--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -109,8 +109,9 @@
     if (headers['x-bramleyvane-expect-instance'] !== this.options.instanceId) {
       return context.body(null, 421, { 'X-Bramleyvane-Instance-Id': this.options.instanceId });
     }
-    if (this.behaviour === 'shed')
-      {return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });}
+    if (this.behaviour === 'shed') {
+      return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
+    }
     if (this.behaviour === 'reset') resetConnection(context.env.incoming);
     if (this.behaviour === 'reset' || this.behaviour === 'silent') return new Promise(() => {});
     this.runs = [...this.runs, requestId];
