Stop trying when no endpoint of a service is left

Cause: found while reading: with every endpoint refusing connections, a placement that found none gave back the earlier result, which asked for another try at once. The loop never let the event loop run; the node stood still.

Change: no endpoint left ends the tries, and the best earlier result is answered.

Measured: the new test (two routes, two engines that refuse connections) hung for 60 s before and passes after.

--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -57,6 +57,8 @@
     let best: TryResult | undefined;
     for (let isFirst = true; ; isFirst = false) {
       const tried = await this.tryOnce(admitted, excluded, isFirst, best);
+      // No endpoint is left to try; the best of the earlier results has to do.
+      if (!tried) break;
       if (isGood(tried)) {
         await this.handOn(admitted, tried);
         return;
@@ -71,13 +73,16 @@
     await this.handOn(admitted, best);
   }
 
-  /** Sends to one endpoint, and to a second one when a repeatable request takes unusually long. */
+  /**
+   * Sends to one endpoint, and to a second one when a repeatable request takes unusually long.
+   * Undefined when there is a result and no further endpoint to send to.
+   */
   private async tryOnce(
     admitted: AdmittedRequest,
     excluded: ReadonlyArray<EndpointId>,
     isFirst: boolean,
     best: TryResult | undefined,
-  ): Promise<TryResult> {
+  ): Promise<TryResult | undefined> {
     const step = isFirst ? 'route' : 'retry';
     const first = this.startTry(admitted, excluded, step);
     try {
@@ -88,7 +93,7 @@
       return await this.takeFirstGood([first, second]);
     } catch (thrown) {
       if (!best) throw thrown;
-      return best;
+      return undefined;
     }
   }
 
--- a/tests/front.test.ts
+++ b/tests/front.test.ts
@@ -98,6 +98,19 @@
   expect(answer.headers['x-bramleyvane-server-seal'] !== undefined).toBe(status === 500);
 });
 
+// Guards against a node that tries for ever when every endpoint refuses connections.
+test.each(['lookup', 'credit'])('%s is refused when no endpoint can be reached', async (route) => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const engines = await Promise.all(
+    ['i-1', 'i-2'].map(async (instanceId) => scene.addEngine('desk', { instanceId })),
+  );
+  const node = await scene.addReadyNode(2);
+  await Promise.all(engines.map(async (engine) => engine.stop()));
+  const answer = await callFront(node, `/${route}/a`, { method: 'POST', body: 'b' });
+  expect(answer.status).toBe(503);
+  expect(Number(answer.headers['retry-after'])).toBeGreaterThan(0);
+});
+
 // Guards against a lookup that fails although another engine would answer it.
 test.each(['shed', 'fail', 'crossed', 'reset'] as const)(
   'a lookup is answered when one engine would %s',
