--- a/tests/FrontScene.ts
+++ b/tests/FrontScene.ts
@@ -118,7 +118,21 @@
     return engine;
   }
 
+  /**
+   * The addresses have to be known before the start, so a port that was free a moment ago can be
+   * taken by another process; the node is then started on others.
+   */
   async addNode(bounds: Readonly<Record<string, number>> = {}): Promise<FrontNode> {
+    for (;;) {
+      try {
+        return await this.startNode(bounds);
+      } catch (thrown) {
+        if ((thrown as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw thrown;
+      }
+    }
+  }
+
+  private async startNode(bounds: Readonly<Record<string, number>>): Promise<FrontNode> {
     const ports = await Promise.all(Array.from({ length: 5 }, findFreePort));
     const [caller, peer, operator, readiness, directory] = ports.map((port) => `127.0.0.1:${port}`);
     const settings = parseFrontSettings(
@@ -149,7 +163,12 @@
     });
     const kernel = new Kernel({ settings: settings.node, clock: new SystemClock(), log });
     kernel.provide(FrontSettingsBook, new FixedSettings(settings));
-    await kernel.start();
+    try {
+      await kernel.start();
+    } catch (thrown) {
+      await kernel.dispose();
+      throw thrown;
+    }
     const node = { kernel, settings, lines };
     this.nodes.push(node);
     return node;
