Call one piece of code for listeners, header pairs and the check of a success

Cause: a last read of the change found pieces written twice: binding a listener and closing it with its connections, pairing raw headers, and the range of successful answers. The listener for callers also kept a set of sockets that the server has itself.

Change: listenOn, closeServers and pairHeaders in src/wire serve both programs; isSuccess serves both deliveries; the set of sockets is gone.

--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { getErrorAnswer, ServingError, type Clock } from '../../core';
 import type { HeaderList } from '../../services';
+import { pairHeaders } from '../../wire';
 
 const MS_PER_SECOND = 1_000;
 
@@ -12,12 +13,6 @@
   | { readonly form: 'whole'; readonly bytes: Uint8Array }
   | { readonly form: 'stream'; readonly chunks: AsyncIterable<Uint8Array> };
 
-export function pairRawHeaders(raw: ReadonlyArray<string>): HeaderList {
-  return raw.flatMap((name, index) =>
-    index % 2 === 0 ? [[name, raw[index + 1] ?? ''] as const] : [],
-  );
-}
-
 /** @internal */
 export class CallerExchange {
   readonly arrivedAtMs: number;
@@ -52,7 +47,7 @@
   }
 
   get headers(): HeaderList {
-    return pairRawHeaders(this.request.rawHeaders);
+    return pairHeaders(this.request.rawHeaders);
   }
 
   get hasAnswered(): boolean {
--- a/src/plugins/forwarding/EndpointConnection.ts
+++ b/src/plugins/forwarding/EndpointConnection.ts
@@ -4,7 +4,7 @@
 import { Client, type Dispatcher } from 'undici';
 import { ServingError } from '../../core';
 import type { HeaderList } from '../../services';
-import { ConnectionSpentError, SingleConnection } from '../../wire';
+import { ConnectionSpentError, pairHeaders, SingleConnection } from '../../wire';
 import { FORWARDING_OPTIONS } from './options';
 
 /** @internal */
@@ -23,12 +23,6 @@
   readonly body: AsyncIterable<Uint8Array>;
 }
 
-function pairHeaders(flat: ReadonlyArray<string>): HeaderList {
-  return flat.flatMap((name, index) =>
-    index % 2 === 0 ? [[name, flat[index + 1] ?? ''] as const] : [],
-  );
-}
-
 const MS_PER_SECOND = 1_000;
 
 /** Idle timeout that the endpoint names. */
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -40,6 +40,10 @@
 const SUCCESS = 200;
 const REDIRECT = 300;
 
+export function isSuccess({ status }: AnswerHead): boolean {
+  return status >= SUCCESS && status < REDIRECT;
+}
+
 /** @internal */
 export class EndpointSender {
   constructor(
@@ -98,7 +102,7 @@
       const reason = head.isOtherEndpoint ? 'the address belongs to another endpoint' : 'shed';
       return { outcome: 'not-run', reason, wasSent: true };
     }
-    if (head.status >= SUCCESS && head.status < REDIRECT && !head.isSigned) {
+    if (isSuccess(head) && !head.isSigned) {
       answer.cut();
       return { outcome: 'lost', reason: 'the answer has no signature' };
     }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -115,7 +115,7 @@
   }
 
   override async dispose(): Promise<void> {
-    this.listener.close();
+    await this.listener.close();
   }
 }
 
--- a/src/plugins/forwarding/FrontListener.ts
+++ b/src/plugins/forwarding/FrontListener.ts
@@ -2,9 +2,9 @@
  * The listener for callers whose requests are forwarded.
  */
 import { createServer, type Server } from 'node:http';
-import type { Socket } from 'node:net';
-import { splitAddress, type CallerLimits } from '../../core';
+import type { CallerLimits } from '../../core';
 import type { Kernel } from '../../kernel';
+import { closeServers, listenOn } from '../../wire';
 import { CallerExchange } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
 import type { RequestForwarder } from './RequestForwarder';
@@ -16,8 +16,6 @@
 export class FrontListener {
   private readonly server: Server;
 
-  private readonly sockets = new Set<Socket>();
-
   private readonly running = new Set<Promise<void>>();
 
   constructor(
@@ -40,12 +38,6 @@
         void task.finally(() => this.running.delete(task));
       },
     );
-    this.server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.on('close', () => this.sockets.delete(socket));
-      // Errors end in 'close'; without a listener they would end the process.
-      socket.on('error', () => {});
-    });
   }
 
   get runningCount(): number {
@@ -53,11 +45,7 @@
   }
 
   async listen(address: string): Promise<void> {
-    const { host, port } = splitAddress(address);
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listenOn(this.server, address);
     this.server.on('error', (cause) => this.kernel.log.error('front listener failed', { cause }));
   }
 
@@ -78,8 +66,7 @@
     while (this.running.size > 0) await Promise.allSettled(this.running);
   }
 
-  close(): void {
-    this.server.close();
-    this.sockets.forEach((socket) => socket.destroy());
+  async close(): Promise<void> {
+    await closeServers([this.server]);
   }
 }
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -10,7 +10,7 @@
 import type { AnswerHead } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointPlacer, PlacedRequest } from './EndpointPlacer';
-import type { EndpointSender, RunContinuation } from './EndpointSender';
+import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
 import { EventSplitter } from './EventSplitter';
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputExpectation } from './OutputExpectation';
@@ -18,9 +18,6 @@
 import type { RunMover } from './RunMover';
 import { StreamLeg, type NextLeg } from './StreamLeg';
 
-const SUCCESS = 200;
-const REDIRECT = 300;
-
 type LegEnd =
   | { readonly end: 'complete'; readonly rest: Uint8Array }
   | { readonly end: 'broken'; readonly reason: string };
@@ -126,7 +123,7 @@
   ): Promise<StreamLeg | undefined> {
     const { head } = leg;
     const { exchange } = admitted;
-    if (head.status >= SUCCESS && head.status < REDIRECT) {
+    if (isSuccess(head)) {
       const target = progress;
       target.head = head;
       return leg;
@@ -266,8 +263,7 @@
   }
 
   private checkContinued({ ended }: AdmittedRequest, leg: StreamLeg): StreamLeg | undefined {
-    const { status } = leg.head;
-    if (status >= SUCCESS && status < REDIRECT && !ended.aborted) return leg;
+    if (isSuccess(leg.head) && !ended.aborted) return leg;
     leg.answer.cut();
     leg.end();
     return undefined;
--- a/src/plugins/frontHttp/FrontHttpPlugin.ts
+++ b/src/plugins/frontHttp/FrontHttpPlugin.ts
@@ -6,7 +6,7 @@
 import { Hono } from 'hono';
 import { Plugin, registerPlugin } from '../../kernel';
 import { FrontSettingsBook, HttpRoutes, type HttpAudience } from '../../services';
-import { listenOn } from '../../wire';
+import { closeServers, listenOn } from '../../wire';
 import { createOperatorApp } from '../http/createOperatorApp';
 
 /** @internal */
@@ -25,15 +25,7 @@
   }
 
   override async dispose(): Promise<void> {
-    await Promise.all(
-      this.servers.map(async (server) => {
-        const closed = new Promise<void>((resolve) => {
-          server.close(() => resolve());
-        });
-        server.closeAllConnections();
-        await closed;
-      }),
-    );
+    await closeServers(this.servers);
   }
 
   private createApp(audience: HttpAudience): Hono {
--- a/src/plugins/http/HttpPlugin.ts
+++ b/src/plugins/http/HttpPlugin.ts
@@ -6,7 +6,7 @@
 import type { Server } from 'node:http';
 import { createAdaptorServer } from '@hono/node-server';
 import { Plugin, registerPlugin } from '../../kernel';
-import { listenOn } from '../../wire';
+import { closeServers, listenOn } from '../../wire';
 import { createCallerApp } from './createCallerApp';
 import { createOperatorApp } from './createOperatorApp';
 import { RequestTracker } from './RequestTracker';
@@ -40,15 +40,7 @@
   }
 
   override async dispose(): Promise<void> {
-    await Promise.all(
-      this.servers.map(async (server) => {
-        const closed = new Promise<void>((resolve) => {
-          server.close(() => resolve());
-        });
-        server.closeAllConnections();
-        await closed;
-      }),
-    );
+    await closeServers(this.servers);
   }
 }
 
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -6,4 +6,6 @@
 export * from './peerFrames';
 export * from './problem';
 export * from './SingleConnection';
+export * from './closeServers';
 export * from './listenOn';
+export * from './pairHeaders';
--- /dev/null
+++ b/src/wire/pairHeaders.ts
@@ -0,0 +1,10 @@
+/**
+ * Raw headers of Node.js and undici: names and values by turns.
+ */
+import type { HeaderList } from '../services';
+
+export function pairHeaders(raw: ReadonlyArray<string>): HeaderList {
+  return raw.flatMap((name, index) =>
+    index % 2 === 0 ? [[name, raw[index + 1] ?? ''] as const] : [],
+  );
+}
