Count tries, refusals, continuations and source calls, and read gauges on demand

Cause: the metrics address of a forwarding node told answers and first pieces only, so that an engineer could not see from metrics why requests failed, nor how old the node's configuration was. Ruled out: one gauge object for each plug-in, which would tie every plug-in to the metrics library. Change: four counters with closed lists of outcomes; GaugeSource, of which plug-ins provide any number, is read when the metrics are asked for. EndpointPlacer counts the endpoints of a region once for a placement instead of once for each candidate. Function-typed fields of read-only types are readonly. Measured: tests of the renderer and of a node's page pass; the cost of a placement was not measured.

--- a/src/decisions/LengthEstimator.ts
+++ b/src/decisions/LengthEstimator.ts
@@ -30,15 +30,15 @@
 /** Lengths of one kind of work of one customer. @public */
 export interface LengthForecast {
   /** Quantile of the tokens still to come after `producedTokens`; at least 0. */
-  predictRemainingTokens: (producedTokens: number, quantile: number) => number;
+  readonly predictRemainingTokens: (producedTokens: number, quantile: number) => number;
 
   /** Share of generations that go on for more than each number of tokens, in rising order. */
-  computeSurvival: (
+  readonly computeSurvival: (
     producedTokens: number,
     horizonsTokens: ReadonlyArray<number>,
   ) => ReadonlyArray<number>;
 
-  getBasis: (producedTokens: number) => LengthBasis;
+  readonly getBasis: (producedTokens: number) => LengthBasis;
 }
 
 /**
--- /dev/null
+++ b/src/plugins/deployment/DeploymentGauges.ts
@@ -0,0 +1,48 @@
+/**
+ * What the metrics tell of the configuration and of the endpoints.
+ */
+import { GaugeSource, type Deployment, type GaugeReading } from '../../services';
+
+const MS_PER_SECOND = 1_000;
+
+/** @internal */
+export class DeploymentGauges extends GaugeSource {
+  constructor(private readonly deployment: Deployment) {
+    super();
+  }
+
+  listGauges(): ReadonlyArray<GaugeReading> {
+    return [...this.listConfiguration(), ...this.listEndpoints()];
+  }
+
+  private listConfiguration(): ReadonlyArray<GaugeReading> {
+    return [
+      {
+        name: 'configuration_version',
+        help: 'Version of the configuration in force; 0 before one is known.',
+        value: this.deployment.configuration?.version ?? 0,
+      },
+      {
+        name: 'configuration_confirmed_age_seconds',
+        help: 'Time since the configuration was last confirmed; infinite when that is unknown.',
+        value: this.deployment.getConfirmedAgeMs() / MS_PER_SECOND,
+      },
+    ];
+  }
+
+  private listEndpoints(): ReadonlyArray<GaugeReading> {
+    const known = this.deployment.listAll();
+    const services = new Set(known.map(({ service }) => service));
+    return [...services].flatMap((service) => {
+      const listed = known.filter((backEnd) => backEnd.service === service).length;
+      const assignable = this.deployment.listAssignable(service).length;
+      const states = { assignable, leaving: listed - assignable };
+      return Object.entries(states).map(([state, value]) => ({
+        name: 'endpoints',
+        help: 'Endpoints by service and state.',
+        value,
+        labels: { service, state },
+      }));
+    });
+  }
+}
--- a/src/plugins/deployment/DeploymentPlugin.ts
+++ b/src/plugins/deployment/DeploymentPlugin.ts
@@ -2,8 +2,15 @@
  * What is known of the configuration and of the endpoints.
  */
 import { Plugin, registerPlugin } from '../../kernel';
-import { Deployment, FrontSettingsBook, ReadinessCheck, SeedAddresses } from '../../services';
+import {
+  Deployment,
+  FrontSettingsBook,
+  GaugeSource,
+  ReadinessCheck,
+  SeedAddresses,
+} from '../../services';
 import { DeploymentBook } from './DeploymentBook';
+import { DeploymentGauges } from './DeploymentGauges';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { SourceTask } from './SourceTask';
 
@@ -38,6 +45,7 @@
     const { bounds, regions } = settingsBook.settings;
     this.book = new DeploymentBook(this.kernel, bounds, new Map(Object.entries(regions)));
     this.kernel.provide(Deployment, this.book);
+    this.kernel.provide(GaugeSource, new DeploymentGauges(this.book));
     this.kernel.provide(ReadinessCheck, new ConfigurationReadiness(this.book));
     this.kernel.provide(SeedAddresses, new SeedsOfSettings(settingsBook));
   }
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -6,7 +6,12 @@
  */
 import { startDeadline, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import { DeploymentSource, type PublishedChange, type PublishedChanges } from '../../services';
+import {
+  DeploymentSource,
+  ServingMetrics,
+  type PublishedChange,
+  type PublishedChanges,
+} from '../../services';
 import type { DeploymentBook } from './DeploymentBook';
 import { DEPLOYMENT_OPTIONS } from './options';
 
@@ -29,6 +34,7 @@
         if (signal.aborted) return;
         const reason = thrown instanceof Error ? thrown.message : String(thrown);
         this.book.noteUnavailable(reason);
+        this.kernel.get(ServingMetrics).countSourceCall('failed');
         // A quick failure is tried again soon; a time-out has waited already.
         const { retryIntervalMs } = DEPLOYMENT_OPTIONS;
         await clock.sleep(askedAtMs + this.vary(retryIntervalMs) - clock.nowMs(), signal);
@@ -43,6 +49,7 @@
     try {
       this.take(await source.readAll(limit.signal), true);
       this.book.confirm(askedAtMs);
+      this.kernel.get(ServingMetrics).countSourceCall('changes');
     } finally {
       limit.stop();
     }
@@ -58,11 +65,14 @@
     const changes = await this.readChanges(waitMs, waitMs + watchMarginMs, signal);
     if (!changes) {
       log.info('history of the source lost', { position: this.position });
+      this.kernel.get(ServingMetrics).countSourceCall('history-gone');
       this.position = undefined;
       return;
     }
     this.take(changes, false);
-    this.book.confirm(changes.changes.length === 0 ? askedAtMs + waitMs : askedAtMs);
+    const isUnchanged = changes.changes.length === 0;
+    this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
+    this.book.confirm(isUnchanged ? askedAtMs + waitMs : askedAtMs);
   }
 
   private take({ changes, position }: PublishedChanges, isComplete: boolean): void {
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -138,7 +138,7 @@
       .get(Deployment)
       .listAssignable(work.service)
       .filter(({ endpointId }) => endpointId !== primary.endpointId);
-    const candidates = backEnds.map((backEnd) => this.describe(work, backEnd, primary.dataCentre));
+    const candidates = this.describeAll(work, backEnds, primary.dataCentre);
     const chosenId = chooseCopyHolder(candidates, need);
     const backEnd = backEnds.find(({ endpointId }) => endpointId === chosenId);
     if (!backEnd) return undefined;
@@ -160,7 +160,7 @@
       .filter(({ endpointId }) => !excluded.includes(endpointId));
     const need = this.describeNeed(work, producedTokens);
     const near = from ?? this.kernel.settings;
-    const candidates = backEnds.map((backEnd) => this.describe(work, backEnd, near.dataCentre));
+    const candidates = this.describeAll(work, backEnds, near.dataCentre);
     const verdict =
       step === 'place'
         ? drawDestination(candidates, need, Math.random())
@@ -236,10 +236,27 @@
   }
 
   /** @param nearDataCentre the one from which the distance counts. */
+  private describeAll(
+    work: PlacedWork,
+    backEnds: ReadonlyArray<KnownBackEnd>,
+    nearDataCentre: string,
+  ): ReadonlyArray<PlacementCandidate> {
+    const countsByRegion = this.countByRegion(work.service);
+    return backEnds.map((backEnd) =>
+      this.describe(
+        work,
+        backEnd,
+        nearDataCentre,
+        countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
+      ),
+    );
+  }
+
   private describe(
     work: PlacedWork,
     backEnd: KnownBackEnd,
     nearDataCentre: string,
+    endpointsInRegion: number,
   ): PlacementCandidate {
     const nowMs = this.kernel.clock.nowMs();
     const own = this.ownWork.getLoad(backEnd.endpointId);
@@ -253,7 +270,7 @@
       heldTokens: own.heldTokens + others.heldTokens,
       finalTokens: own.finalTokens + others.finalTokens,
       unreadTokens: own.unreadTokens + others.unreadTokens,
-      endpointsInRegion: this.countInRegion(backEnd),
+      endpointsInRegion,
       distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
       failureShare: this.health.getFailureShare(backEnd.endpointId, nowMs),
       isWarmingUp: backEnd.warmUpUntilMs > nowMs,
@@ -265,16 +282,22 @@
 
   private getDistance(dataCentre: string, other: string): PlacementCandidate['distance'] {
     if (dataCentre === other) return 'same-data-centre';
-    const deployment = this.kernel.get(Deployment);
-    const isSameRegion = deployment.getRegion(dataCentre) === deployment.getRegion(other);
-    return isSameRegion ? 'same-region' : 'other-region';
+    return this.getRegion(dataCentre) === this.getRegion(other) ? 'same-region' : 'other-region';
+  }
+
+  private getRegion(dataCentre: string): string | undefined {
+    return this.kernel.get(Deployment).getRegion(dataCentre);
   }
 
-  private countInRegion({ service, dataCentre }: KnownBackEnd): number {
-    return this.kernel
+  /** Endpoints of a service in each region, also those that a request has tried already. */
+  private countByRegion(service: string): ReadonlyMap<string | undefined, number> {
+    const counts = new Map<string | undefined, number>();
+    this.kernel
       .get(Deployment)
       .listAssignable(service)
-      .filter((other) => this.getDistance(other.dataCentre, dataCentre) !== 'other-region').length;
+      .map(({ dataCentre }) => this.getRegion(dataCentre))
+      .forEach((region) => counts.set(region, (counts.get(region) ?? 0) + 1));
+    return counts;
   }
 
   private getConnectionShare(maxConnections = Infinity): number {
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -5,7 +5,9 @@
 import type { Kernel } from '../../kernel';
 import {
   RequestDialect,
+  ServingMetrics,
   type AnswerHead,
+  type AttemptOutcome,
   type CopiedMemory,
   type KnownBackEnd,
 } from '../../services';
@@ -40,6 +42,11 @@
 const SUCCESS = 200;
 const REDIRECT = 300;
 
+function classifyAttempt(sent: SendOutcome): AttemptOutcome {
+  if (sent.outcome !== 'not-run') return sent.outcome;
+  return sent.wasSent ? 'shed' : 'unreachable';
+}
+
 export function isSuccess({ status }: AnswerHead): boolean {
   return status >= SUCCESS && status < REDIRECT;
 }
@@ -121,6 +128,8 @@
 
   private note(admitted: AdmittedRequest, endpointId: EndpointId, outcome: SendOutcome): void {
     const nowMs = this.kernel.clock.nowMs();
+    const metrics = this.kernel.get(ServingMetrics);
+    metrics.countAttempt(admitted.work.service, classifyAttempt(outcome));
     if (outcome.outcome === 'answered') {
       this.placer.health.noteHeard(endpointId, nowMs);
       admitted.noteAttempt(endpointId, String(outcome.head.status), nowMs);
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -128,6 +128,7 @@
     if (error.kind === 'internal') this.kernel.log.error('request failed', { cause: thrown });
     const dialect = this.kernel.get(RequestDialect);
     exchange.fail(error, request ? dialect.writeAnswerHeaders(request.requestId) : []);
+    this.kernel.get(ServingMetrics).countRefusal(error.kind);
     this.logRefusal(request, error.kind, error);
   }
 
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -7,7 +7,7 @@
  */
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import type { AnswerHead } from '../../services';
+import { ServingMetrics, type AnswerHead } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointPlacer, PlacedRequest } from './EndpointPlacer';
 import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
@@ -219,13 +219,21 @@
       outputTokens: progress.outputTokens,
       outcome: next ? 'goes on from copied memory' : 'no copy',
     });
+    const metrics = this.kernel.get(ServingMetrics);
     if (next) {
       const moved = await this.openNext(admitted, next, progress);
-      if (moved) return moved;
+      if (moved) {
+        metrics.countContinuation('from-copy');
+        return moved;
+      }
     }
     if (!next) this.parts.placer.noteOutcome(from, 'failed');
     const resumed = await this.resume(admitted, from, lastEventId);
-    if (resumed) return resumed;
+    if (resumed) {
+      metrics.countContinuation('new-run');
+      return resumed;
+    }
+    metrics.countContinuation('cut');
     throw new ServingError('answer-lost', {
       detail: `${from} broke off the stream after event ${lastEventId ?? 'none'}: ${reason}`,
       clause: admitted.clause,
--- a/src/plugins/metrics/PrometheusMetrics.test.ts
+++ b/src/plugins/metrics/PrometheusMetrics.test.ts
@@ -32,3 +32,33 @@
   first.close();
   second.close();
 });
+
+// Guards against outcomes that are counted together, and against names without the total suffix.
+test('counts refusals, tries, continuations and source calls by outcome', async () => {
+  const metrics = new PrometheusMetrics();
+  metrics.countRefusal('unknown-key');
+  metrics.countAttempt('writers', 'shed');
+  metrics.countContinuation('from-copy');
+  metrics.countSourceCall('failed');
+  const { text } = await metrics.render();
+  expect(text).toContain('bramleyvane_refusals_total{kind="unknown-key"} 1');
+  expect(text).toContain('bramleyvane_attempts_total{service="writers",outcome="shed"} 1');
+  expect(text).toContain('bramleyvane_continuations_total{outcome="from-copy"} 1');
+  expect(text).toContain('bramleyvane_source_calls_total{outcome="failed"} 1');
+  metrics.close();
+});
+
+// Guards against gauges that keep the value of a series that is no longer read.
+test('reads gauges when they are asked for', async () => {
+  let readings = [
+    { name: 'endpoints', help: 'By service.', value: 2, labels: { service: 'writers' } },
+    { name: 'age_seconds', help: 'Unknown.', value: Infinity, labels: {} },
+  ];
+  const metrics = new PrometheusMetrics(() => readings);
+  const { text } = await metrics.render();
+  expect(text).toContain('bramleyvane_endpoints{service="writers"} 2');
+  expect(text).toContain('bramleyvane_age_seconds +Inf');
+  readings = [];
+  expect((await metrics.render()).text).not.toContain('bramleyvane_endpoints{service="writers"}');
+  metrics.close();
+});
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -3,8 +3,15 @@
  *
  * Each kernel has a registry of its own, because several kernels can run in one process.
  */
-import { collectDefaultMetrics, Counter, Histogram, Registry } from 'prom-client';
-import { ServingMetrics, type MetricLabels } from '../../services';
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import {
+  ServingMetrics,
+  type AttemptOutcome,
+  type ContinuationOutcome,
+  type GaugeReading,
+  type MetricLabels,
+  type SourceCallOutcome,
+} from '../../services';
 import { METRICS_OPTIONS } from './options';
 
 const LABEL_NAMES = ['customer', 'kind_of_work'] as const;
@@ -81,7 +88,38 @@
     registers: [this.registry],
   });
 
-  constructor() {
+  private readonly refusals = new Counter({
+    name: 'bramleyvane_refusals_total',
+    help: 'Requests refused or failed by this node, by kind of error.',
+    labelNames: ['kind'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly attempts = new Counter({
+    name: 'bramleyvane_attempts_total',
+    help: 'Sendings of requests to endpoints by outcome.',
+    labelNames: ['service', 'outcome'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly continuations = new Counter({
+    name: 'bramleyvane_continuations_total',
+    help: 'Streams that their engine gave up, by how they went on.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly sourceCalls = new Counter({
+    name: 'bramleyvane_source_calls_total',
+    help: 'Calls of the source of the configuration by outcome.',
+    labelNames: ['outcome'] as const,
+    registers: [this.registry],
+  });
+
+  private readonly gauges = new Map<string, Gauge>();
+
+  /** @param readGauges called whenever the metrics are asked for. */
+  constructor(private readonly readGauges: () => ReadonlyArray<GaugeReading> = () => []) {
     super();
     collectDefaultMetrics({ register: this.registry });
   }
@@ -110,7 +148,24 @@
     this.answers.inc({ customer, kind_of_work: kindOfWork, outcome });
   }
 
+  countRefusal(kind: string): void {
+    this.refusals.inc({ kind });
+  }
+
+  countAttempt(service: string, outcome: AttemptOutcome): void {
+    this.attempts.inc({ service, outcome });
+  }
+
+  countContinuation(outcome: ContinuationOutcome): void {
+    this.continuations.inc({ outcome });
+  }
+
+  countSourceCall(outcome: SourceCallOutcome): void {
+    this.sourceCalls.inc({ outcome });
+  }
+
   async render(): Promise<{ readonly contentType: string; readonly text: string }> {
+    this.setGauges();
     return { contentType: this.registry.contentType, text: await this.registry.metrics() };
   }
 
@@ -119,6 +174,22 @@
     this.registry.clear();
   }
 
+  /** Series that aren't read any more, such as those of an endpoint that has gone, are dropped. */
+  private setGauges(): void {
+    this.gauges.forEach((gauge) => gauge.reset());
+    this.readGauges().forEach(({ name, help, value, labels = {} }) => {
+      const gauge = this.gauges.get(name) ?? this.createGauge(name, help, Object.keys(labels));
+      gauge.set(labels, value);
+    });
+  }
+
+  private createGauge(name: string, help: string, labelNames: string[]): Gauge {
+    const registers = [this.registry];
+    const gauge = new Gauge({ name: `bramleyvane_${name}`, help, labelNames, registers });
+    this.gauges.set(name, gauge);
+    return gauge;
+  }
+
   private createHistogram(
     name: string,
     help: string,
--- a/src/plugins/peers/handshake.ts
+++ b/src/plugins/peers/handshake.ts
@@ -27,9 +27,9 @@
   readonly side: LinkSide;
   readonly self: { readonly vmId: VmId; readonly incarnation: Incarnation };
   readonly fleetKey: string;
-  write: (data: Uint8Array) => void;
+  readonly write: (data: Uint8Array) => void;
   /** The next frame; undefined when the other side has closed the link. */
-  read: () => Promise<Uint8Array | undefined>;
+  readonly read: () => Promise<Uint8Array | undefined>;
 }
 
 function computeProof(
--- a/src/services/LimitLeases.ts
+++ b/src/services/LimitLeases.ts
@@ -6,7 +6,7 @@
 
 /** A place within the limits; released once, when the request has ended. @public */
 export interface LimitPlace {
-  release: () => void;
+  readonly release: () => void;
 }
 
 /** @public */
--- a/src/services/Router.ts
+++ b/src/services/Router.ts
@@ -22,12 +22,15 @@
 export interface Assignment {
   readonly endpoint: FleetEndpoint;
   /** Notes tokens made so far, so that the reservation follows the remaining length. */
-  noteTokens: (outputTokens: number) => void;
+  readonly noteTokens: (outputTokens: number) => void;
   /**
    * Frees the reservation. `complete` teaches the length estimator the output length; a failure or
    * a cancelled generation does not.
    */
-  release: (outcome: { readonly complete: boolean; readonly outputTokens: number }) => void;
+  readonly release: (outcome: {
+    readonly complete: boolean;
+    readonly outputTokens: number;
+  }) => void;
 }
 
 /** @public */
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -7,6 +7,7 @@
 export * from './EntryDirectory';
 export * from './Fleet';
 export * from './FrontSettingsBook';
+export * from './GaugeSource';
 export * from './Generations';
 export * from './Gossip';
 export * from './HttpRoutes';
--- a/tests/front.test.ts
+++ b/tests/front.test.ts
@@ -296,6 +296,23 @@
   await drained;
 });
 
+// Guards against metrics that don't follow what the node knows and does.
+test('metrics show endpoints, the age of the configuration and outcomes', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('desk', { instanceId: 'i-1' });
+  const node = await scene.addReadyNode(1);
+  await callFront(node, '/lookup/1');
+  await callFront(node, '/nowhere');
+  const answer = await request(`http://${node.settings.node.operatorAddress}/metrics`);
+  const text = await answer.body.text();
+  expect(text).toContain('bramleyvane_attempts_total{service="desk",outcome="answered"} 1');
+  expect(text).toContain('bramleyvane_refusals_total{kind="unknown-path"} 1');
+  expect(text).toContain('bramleyvane_endpoints{service="desk",state="assignable"} 1');
+  expect(text).toContain('bramleyvane_configuration_version 5');
+  expect(text).toMatch(/bramleyvane_configuration_confirmed_age_seconds [0-2]\./);
+  expect(text).toMatch(/bramleyvane_source_calls_total\{outcome="changes"\} [1-9]/);
+});
+
 // Guards against a stop that cuts a request, and against new long work during it.
 test('a drain finishes the stream that runs and refuses another', async () => {
   scene.store.put('op/config', createStoreConfiguration());
