--- a/src/plugins/metrics/PrometheusMetrics.test.ts
+++ b/src/plugins/metrics/PrometheusMetrics.test.ts
@@ -1,3 +1,4 @@
+import type { GaugeReading } from '../../services';
 import { PrometheusMetrics } from './PrometheusMetrics';
 
 const labels = { customer: 'recup-audits', kindOfWork: 'audit-summary' };
@@ -50,9 +51,9 @@
 
 // Guards against gauges that keep the value of a series that is no longer read.
 test('reads gauges when they are asked for', async () => {
-  let readings = [
+  let readings: ReadonlyArray<GaugeReading> = [
     { name: 'endpoints', help: 'By service.', value: 2, labels: { service: 'writers' } },
-    { name: 'age_seconds', help: 'Unknown.', value: Infinity, labels: {} },
+    { name: 'age_seconds', help: 'Unknown.', value: Infinity },
   ];
   const metrics = new PrometheusMetrics(() => readings);
   const { text } = await metrics.render();
