Learn versions and departures from other nodes while the source can't be reached

Ruled out: passing on confirmations with each exchange of states, which can't be dated without a question; ordering by the time of the confirmation, which let a node that asked for other reasons take departures back (seen in a test: both nodes listed engines again that were gone). Change: a node whose source fails, or whose confirmation is older than 2 s, asks a neighbour every 250 ms. The answer's age counts from the question, so what it confirms is never younger than it is. Values travel as they were published and are decoded by the one decoder; the revision of a change orders what nodes and stale reads tell. The clocks are read at the question, so that an answer that waited through a suspension confirms nothing.

--- a/src/core/Clock.ts
+++ b/src/core/Clock.ts
@@ -49,6 +49,8 @@
 export class ManualClock extends Clock {
   private currentMs = 1_000_000;
 
+  private suspendedMs = 0;
+
   private sleepers: ReadonlyArray<{ readonly deadlineMs: number; readonly wake: () => void }> = [];
 
   nowMs(): number {
@@ -56,7 +58,7 @@
   }
 
   wallMs(): number {
-    return this.currentMs;
+    return this.currentMs + this.suspendedMs;
   }
 
   async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
@@ -70,6 +72,11 @@
     wait.abort();
   }
 
+  /** Lets the time of day alone go on, as it does while the machine is suspended. */
+  suspend(forMs: number): void {
+    this.suspendedMs += forMs;
+  }
+
   /** Moves time forward and wakes every sleeper whose deadline has passed. */
   advance(byMs: number): void {
     this.currentMs += byMs;
--- a/src/platform/StoreSource.ts
+++ b/src/platform/StoreSource.ts
@@ -4,7 +4,12 @@
 import { Agent, request } from 'undici';
 import { z } from 'zod';
 import { ServingError } from '../core';
-import { DeploymentSource, type PublishedChange, type PublishedChanges } from '../services';
+import {
+  DeploymentSource,
+  type PublishedChange,
+  type PublishedChanges,
+  type PublishedValue,
+} from '../services';
 import { decodeConfiguration, decodeEndpoint, decodeEndpointId } from './storeValues';
 import { PATHS, STORE_KEYS } from './wireNames';
 
@@ -28,27 +33,50 @@
 
 type StoreEvent = z.infer<typeof watchSchema>['events'][number];
 
-function decodeEvent(event: StoreEvent): ReadonlyArray<PublishedChange> {
-  const { key } = event;
+function decodeValue(value: PublishedValue): PublishedChange | undefined {
+  const { key, text } = value;
   const { configuration, endpointPrefix } = STORE_KEYS;
+  if (key === configuration) {
+    return { kind: 'configuration', configuration: decodeConfiguration(text), value };
+  }
+  if (!key.startsWith(endpointPrefix)) return undefined;
+  return {
+    kind: 'endpoint',
+    backEnd: decodeEndpoint(key.slice(endpointPrefix.length), text),
+    value,
+  };
+}
+
+function decodeRemoval(key: string, revision: number): PublishedChange | undefined {
+  const { endpointPrefix } = STORE_KEYS;
+  if (!key.startsWith(endpointPrefix)) return undefined;
+  const endpointId = decodeEndpointId(key.slice(endpointPrefix.length));
+  return { kind: 'endpoint-removed', endpointId, revision };
+}
+
+/** Turns the errors of a decoder into a change that says what can't be read. */
+function readSafely(
+  key: string,
+  decode: () => PublishedChange | undefined,
+): PublishedChange | undefined {
   try {
-    if (key === configuration && 'value' in event) {
-      const text = Buffer.from(event.value, 'base64').toString('utf8');
-      return [{ kind: 'configuration', configuration: decodeConfiguration(text) }];
-    }
-    if (!key.startsWith(endpointPrefix)) return [];
-    const id = key.slice(endpointPrefix.length);
-    if (!('value' in event)) {
-      return [{ kind: 'endpoint-removed', endpointId: decodeEndpointId(id) }];
-    }
-    const text = Buffer.from(event.value, 'base64').toString('utf8');
-    return [{ kind: 'endpoint', backEnd: decodeEndpoint(id, text) }];
+    return decode();
   } catch (thrown) {
     const reason = thrown instanceof Error ? thrown.message : String(thrown);
-    return [{ kind: 'unreadable', key, reason }];
+    return { kind: 'unreadable', key, reason };
   }
 }
 
+function decodeEvent(event: StoreEvent): ReadonlyArray<PublishedChange> {
+  const { key, revision } = event;
+  const change = readSafely(key, () =>
+    'value' in event
+      ? decodeValue({ key, text: Buffer.from(event.value, 'base64').toString('utf8'), revision })
+      : decodeRemoval(key, revision),
+  );
+  return change ? [change] : [];
+}
+
 /** @internal */
 export class StoreSource extends DeploymentSource {
   private agent = new Agent({ pipelining: 1 });
@@ -57,6 +85,10 @@
     super();
   }
 
+  decode(value: PublishedValue): PublishedChange | undefined {
+    return readSafely(value.key, () => decodeValue(value));
+  }
+
   async readAll(signal: AbortSignal): Promise<PublishedChanges> {
     const changes: PublishedChange[] = [];
     // Pages aren't a snapshot: the watch goes on from the first, so that no change between is missed.
--- /dev/null
+++ b/src/plugins/deployment/DeploymentBook.test.ts
@@ -0,0 +1,102 @@
+import type { BackEnd, EndpointId, ServingBounds } from '../../core';
+import { TestKernel } from '../../kernel/TestKernel';
+import { DeploymentBook } from './DeploymentBook';
+
+const bounds = { revocationWithinMs: 4_000 } as ServingBounds;
+const value = { key: 'endpoint', text: '{}', revision: 7 };
+
+const engine: BackEnd = {
+  endpointId: 'i-1' as EndpointId,
+  service: 'writers',
+  address: '10.0.0.1:80',
+  dataCentre: 'brisbane',
+  slots: 4,
+  isLeaving: false,
+  warmUpMs: 0,
+  startedAtWallMs: 1,
+};
+
+function createBook(): { readonly kernel: TestKernel; readonly book: DeploymentBook } {
+  const kernel = new TestKernel([]);
+  return { kernel, book: new DeploymentBook(kernel, bounds, new Map()) };
+}
+
+// Guards against an answer from before a suspension that passes for a fresh one: the monotonic clock
+// stood still, so only the time of day shows how long it waited.
+test('an answer that waited through a suspension confirms nothing', () => {
+  const { kernel, book } = createBook();
+  const asked = book.readClocks();
+  kernel.manualClock.suspend(9_000);
+  book.confirm(asked.nowMs, asked);
+  expect(book.getConfirmedAgeMs()).toBe(Infinity);
+});
+
+// Guards against calls that go on waiting after a suspension, with an age that nobody knows.
+test('a suspension makes the age unknown and ends the calls that wait', () => {
+  const { kernel, book } = createBook();
+  const asked = book.readClocks();
+  book.confirm(asked.nowMs, asked);
+  const doubt = book.watchForDoubt();
+  kernel.manualClock.suspend(3_000);
+  expect(book.getConfirmedAgeMs()).toBe(Infinity);
+  book.sweep();
+  expect(doubt.signal.aborted).toBe(true);
+  const askedAgain = book.readClocks();
+  book.confirm(askedAgain.nowMs, askedAgain);
+  kernel.manualClock.advance(500);
+  expect(book.getConfirmedAgeMs()).toBe(500);
+});
+
+// Guards against runs that are moved away from engines whose entries only lapsed with the source.
+test('an entry that lapsed while the source was away has time to come back', () => {
+  const { kernel, book } = createBook();
+  const asked = book.readClocks();
+  book.confirm(asked.nowMs, asked);
+  book.takeBackEnd(engine, value);
+  book.noteUnavailable('refused');
+  book.removeBackEnd(engine.endpointId, 8);
+  kernel.manualClock.advance(10_000);
+  book.sweep();
+  expect(book.listAssignable('writers')).toHaveLength(1);
+  const askedAgain = book.readClocks();
+  book.confirm(askedAgain.nowMs, askedAgain);
+  kernel.manualClock.advance(2_000);
+  book.sweep();
+  expect(book.listAssignable('writers')).toHaveLength(1);
+  kernel.manualClock.advance(500);
+  book.sweep();
+  expect(book.listAssignable('writers')).toHaveLength(0);
+});
+
+// Guards against a departure that is told twice, and against one that is taken back by mistake.
+test('a departure that another node knows is told once', () => {
+  const { book } = createBook();
+  const left: BackEnd[] = [];
+  book.onLeaving((backEnd) => left.push(backEnd));
+  book.takeBackEnd(engine, value);
+  book.takeDeparture(engine.endpointId, 8);
+  book.takeDeparture(engine.endpointId, 8);
+  expect(left).toHaveLength(1);
+  expect(book.listAssignable('writers')).toHaveLength(0);
+});
+
+// Guards against a departure that a node takes back because another one, or a stale read, tells it an
+// older state; both nodes would then send requests to an engine that is gone.
+test('an older state of an endpoint changes nothing', () => {
+  const { book } = createBook();
+  book.takeBackEnd(engine, value);
+  book.removeBackEnd(engine.endpointId, 9);
+  book.takeBackEnd(engine, { ...value, revision: 8 });
+  expect(book.listAssignable('writers')).toHaveLength(0);
+  book.takeBackEnd(engine, { ...value, revision: 10 });
+  book.takeDeparture(engine.endpointId, 9);
+  expect(book.listAssignable('writers')).toHaveLength(1);
+});
+
+// Guards against an endpoint that was removed before the node started, and that another node lists.
+test('an unknown endpoint from before the read of the list is not taken', () => {
+  const { book } = createBook();
+  book.noteCompleteTo(7);
+  book.takeBackEnd(engine, value);
+  expect(book.listAll()).toHaveLength(0);
+});
--- a/src/plugins/deployment/DeploymentBook.ts
+++ b/src/plugins/deployment/DeploymentBook.ts
@@ -11,9 +11,9 @@
   ServingBounds,
   ServingConfiguration,
 } from '../../core';
-import { computeConfirmedAgeMs, type Confirmation } from '../../decisions';
+import { computeConfirmedAgeMs, type ClockReading, type Confirmation } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Deployment, type KnownBackEnd } from '../../services';
+import { Deployment, type KnownBackEnd, type PublishedValue } from '../../services';
 import { DEPLOYMENT_OPTIONS } from './options';
 
 type LeavingListener = (backEnd: KnownBackEnd) => void;
@@ -28,6 +28,16 @@
 
   private held: ServingConfiguration | undefined;
 
+  private heldValue: PublishedValue | undefined;
+
+  /** What was published of the endpoints, to be passed on. */
+  private readonly values = new Map<EndpointId, PublishedValue>();
+
+  /** Revision of the newest change that is known of each endpoint, also of its removal. */
+  private readonly revisions = new Map<EndpointId, number>();
+
+  private completeRevision = 0;
+
   private confirmation: Confirmation | undefined;
 
   private readonly doubts = new Set<AbortController>();
@@ -52,10 +62,41 @@
     return this.held;
   }
 
+  /** The configuration as it was published. */
+  get configurationValue(): PublishedValue | undefined {
+    return this.heldValue;
+  }
+
+  /** Whether the last call of the source failed. */
+  get isSourceLost(): boolean {
+    return this.unavailableReason !== undefined;
+  }
+
+  /** Revision up to which every change is known. */
+  get completeToRevision(): number {
+    return this.completeRevision;
+  }
+
+  noteCompleteTo(revision: number): void {
+    this.completeRevision = Math.max(this.completeRevision, revision);
+  }
+
+  getRevision(endpointId: EndpointId): number {
+    return this.revisions.get(endpointId) ?? 0;
+  }
+
+  getValue(endpointId: EndpointId): PublishedValue | undefined {
+    return this.values.get(endpointId);
+  }
+
   getConfirmedAgeMs(): number {
+    const { maxWallLeadMs } = DEPLOYMENT_OPTIONS;
+    return computeConfirmedAgeMs(this.confirmation, this.readClocks(), maxWallLeadMs);
+  }
+
+  readClocks(): ClockReading {
     const { clock } = this.kernel;
-    const reading = { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
-    return computeConfirmedAgeMs(this.confirmation, reading, DEPLOYMENT_OPTIONS.maxWallLeadMs);
+    return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
   }
 
   listAssignable(service: string): ReadonlyArray<KnownBackEnd> {
@@ -84,7 +125,7 @@
     this.configurationListeners = [...this.configurationListeners, listener];
   }
 
-  takeConfiguration(configuration: ServingConfiguration): void {
+  takeConfiguration(configuration: ServingConfiguration, value: PublishedValue): void {
     if (this.held && configuration.version <= this.held.version) return;
     this.kernel.log.info('configuration taken', {
       version: configuration.version,
@@ -93,11 +134,16 @@
       keys: configuration.keyHolders?.size,
     });
     this.held = configuration;
+    this.heldValue = value;
     this.configurationListeners.forEach((listener) => listener(configuration));
   }
 
-  takeBackEnd(backEnd: BackEnd): void {
+  /** Ignores a state that is older than what is known: nodes and stale reads tell them late. */
+  takeBackEnd(backEnd: BackEnd, value: PublishedValue): void {
     const before = this.backEnds.get(backEnd.endpointId);
+    if (value.revision < this.getRevision(backEnd.endpointId)) return;
+    // An endpoint that isn't known any more was removed by a change that was read.
+    if (!before && value.revision <= this.completeRevision) return;
     this.lapsed.delete(backEnd.endpointId);
     const isNewStart = before !== undefined && before.startedAtWallMs !== backEnd.startedAtWallMs;
     if (before && isNewStart && backEnd.startedAtWallMs < before.startedAtWallMs) return;
@@ -109,6 +155,8 @@
       warmUpUntilMs: nowMs + backEnd.warmUpMs,
     };
     this.backEnds.set(backEnd.endpointId, known);
+    this.values.set(backEnd.endpointId, value);
+    this.revisions.set(backEnd.endpointId, value.revision);
     if (!before || isNewStart || before.leavingSinceMs !== known.leavingSinceMs) {
       this.logChange(known, isNewStart ? 'started again' : 'listed');
     }
@@ -118,9 +166,12 @@
     }
   }
 
-  removeBackEnd(endpointId: EndpointId): void {
+  /** @param revision of the removal, or up to which the list was read that lacks the endpoint. */
+  removeBackEnd(endpointId: EndpointId, revision: number): void {
     const known = this.backEnds.get(endpointId);
-    if (!known || known.leavingSinceMs !== undefined) return;
+    if (!known || revision < this.getRevision(endpointId)) return;
+    this.revisions.set(endpointId, revision);
+    if (known.leavingSinceMs !== undefined) return;
     const { lapsedEntryGraceMs } = DEPLOYMENT_OPTIONS;
     const goneAtMs = this.returnedAtMs + lapsedEntryGraceMs;
     if (this.unavailableReason === undefined && this.kernel.clock.nowMs() >= goneAtMs) {
@@ -131,7 +182,26 @@
     }
   }
 
-  confirm(asOfMs: number): void {
+  /** Another node knows that the endpoint leaves or has gone. */
+  takeDeparture(endpointId: EndpointId, revision: number): void {
+    const known = this.backEnds.get(endpointId);
+    if (!known || revision < this.getRevision(endpointId)) return;
+    this.revisions.set(endpointId, revision);
+    if (known.leavingSinceMs !== undefined) return;
+    this.lapsed.delete(endpointId);
+    this.markLeaving(known, 'another node knows that it leaves');
+  }
+
+  /** The same proof from another node; it says nothing about this node's own source. */
+  confirmRelayed(asOfMs: number, asked: ClockReading): void {
+    this.setConfirmation(asOfMs, asked);
+  }
+
+  /**
+   * Notes that everything published until a monotonic time is known.
+   * @param asked the clocks when the source was asked: a suspension before its answer counts.
+   */
+  confirm(asOfMs: number, asked: ClockReading): void {
     const { clock, log } = this.kernel;
     if (this.unavailableReason !== undefined) {
       log.info('source regained', { reason: this.unavailableReason });
@@ -141,8 +211,7 @@
         this.lapsed.set(endpointId, this.returnedAtMs + DEPLOYMENT_OPTIONS.lapsedEntryGraceMs),
       );
     }
-    if (asOfMs <= (this.confirmation?.asOfMs ?? -Infinity)) return;
-    this.confirmation = { asOfMs, nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+    this.setConfirmation(asOfMs, asked);
   }
 
   noteUnavailable(reason: string): void {
@@ -185,7 +254,16 @@
         ({ leavingSinceMs = Infinity }) =>
           nowMs - leavingSinceMs > DEPLOYMENT_OPTIONS.departedKeptMs,
       )
-      .forEach(({ endpointId }) => this.backEnds.delete(endpointId));
+      .forEach(({ endpointId }) => {
+        this.backEnds.delete(endpointId);
+        this.values.delete(endpointId);
+        this.revisions.delete(endpointId);
+      });
+  }
+
+  private setConfirmation(asOfMs: number, asked: ClockReading): void {
+    if (asOfMs <= (this.confirmation?.asOfMs ?? -Infinity)) return;
+    this.confirmation = { asOfMs, ...asked };
   }
 
   private markLeaving(known: KnownBackEnd, reason: string): void {
--- a/src/plugins/deployment/DeploymentPlugin.ts
+++ b/src/plugins/deployment/DeploymentPlugin.ts
@@ -6,12 +6,15 @@
   Deployment,
   FrontSettingsBook,
   GaugeSource,
+  PeerHandler,
   ReadinessCheck,
   SeedAddresses,
 } from '../../services';
 import { DeploymentBook } from './DeploymentBook';
 import { DeploymentGauges } from './DeploymentGauges';
 import { DEPLOYMENT_OPTIONS } from './options';
+import { RelayHandler } from './RelayHandler';
+import { RelayTask } from './RelayTask';
 import { SourceTask } from './SourceTask';
 
 class ConfigurationReadiness extends ReadinessCheck {
@@ -45,6 +48,7 @@
     const { bounds, regions } = settingsBook.settings;
     this.book = new DeploymentBook(this.kernel, bounds, new Map(Object.entries(regions)));
     this.kernel.provide(Deployment, this.book);
+    this.kernel.provide(PeerHandler, new RelayHandler(this.book));
     this.kernel.provide(GaugeSource, new DeploymentGauges(this.book));
     this.kernel.provide(ReadinessCheck, new ConfigurationReadiness(this.book));
     this.kernel.provide(SeedAddresses, new SeedsOfSettings(settingsBook));
@@ -54,6 +58,8 @@
     const { clock } = this.kernel;
     const task = new SourceTask(this.kernel, this.book);
     this.kernel.runTask('read the source', async (signal) => task.run(signal));
+    const relay = new RelayTask(this.kernel, this.book);
+    this.kernel.runTask('ask other nodes', async (signal) => relay.run(signal));
     this.kernel.runTask('sweep endpoints', async (signal) => {
       while (!signal.aborted) {
         this.book.sweep();
--- /dev/null
+++ b/src/plugins/deployment/RelayTask.ts
@@ -0,0 +1,123 @@
+/**
+ * The task that asks other nodes while this one can't reach the source itself.
+ *
+ * A node that answers tells the age of its own confirmation as of its answer, which is later than
+ * the question. What it knows is therefore complete up to the time of the question less that age.
+ */
+import type { EndpointId } from '../../core';
+import type { ClockReading } from '../../decisions';
+import type { Kernel } from '../../kernel';
+import { DeploymentSource, Members, Peers, type KnownMember } from '../../services';
+import type { DeploymentBook } from './DeploymentBook';
+import { DEPLOYMENT_OPTIONS } from './options';
+import { digestEndpoints, RELAY_MESSAGE_TYPE } from './RelayHandler';
+import { relayReplySchema, type RelayReply, type RelayRequest } from './relayMessages';
+
+/** @internal */
+export class RelayTask {
+  private intervalMs: number = DEPLOYMENT_OPTIONS.relayIntervalMs;
+
+  private isRelaying = false;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly book: DeploymentBook,
+  ) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await this.kernel.clock.sleep(this.intervalMs, signal);
+      if (signal.aborted) return;
+      const member = this.isNeeded() ? this.chooseMember() : undefined;
+      const isUseful = member !== undefined && (await this.ask(member));
+      this.noteResult(member, isUseful);
+    }
+  }
+
+  private isNeeded(): boolean {
+    const { relayAfterMs } = DEPLOYMENT_OPTIONS;
+    return this.book.isSourceLost || this.book.getConfirmedAgeMs() > relayAfterMs;
+  }
+
+  private chooseMember(): KnownMember | undefined {
+    const live = this.kernel.get(Members).listLive();
+    // Those that take callers know their configuration.
+    const knowing = live.filter(({ takesCallers }) => takesCallers);
+    const candidates = knowing.length > 0 ? knowing : live;
+    return candidates[Math.floor(Math.random() * candidates.length)];
+  }
+
+  /** Asks less often while nobody knows more, as when the source is away for all nodes. */
+  private noteResult(member: KnownMember | undefined, isUseful: boolean): void {
+    const { relayIntervalMs, maxRelayIntervalMs } = DEPLOYMENT_OPTIONS;
+    const isUseless = member !== undefined && !isUseful;
+    this.intervalMs = isUseless
+      ? Math.min(maxRelayIntervalMs, this.intervalMs * 2)
+      : relayIntervalMs;
+    if (isUseful === this.isRelaying) return;
+    this.isRelaying = isUseful;
+    this.kernel.log.info(
+      isUseful ? 'knowledge from other nodes' : 'no knowledge from other nodes',
+      {
+        member: member?.vmId,
+        confirmedAgeMs: Math.round(this.book.getConfirmedAgeMs()),
+      },
+    );
+  }
+
+  private async ask({ vmId }: KnownMember): Promise<boolean> {
+    const { log } = this.kernel;
+    const asked = this.book.readClocks();
+    const question: RelayRequest = {
+      configurationVersion: this.book.configuration?.version ?? 0,
+      endpointsDigest: digestEndpoints(this.book),
+    };
+    try {
+      const deadlineMs = asked.nowMs + DEPLOYMENT_OPTIONS.relayTimeoutMs;
+      const answer = await this.kernel
+        .get(Peers)
+        .call(vmId, RELAY_MESSAGE_TYPE, question, deadlineMs);
+      return this.take(relayReplySchema.parse(answer), asked);
+    } catch (thrown) {
+      log.debug('relay failed', { member: vmId, cause: thrown });
+      return false;
+    }
+  }
+
+  /**
+   * Takes whatever is newer than what this node knows; afterwards it knows at least as much as the
+   * node that answered. Tells whether its confirmation became newer.
+   */
+  private take(reply: RelayReply, asked: ClockReading): boolean {
+    const { book } = this;
+    const { configuration: relayed, confirmedAgeMs, endpoints = [], completeToRevision } = reply;
+    if (confirmedAgeMs === undefined) return false;
+    const configuration = relayed && this.kernel.get(DeploymentSource).decode(relayed);
+    // Without the configuration that the other node goes by, nothing is confirmed.
+    if (relayed && configuration?.kind !== 'configuration') return false;
+    if (configuration?.kind === 'configuration') {
+      book.takeConfiguration(configuration.configuration, configuration.value);
+    }
+    if (reply.endpoints) this.takeEndpoints(endpoints, completeToRevision);
+    const ageBefore = book.getConfirmedAgeMs();
+    book.confirmRelayed(asked.nowMs - confirmedAgeMs, asked);
+    return book.getConfirmedAgeMs() < ageBefore;
+  }
+
+  private takeEndpoints(
+    endpoints: NonNullable<RelayReply['endpoints']>,
+    completeToRevision: number,
+  ): void {
+    const source = this.kernel.get(DeploymentSource);
+    endpoints.forEach(({ endpointId, revision, value }) => {
+      const change = value && source.decode(value);
+      if (change?.kind === 'endpoint') this.book.takeBackEnd(change.backEnd, change.value);
+      if (!value) this.book.takeDeparture(endpointId, revision);
+    });
+    const listed = new Set<EndpointId>(endpoints.map(({ endpointId }) => endpointId));
+    this.book
+      .listAll()
+      .filter(({ endpointId }) => !listed.has(endpointId))
+      .forEach(({ endpointId }) => this.book.takeDeparture(endpointId, completeToRevision));
+  }
+}
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -43,12 +43,12 @@
   }
 
   private async readAll(signal: AbortSignal): Promise<void> {
-    const askedAtMs = this.kernel.clock.nowMs();
+    const asked = this.book.readClocks();
     const source = this.kernel.get(DeploymentSource);
     const limit = startDeadline(DEPLOYMENT_OPTIONS.readTimeoutMs, signal);
     try {
       this.take(await source.readAll(limit.signal), true);
-      this.book.confirm(askedAtMs);
+      this.book.confirm(asked.nowMs, asked);
       this.kernel.get(ServingMetrics).countSourceCall('changes');
     } finally {
       limit.stop();
@@ -56,12 +56,12 @@
   }
 
   private async watch(signal: AbortSignal): Promise<void> {
-    const { clock, log } = this.kernel;
+    const { log } = this.kernel;
     const { watchMs, watchMarginMs } = DEPLOYMENT_OPTIONS;
     // After an outage or a suspension the first answer has to come at once.
     const isConfirmed = this.book.getConfirmedAgeMs() < watchMs * 2;
     const waitMs = isConfirmed ? Math.round(this.vary(watchMs)) : 0;
-    const askedAtMs = clock.nowMs();
+    const asked = this.book.readClocks();
     const changes = await this.readChanges(waitMs, waitMs + watchMarginMs, signal);
     if (!changes) {
       log.info('history of the source lost', { position: this.position });
@@ -72,7 +72,7 @@
     this.take(changes, false);
     const isUnchanged = changes.changes.length === 0;
     this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
-    this.book.confirm(isUnchanged ? askedAtMs + waitMs : askedAtMs);
+    this.book.confirm(isUnchanged ? asked.nowMs + waitMs : asked.nowMs, asked);
   }
 
   private take({ changes, position }: PublishedChanges, isComplete: boolean): void {
@@ -81,26 +81,31 @@
       const listed = changes.flatMap((change) =>
         change.kind === 'endpoint' ? [change.backEnd.endpointId] : [],
       );
-      this.removeUnlisted(listed);
+      this.removeUnlisted(listed, position);
     }
     this.position = Math.max(position, this.position ?? 0);
+    this.book.noteCompleteTo(this.position);
   }
 
   private takeChange(change: PublishedChange, isComplete: boolean): void {
-    if (change.kind === 'configuration') this.book.takeConfiguration(change.configuration);
-    if (change.kind === 'endpoint') this.book.takeBackEnd(change.backEnd);
-    if (change.kind === 'endpoint-removed') this.book.removeBackEnd(change.endpointId);
+    if (change.kind === 'configuration') {
+      this.book.takeConfiguration(change.configuration, change.value);
+    }
+    if (change.kind === 'endpoint') this.book.takeBackEnd(change.backEnd, change.value);
+    if (change.kind === 'endpoint-removed') {
+      this.book.removeBackEnd(change.endpointId, change.revision);
+    }
     if (change.kind === 'unreadable') {
       const { key, reason } = change;
       this.kernel.log.warn('published value ignored', { key, reason, isComplete });
     }
   }
 
-  private removeUnlisted(listed: ReadonlyArray<EndpointId>): void {
+  private removeUnlisted(listed: ReadonlyArray<EndpointId>, position: number): void {
     this.book
       .listAll()
       .filter(({ endpointId }) => !listed.includes(endpointId))
-      .forEach(({ endpointId }) => this.book.removeBackEnd(endpointId));
+      .forEach(({ endpointId }) => this.book.removeBackEnd(endpointId, position));
   }
 
   /** Ends the call at its time limit, or early when a suspension has shown. */
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -19,6 +19,16 @@
   readTimeoutMs: 1_500,
   /** Interval between tries while the source fails. */
   retryIntervalMs: 250,
+  /** Age of the confirmation at which other nodes are asked; a watch that waits doesn't reach it. */
+  relayAfterMs: 2_000,
+  /** Interval at which another node is asked while the source can't be reached. */
+  relayIntervalMs: 250,
+  /** The longest such interval, while no other node knows more. */
+  maxRelayIntervalMs: 2_000,
+  /** Time limit of the question. */
+  relayTimeoutMs: 400,
+  /** Age of a confirmation above which a node passes nothing on. */
+  maxRelayedAgeMs: 2_500,
   /** Share by which intervals vary at random. */
   jitterShare: 0.15,
 } as const;
--- a/tests/FrontScene.ts
+++ b/tests/FrontScene.ts
@@ -94,6 +94,8 @@
 
   readonly engines: PlatformEngine[] = [];
 
+  private readonly otherStores: MetadataStore[] = [];
+
   private constructor(readonly store: MetadataStore) {}
 
   static async start(): Promise<FrontScene> {
@@ -103,7 +105,14 @@
   async stop(): Promise<void> {
     await Promise.all(this.nodes.map(async ({ kernel }) => kernel.dispose()));
     await Promise.all(this.engines.map(async (engine) => engine.stop()));
-    await this.store.stop();
+    await Promise.all([this.store, ...this.otherStores].map(async (store) => store.stop()));
+  }
+
+  /** Another store, for a node that is cut off by itself. */
+  async addStore(): Promise<MetadataStore> {
+    const store = await MetadataStore.start();
+    this.otherStores.push(store);
+    return store;
   }
 
   /** Starts an engine and registers it. */
@@ -122,17 +131,23 @@
    * The addresses have to be known before the start, so a port that was free a moment ago can be
    * taken by another process; the node is then started on others.
    */
-  async addNode(bounds: Readonly<Record<string, number>> = {}): Promise<FrontNode> {
+  async addNode(
+    bounds: Readonly<Record<string, number>> = {},
+    storeUrl = this.store.url,
+  ): Promise<FrontNode> {
     for (;;) {
       try {
-        return await this.startNode(bounds);
+        return await this.startNode(bounds, storeUrl);
       } catch (thrown) {
         if ((thrown as NodeJS.ErrnoException).code !== 'EADDRINUSE') throw thrown;
       }
     }
   }
 
-  private async startNode(bounds: Readonly<Record<string, number>>): Promise<FrontNode> {
+  private async startNode(
+    bounds: Readonly<Record<string, number>>,
+    storeUrl: string,
+  ): Promise<FrontNode> {
     const ports = await Promise.all(Array.from({ length: 5 }, findFreePort));
     const [caller, peer, operator, readiness, directory] = ports.map((port) => `127.0.0.1:${port}`);
     const settings = parseFrontSettings(
@@ -144,8 +159,8 @@
           callerAddress: caller,
           peerAddress: peer,
           operatorAddress: operator,
-          configurationUrl: this.store.url,
-          vmListUrl: this.store.url,
+          configurationUrl: storeUrl,
+          vmListUrl: storeUrl,
           fleetKey: 'test-fleet-key-0001',
         },
         readinessAddress: readiness,
@@ -178,8 +193,9 @@
   async addReadyNode(
     endpoints: number,
     bounds?: Readonly<Record<string, number>>,
+    storeUrl?: string,
   ): Promise<FrontNode> {
-    const node = await this.addNode(bounds);
+    const node = await this.addNode(bounds, storeUrl);
     const deployment = node.kernel.get(Deployment);
     await waitUntil(
       'the node knows the deployment',
--- a/tests/front.test.ts
+++ b/tests/front.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { request } from 'undici';
 import { Deployment } from '../src/services';
 import { callFront, createStoreConfiguration, FrontScene, HOST, PROMPT } from './FrontScene';
@@ -235,6 +236,33 @@
   );
 });
 
+// Guards against keys refused at a node whose neighbours know the configuration, against keys that
+// go on there after they were taken away, and against runs lost with an engine whose departure only
+// the others have read.
+test('a node that is cut off from its source learns from the others', async () => {
+  const ownStore = await scene.addStore();
+  scene.store.put('op/config', createStoreConfiguration());
+  ownStore.put('op/config', createStoreConfiguration());
+  const first = await scene.addEngine('desk', { instanceId: 'i-1' });
+  const second = await scene.addEngine('desk', { instanceId: 'i-2' });
+  ownStore.put('servers/i-1', first.describe('desk'));
+  ownStore.put('servers/i-2', second.describe('desk'));
+  await scene.addReadyNode(2, { revocationWithinMs: 2_500 });
+  const cut = await scene.addReadyNode(2, { revocationWithinMs: 2_500 }, ownStore.url);
+  await scene.waitForMembers();
+  ownStore.behaviour = 'reset';
+  // Its own confirmation is too old by then.
+  await sleep(3_000);
+  expect((await callFront(cut, '/lookup/a')).status).toBe(200);
+  scene.store.put('servers/i-1', first.describe('desk', { state: 'draining' }));
+  scene.store.remove('servers/i-2');
+  const deployment = cut.kernel.get(Deployment);
+  await waitUntil('both departures', () => deployment.listAssignable('desk').length === 0);
+  const tenants = [{ name: 'cafe-1', apiKeys: ['key-2'] }];
+  scene.store.put('op/config', createStoreConfiguration({ version: 6, tenants }));
+  await waitUntil('the refusal', async () => (await callFront(cut, '/lookup/a')).status === 401);
+});
+
 // Guards against an older configuration that comes into force again, and against values of others.
 test('takes newer versions only and ignores what it cannot read', async () => {
   scene.store.put('op/config', createStoreConfiguration());
