Ask other nodes at a steady pace while they vouch for what they know

Cause: a neighbour's confirmation grows only when its watch ends, every 1.5 s, so most answers confirmed nothing newer and were taken for useless: the interval doubled and two lines were logged a second. Change: an answer counts as useless only when the node doesn't vouch for anything; the start of the relaying is logged once.

--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -29,8 +29,8 @@
       await this.kernel.clock.sleep(this.intervalMs, signal);
       if (signal.aborted) return;
       const member = this.isNeeded() ? this.chooseMember() : undefined;
-      const isUseful = member !== undefined && (await this.ask(member));
-      this.noteResult(member, isUseful);
+      if (member) this.noteResult(member, await this.ask(member));
+      else this.isRelaying = false;
     }
   }
 
@@ -47,22 +47,16 @@
     return candidates[Math.floor(Math.random() * candidates.length)];
   }
 
-  /** Asks less often while nobody knows more, as when the source is away for all nodes. */
-  private noteResult(member: KnownMember | undefined, isUseful: boolean): void {
+  /** Asks less often while nobody vouches for anything, as when the source is away for all nodes. */
+  private noteResult({ vmId }: KnownMember, isVouchedFor: boolean): void {
     const { relayIntervalMs, maxRelayIntervalMs } = DEPLOYMENT_OPTIONS;
-    const isUseless = member !== undefined && !isUseful;
-    this.intervalMs = isUseless
-      ? Math.min(maxRelayIntervalMs, this.intervalMs * 2)
-      : relayIntervalMs;
-    if (isUseful === this.isRelaying) return;
-    this.isRelaying = isUseful;
-    this.kernel.log.info(
-      isUseful ? 'knowledge from other nodes' : 'no knowledge from other nodes',
-      {
-        member: member?.vmId,
-        confirmedAgeMs: Math.round(this.book.getConfirmedAgeMs()),
-      },
-    );
+    this.intervalMs = isVouchedFor
+      ? relayIntervalMs
+      : Math.min(maxRelayIntervalMs, this.intervalMs * 2);
+    if (!isVouchedFor || this.isRelaying) return;
+    this.isRelaying = true;
+    const confirmedAgeMs = Math.round(this.book.getConfirmedAgeMs());
+    this.kernel.log.info('knowledge from other nodes', { member: vmId, confirmedAgeMs });
   }
 
   private async ask({ vmId }: KnownMember): Promise<boolean> {
@@ -86,7 +80,7 @@
 
   /**
    * Takes whatever is newer than what this node knows; afterwards it knows at least as much as the
-   * node that answered. Tells whether its confirmation became newer.
+   * node that answered. Tells whether that one vouched for what it knows.
    */
   private take(reply: RelayReply, asked: ClockReading): boolean {
     const { book } = this;
@@ -99,9 +93,8 @@
       book.takeConfiguration(configuration.configuration, configuration.value);
     }
     if (reply.endpoints) this.takeEndpoints(endpoints, completeToRevision);
-    const ageBefore = book.getConfirmedAgeMs();
     book.confirmRelayed(asked.nowMs - confirmedAgeMs, asked);
-    return book.getConfirmedAgeMs() < ageBefore;
+    return true;
   }
 
   private takeEndpoints(
