Say what became of requests whose process was killed, and count causes that lines name

Cause: a request whose node was killed has lines, but no end, and 'why' said nothing about it; the share of requests whose lines name the cause had not been counted. Ruled out: writing the end of such requests from other nodes, which know nothing of them.

--- /dev/null
+++ b/bench/explainedShare.ts
@@ -0,0 +1,85 @@
+/**
+ * Share of failed, refused and lost requests whose log lines name the cause.
+ *
+ * Reads collected lines of played days, with or without a prefix before the JSON:
+ * `node scripts/bench.mjs explainedShare FILE...`. Each file is one day. A cause counts as named
+ * when the lines hold a refusal with its kind and reason, an endpoint's own error, the caller's
+ * leaving, or the start of the node that lost the request.
+ */
+import { readFileSync } from 'node:fs';
+import { LogExplanation, type LogLine } from '../src/decisions';
+import { formatTable } from './formatTable';
+
+interface LoggedRequest {
+  readonly lines: ReadonlyArray<LogLine>;
+}
+
+function parseLine(text: string): LogLine | undefined {
+  try {
+    return JSON.parse(text.slice(text.indexOf('{'))) as LogLine;
+  } catch {
+    return undefined;
+  }
+}
+
+function groupByRequest(lines: ReadonlyArray<LogLine>): ReadonlyMap<string, LoggedRequest> {
+  const found = new Map<string, LogLine[]>();
+  lines
+    .filter(({ event }) => event === 'request' || event === 'decision')
+    .forEach((line) => {
+      if (typeof line.requestId !== 'string') return;
+      const known = found.get(line.requestId);
+      if (known) known.push(line);
+      else found.set(line.requestId, [line]);
+    });
+  return new Map([...found].map(([requestId, group]) => [requestId, { lines: group }]));
+}
+
+/** How the request ended; undefined for a good end. */
+function classify({ lines }: LoggedRequest): string | undefined {
+  const end = lines.findLast(({ event }) => event === 'request');
+  if (!end) return 'no end logged';
+  const outcome = String(end.outcome);
+  return /^2\d\d$/.test(outcome) ? undefined : outcome;
+}
+
+function namesCause({ lines }: LoggedRequest, outcome: string, told: string): boolean {
+  const refusal = lines.find(({ step }) => step === 'refuse');
+  if (refusal) return refusal.kind !== undefined && refusal.reason !== undefined;
+  if (outcome === 'no end logged') return told.includes('Started anew');
+  if (outcome === 'caller left') return true;
+  const end = lines.findLast(({ event }) => event === 'request');
+  const attempts = (end?.attempts ?? []) as ReadonlyArray<{ readonly outcome: string }>;
+  return attempts.some((attempt) => outcome.startsWith(attempt.outcome));
+}
+
+const counts = new Map<string, { total: number; named: number }>();
+for (const file of process.argv.slice(2)) {
+  const lines = readFileSync(file, 'utf8')
+    .split('\n')
+    .map(parseLine)
+    .filter((line) => line !== undefined);
+  const starts = lines.filter(({ event }) => event === 'started');
+  groupByRequest(lines).forEach((request, requestId) => {
+    const outcome = classify(request);
+    if (outcome === undefined) return;
+    const explanation = new LogExplanation(requestId);
+    [...starts, ...request.lines].forEach((line) => explanation.add(line));
+    const told = explanation.tell().join('\n');
+    const count = counts.get(outcome) ?? { total: 0, named: 0 };
+    count.total += 1;
+    if (namesCause(request, outcome, told)) count.named += 1;
+    counts.set(outcome, count);
+  });
+}
+const rows = [...counts].sort(([, a], [, b]) => b.total - a.total);
+const total = rows.reduce((sum, [, count]) => sum + count.total, 0);
+const named = rows.reduce((sum, [, count]) => sum + count.named, 0);
+const table = formatTable(
+  ['outcome', 'requests', 'cause named'],
+  [
+    ...rows.map(([outcome, count]) => [outcome, String(count.total), String(count.named)]),
+    ['all', String(total), String(named)],
+  ],
+);
+process.stdout.write(`${table}\n`);
--- a/src/cli/WhyCommand.ts
+++ b/src/cli/WhyCommand.ts
@@ -6,8 +6,7 @@
 import type { Command } from 'commander';
 import { request } from 'undici';
 import { z } from 'zod';
-import { decisionSchema } from '../core';
-import { describeDecision, describeLogLine, type LogLine } from '../decisions';
+import { LogExplanation, type LogLine } from '../decisions';
 import { CliCommand, EXIT_CODE_HELP, EXIT_CODES } from './CliCommand';
 
 const answerSchema = z.object({ plainWords: z.array(z.string()) });
@@ -27,18 +26,11 @@
 }
 
 async function findInLog(file: string, requestId: string): Promise<ReadonlyArray<string>> {
-  const found: string[] = [];
+  const explanation = new LogExplanation(requestId);
   for await (const line of createInterface({ input: createReadStream(file) })) {
-    if (!line.includes(requestId)) continue;
-    const parsed = parseLine(line);
-    const decision = decisionSchema.safeParse(parsed);
-    const described =
-      decision.success && decision.data.requestId === requestId
-        ? describeDecision(decision.data)
-        : describeLogLine(parsed, requestId);
-    if (described !== undefined) found.push(described);
+    if (line.includes(requestId) || line.includes('"started"')) explanation.add(parseLine(line));
   }
-  return found;
+  return explanation.tell();
 }
 
 async function askNode(operatorUrl: string, requestId: string): Promise<ReadonlyArray<string>> {
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -7,6 +7,7 @@
 export * from './confirmation';
 export * from './describeDecision';
 export * from './describeLogLine';
+export * from './LogExplanation';
 export * from './options';
 export * from './SeededRandom';
 export * from './HistogramPool';
