--- a/tests/FrontScene.ts
+++ b/tests/FrontScene.ts
@@ -144,32 +144,38 @@
     }
   }
 
+  /** What the settings file of the next node says. */
+  async describeSettings(
+    bounds: Readonly<Record<string, number>>,
+    storeUrl = this.store.url,
+  ): Promise<string> {
+    const ports = await Promise.all(Array.from({ length: 5 }, findFreePort));
+    const [caller, peer, operator, readiness, directory] = ports.map((port) => `127.0.0.1:${port}`);
+    return JSON.stringify({
+      node: {
+        vmId: `front-${this.nodes.length + 1}`,
+        dataCentre: 'brisbane',
+        region: 'seq',
+        callerAddress: caller,
+        peerAddress: peer,
+        operatorAddress: operator,
+        configurationUrl: storeUrl,
+        vmListUrl: storeUrl,
+        fleetKey: 'test-fleet-key-0001',
+      },
+      readinessAddress: readiness,
+      directoryAddress: directory,
+      seeds: this.nodes.slice(0, 1).map((node) => node.settings.node.peerAddress),
+      regions: { brisbane: 'seq', cairns: 'fnq' },
+      bounds,
+    });
+  }
+
   private async startNode(
     bounds: Readonly<Record<string, number>>,
     storeUrl: string,
   ): Promise<FrontNode> {
-    const ports = await Promise.all(Array.from({ length: 5 }, findFreePort));
-    const [caller, peer, operator, readiness, directory] = ports.map((port) => `127.0.0.1:${port}`);
-    const settings = parseFrontSettings(
-      JSON.stringify({
-        node: {
-          vmId: `front-${this.nodes.length + 1}`,
-          dataCentre: 'brisbane',
-          region: 'seq',
-          callerAddress: caller,
-          peerAddress: peer,
-          operatorAddress: operator,
-          configurationUrl: storeUrl,
-          vmListUrl: storeUrl,
-          fleetKey: 'test-fleet-key-0001',
-        },
-        readinessAddress: readiness,
-        directoryAddress: directory,
-        seeds: this.nodes.slice(0, 1).map((node) => node.settings.node.peerAddress),
-        regions: { brisbane: 'seq', cairns: 'fnq' },
-        bounds,
-      }),
-    );
+    const settings = parseFrontSettings(await this.describeSettings(bounds, storeUrl));
     const lines: LogFields[] = [];
     const log = new Log({
       level: 'info',
@@ -229,7 +235,7 @@
 
 /** Sends a request as a caller does. @throws when the answer breaks off. */
 export async function callFront(
-  { settings }: FrontNode,
+  { settings }: Pick<FrontNode, 'settings'>,
   target: string,
   { method = 'GET', body, headers = {} }: FrontCall = {},
 ): Promise<FrontAnswer> {
--- a/tests/ManagedProcess.ts
+++ b/tests/ManagedProcess.ts
@@ -4,7 +4,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import path from 'node:path';
-import { createInterface } from 'node:readline';
+import { createInterface, type Interface } from 'node:readline';
 import { waitUntil } from './waitUntil';
 
 /** One JSON line of standard output. */
@@ -30,6 +30,8 @@
 
   private readonly outputLines: OutputLine[] = [];
 
+  private readonly reader: Interface;
+
   private errorText = '';
 
   private readonly closed: Promise<unknown>;
@@ -43,7 +45,7 @@
     });
     this.child = child;
     this.closed = once(child, 'close');
-    createInterface({ input: child.stdout }).on('line', (line) =>
+    this.reader = createInterface({ input: child.stdout }).on('line', (line) =>
       this.outputLines.push(parseLine(line)),
     );
     child.stderr.on('data', (chunk: Buffer) => {
@@ -99,6 +101,15 @@
     this.child.kill('SIGCONT');
   }
 
+  /** Leaves the output in the pipe, as a collector of logs that hangs does. */
+  stopReading(): void {
+    this.reader.pause();
+  }
+
+  resumeReading(): void {
+    this.reader.resume();
+  }
+
   async waitForExit(): Promise<number | null> {
     await this.closed;
     return this.child.exitCode;
