Test growing copies: their engine takes a run over after a crash and after silence

Change: the stand-in of an engine sends the memory of a run as it grows and can fall silent; three tests.

--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -33,6 +33,11 @@
   readonly cut: () => void;
 }
 
+/** Tells another engine that it has the memory; one that is gone is left out. */
+async function sendCopy(address: string, handle: string): Promise<void> {
+  await fetch(`http://${address}/control/copies`, { method: 'POST', body: handle }).catch(() => {});
+}
+
 /** @public */
 export class PlatformEngine extends StandIn {
   static override readonly type = 'platform-engine';
@@ -79,6 +84,11 @@
     };
   }
 
+  /** Stops all streams without closing them, as the loss of the path to the engine would. */
+  goSilent(): void {
+    this.behaviour = 'silent';
+  }
+
   /** Ends all streams as the death of the process would. */
   crash(): void {
     this.behaviour = 'reset';
@@ -143,6 +153,8 @@
       },
     };
     this.running.set(requestId, run);
+    const holder = headers['x-bramleyvane-kv-backup'];
+    if (holder !== undefined) void sendCopy(holder, requestId);
     const body = new ReadableStream<Uint8Array>({
       start: async (controller) => {
         while (run.made < events && !run.isStopped && !incoming.socket.destroyed) {
@@ -150,6 +162,7 @@
             setTimeout(resolve, eventIntervalMs);
           });
           if (run.isStopped) break;
+          if (this.behaviour === 'silent') await new Promise(() => {});
           run.made += 1;
           controller.enqueue(Buffer.from(`id: ${run.made}\ndata: token ${run.made}\n\n`));
         }
@@ -171,9 +184,7 @@
     }
     if (order.final) run.isStopped = true;
     const handle = `${order.id}-copy`;
-    await fetch(`http://${order.to}/control/copies`, { method: 'POST', body: handle }).catch(
-      () => {},
-    );
+    await sendCopy(order.to, handle);
     return context.json({ handle, created: run.made });
   }
 }
--- a/tests/front.test.ts
+++ b/tests/front.test.ts
@@ -195,6 +195,59 @@
   expect((await call).text).toBe(STREAM(60));
 });
 
+/** Services whose engines send the memory of a run to another engine while it grows. */
+const COPYING = [
+  {
+    name: 'writers',
+    maxConnections: 40,
+    engine: { kvCapacity: 30_000, stride: 4, moves: true, backups: true },
+  },
+];
+
+// Guards against a report that is lost with its engine although another one has its memory, and
+// against a stream that waits for an engine which will never say another word.
+test.each(['crash', 'goSilent'] as const)(
+  'a run goes on from its growing copy after a %s',
+  async (fault) => {
+    scene.store.put('op/config', createStoreConfiguration({ services: COPYING }));
+    const options = { events: 150, eventIntervalMs: 10 };
+    const engines = [
+      await scene.addEngine('writers', { instanceId: 'i-1', ...options }),
+      await scene.addEngine('writers', { instanceId: 'i-2', ...options }),
+    ];
+    const node = await scene.addReadyNode(2);
+    const call = callFront(node, '/report/a', {
+      method: 'POST',
+      headers: { ...PROMPT, 'x-bramleyvane-deadline-ms': '20000' },
+    });
+    const holder = await waitUntil('the copy', () => engines.find(({ copies }) => copies.size > 0));
+    const other = engines.find((engine) => engine !== holder);
+    await sleep(100);
+    other?.[fault]();
+    expect((await call).text).toBe(STREAM(150));
+    expect(holder.runs).toHaveLength(1);
+  },
+);
+
+// Guards against a caller that is never told that its stream won't go on.
+test('a stream without a copy on a silent engine is cut at its deadline', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  const engine = await scene.addEngine('writers', { instanceId: 'i-1', events: 300 });
+  const node = await scene.addReadyNode(1);
+  const call = callFront(node, '/report/a', {
+    method: 'POST',
+    headers: { ...PROMPT, 'x-bramleyvane-deadline-ms': '1500' },
+  });
+  const broken = expect(call).rejects.toThrow();
+  await waitUntil('the run starts', () => engine.runs.length === 1);
+  await sleep(50);
+  engine.goSilent();
+  await broken;
+  expect(node.lines.find(({ step }) => step === 'refuse')).toMatchObject({
+    kind: 'answer-timeout',
+  });
+});
+
 // Guards against a broken report that looks complete, and against one made of two runs.
 test('a stream that may not be resumed is cut with its engine', async () => {
   scene.store.put('op/config', createStoreConfiguration());
