Send less to endpoints that work slowly, and keep identifiers in the bundle

Ruled out: reports of engines and health checks, which say nothing of it; first-token delays alone, which the load hides. Change: nodes learn the time for a token or a call from answers, tell it each other with their loads, and compare the endpoints of a service: one above 2.5 times the median costs more and gets fewer moved runs. What was learnt is forgotten after 5 s. The bundle is minified without renaming.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,9 +9,9 @@
   outdir: process.argv[2] ?? 'dist',
   outExtension: { '.js': '.cjs' },
   bundle: true,
-  // A node's memory holds the source of its bundle. Names of classes appear in logs.
-  minify: true,
-  keepNames: true,
+  // A node's memory holds the source of its bundle. Identifiers stay, since logs show class names.
+  minifyWhitespace: true,
+  minifySyntax: true,
   platform: 'node',
   target: 'node20',
   format: 'cjs',
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -38,6 +38,7 @@
 export * from './neighbours';
 export * from './reading';
 export * from './reportChange';
+export * from './EndpointPace';
 export * from './OperationRules';
 export * from './operationOutcome';
 export * from './operationTicket';
--- a/src/decisions/placement.test.ts
+++ b/src/decisions/placement.test.ts
@@ -26,6 +26,7 @@
     failureShare: 0,
     isWarmingUp: false,
     isAvoided: false,
+    slowness: 1,
     hasConnection: true,
     ...changes,
   };
@@ -45,6 +46,7 @@
   ['one that answers', { failureShare: 0.4 }],
   ['one with fewer prompts to read', { unreadTokens: 6_000 }],
   ['one that is warm', { isWarmingUp: true }],
+  ['one that works at the usual pace', { slowness: 4 }],
   ['one that is not avoided', { isAvoided: true }],
   ['one with a connection left', { hasConnection: false }],
 ])('prefers %s', (_name, changes) => {
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -20,6 +20,8 @@
   warmUpFactor: 2,
   /** Addition for a plain service while it is slow after its start. */
   warmUpCost: 0.2,
+  /** Addition for each multiple of the usual pace that an endpoint takes. */
+  slownessCost: 0.25,
   /** Addition for an endpoint that fails in a row; it is used only when all do. */
   avoidedCost: 10,
   /** Candidates whose costs differ by less are taken as equal and drawn from. */
@@ -59,6 +61,8 @@
   readonly failureShare: number;
   readonly isWarmingUp: boolean;
   readonly isAvoided: boolean;
+  /** How many times slower it works than the others of its service; 1 unless it stands out. */
+  readonly slowness: number;
   /** Whether this node may send it another request on the connections that it has a share of. */
   readonly hasConnection: boolean;
 }
@@ -118,12 +122,12 @@
 
 /** Expected wait for the first token, as a share of what counts as prompt. */
 function computeFirstTokenShare(
-  { unreadTokens, isWarmingUp }: PlacementCandidate,
+  { unreadTokens, isWarmingUp, slowness }: PlacementCandidate,
   need: MemoryNeed,
 ): number {
   if (need.unreadTokens === 0 || need.promptWithinMs === 0) return 0;
   const delayMs = (unreadTokens + need.unreadTokens) / need.tokensPerMs;
-  const factor = isWarmingUp ? PLACEMENT_OPTIONS.warmUpFactor : 1;
+  const factor = Math.max(slowness, isWarmingUp ? PLACEMENT_OPTIONS.warmUpFactor : 1);
   return (delayMs * factor) / need.promptWithinMs;
 }
 
@@ -151,6 +155,7 @@
     failureCost,
     firstTokenCost,
     warmUpCost,
+    slownessCost,
     avoidedCost,
   } = PLACEMENT_OPTIONS;
   const distanceCosts = {
@@ -164,6 +169,7 @@
     failureCost * candidate.failureShare +
     firstTokenCost * computeFirstTokenShare(candidate, need) +
     (candidate.isWarmingUp && candidate.memoryTokens === undefined ? warmUpCost : 0) +
+    slownessCost * (candidate.slowness - 1) +
     (candidate.isAvoided ? avoidedCost : 0)
   );
 }
@@ -184,7 +190,8 @@
     .map((candidate) => {
       const takenShare = computeRoomShare(candidate, need);
       const roomWeight = Math.max(leastRoomWeight, Math.max(0, 1 - takenShare) ** 2);
-      return { candidate, takenShare, weight: roomWeight * destinationWeights[candidate.distance] };
+      const weight = (roomWeight * destinationWeights[candidate.distance]) / candidate.slowness;
+      return { candidate, takenShare, weight };
     });
   const total = weighted.reduce((sum, { weight }) => sum + weight, 0);
   let left = draw * total;
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -10,10 +10,12 @@
 import {
   chooseCopyHolder,
   choosePlacement,
+  computeSlowness,
   drawDestination,
   EndpointHealth,
   PrefillSpeed,
   type EndpointOutcome,
+  type EndpointPace,
   type MemoryNeed,
   type Placement,
   type PlacementCandidate,
@@ -40,6 +42,8 @@
 export interface PlacedRequest {
   readonly backEnd: KnownBackEnd;
   readonly noteTokens: (outputTokens: number) => void;
+  /** The node waits for the endpoint's next bytes from now on. */
+  readonly noteReading: () => void;
   readonly release: () => unknown;
 }
 
@@ -68,6 +72,7 @@
     private readonly connections: EndpointConnections,
     private readonly ownWork: OwnWork,
     private readonly expectation: OutputExpectation,
+    private readonly pace: EndpointPace,
   ) {
     this.waiters = new RoomWaiters(kernel.clock);
   }
@@ -148,7 +153,7 @@
       work,
       producedTokens,
     );
-    return { backEnd, noteTokens, release };
+    return { backEnd, noteTokens, noteReading: () => {}, release };
   }
 
   /** Undefined when the request should wait. */
@@ -207,8 +212,11 @@
     unreadTokens: number,
   ): PlacedRequest {
     const { endpointId } = backEnd;
-    const placedAtMs = this.kernel.clock.nowMs();
-    let isFirst = producedTokens === 0;
+    const { clock } = this.kernel;
+    const placedAtMs = clock.nowMs();
+    const learnsPrefill = producedTokens === 0;
+    let knownTokens = producedTokens;
+    let readingSinceMs: number | undefined;
     const room = this.ownWork.hold(endpointId, 'request', work, producedTokens);
     this.health.noteSent(endpointId, placedAtMs);
     // Other nodes that place at the same moment should know of it.
@@ -217,11 +225,17 @@
       backEnd,
       noteTokens: (tokens) => {
         room.noteTokens(tokens);
-        this.health.noteHeard(endpointId, this.kernel.clock.nowMs());
-        if (!isFirst) return;
-        isFirst = false;
-        const delayMs = this.kernel.clock.nowMs() - placedAtMs;
-        this.prefillSpeed.observe(work.service, unreadTokens, delayMs);
+        const nowMs = clock.nowMs();
+        this.health.noteHeard(endpointId, nowMs);
+        if (readingSinceMs !== undefined) {
+          this.pace.observe(endpointId, tokens - knownTokens, nowMs - readingSinceMs, nowMs);
+        } else if (learnsPrefill) {
+          this.prefillSpeed.observe(work.service, unreadTokens, nowMs - placedAtMs);
+        }
+        knownTokens = tokens;
+      },
+      noteReading: () => {
+        readingSinceMs = clock.nowMs();
       },
       release: () => {
         if (!room.release()) return;
@@ -235,6 +249,11 @@
     this.health.note(endpointId, outcome, this.kernel.clock.nowMs());
   }
 
+  /** Notes a complete answer of a call. */
+  noteCallTime(endpointId: EndpointId, elapsedMs: number): void {
+    this.pace.observe(endpointId, 1, elapsedMs, this.kernel.clock.nowMs());
+  }
+
   /** @param nearDataCentre the one from which the distance counts. */
   private describeAll(
     work: PlacedWork,
@@ -242,22 +261,29 @@
     nearDataCentre: string,
   ): ReadonlyArray<PlacementCandidate> {
     const countsByRegion = this.countByRegion(work.service);
-    return backEnds.map((backEnd) =>
-      this.describe(
-        work,
-        backEnd,
-        nearDataCentre,
-        countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
-      ),
-    );
+    const pacesMs = backEnds.map(({ endpointId }) => this.findPaceMs(endpointId));
+    const knownPacesMs = pacesMs.filter((paceMs) => paceMs !== undefined);
+    return backEnds.map((backEnd, index) => ({
+      ...this.describe(work, backEnd, nearDataCentre),
+      endpointsInRegion: countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
+      slowness: computeSlowness(pacesMs[index], knownPacesMs),
+    }));
+  }
+
+  /** Mean of what this node and the others have seen. */
+  private findPaceMs(endpointId: EndpointId): number | undefined {
+    const own = this.pace.get(endpointId, this.kernel.clock.nowMs());
+    const others = this.kernel.get(Members).listPacesMs(endpointId);
+    const all = own === undefined ? others : [own, ...others];
+    if (all.length === 0) return undefined;
+    return all.reduce((sum, paceMs) => sum + paceMs, 0) / all.length;
   }
 
   private describe(
     work: PlacedWork,
     backEnd: KnownBackEnd,
     nearDataCentre: string,
-    endpointsInRegion: number,
-  ): PlacementCandidate {
+  ): Omit<PlacementCandidate, 'endpointsInRegion' | 'slowness'> {
     const nowMs = this.kernel.clock.nowMs();
     const own = this.ownWork.getLoad(backEnd.endpointId);
     const others = this.kernel.get(Members).getLoadOfOthers(backEnd.endpointId);
@@ -270,7 +296,6 @@
       heldTokens: own.heldTokens + others.heldTokens,
       finalTokens: own.finalTokens + others.finalTokens,
       unreadTokens: own.unreadTokens + others.unreadTokens,
-      endpointsInRegion,
       distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
       failureShare: this.health.getFailureShare(backEnd.endpointId, nowMs),
       isWarmingUp: backEnd.warmUpUntilMs > nowMs,
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -2,6 +2,7 @@
  * Forwarding of callers' requests to endpoints.
  */
 import { Plugin, registerPlugin } from '../../kernel';
+import { EndpointPace } from '../../decisions';
 import { CallerAdmission, Deployment, LoadSource, Members } from '../../services';
 import { EndpointConnections } from './EndpointConnections';
 import { EndpointPlacer } from './EndpointPlacer';
@@ -40,13 +41,16 @@
 
   private readonly expectation = new OutputExpectation();
 
-  private readonly ownWork = new OwnWork(this.expectation);
+  private readonly pace = new EndpointPace();
+
+  private readonly ownWork = new OwnWork(this.expectation, this.pace, this.kernel.clock);
 
   private readonly placer = new EndpointPlacer(
     this.kernel,
     this.connections,
     this.ownWork,
     this.expectation,
+    this.pace,
   );
 
   private forwarder!: RequestForwarder;
@@ -74,6 +78,7 @@
     deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
     deployment.onLeaving((backEnd) => {
       placer.health.forget(backEnd.endpointId);
+      this.pace.forget(backEnd.endpointId);
       mover.moveAll(backEnd);
     });
     kernel.get(Members).onHeard(() => placer.lookForRoom());
--- a/src/plugins/forwarding/OwnWork.ts
+++ b/src/plugins/forwarding/OwnWork.ts
@@ -1,7 +1,8 @@
 /**
  * What this node has under way at endpoints: requests, and copies of runs of other engines.
  */
-import type { EndpointId } from '../../core';
+import type { Clock, EndpointId } from '../../core';
+import type { EndpointPace } from '../../decisions';
 import { LoadSource, type EndpointLoad } from '../../services';
 import type { ExpectedWork, OutputExpectation } from './OutputExpectation';
 
@@ -26,7 +27,11 @@
 export class OwnWork extends LoadSource {
   private readonly byEndpoint = new Map<EndpointId, Map<symbol, Held>>();
 
-  constructor(private readonly expectation: OutputExpectation) {
+  constructor(
+    private readonly expectation: OutputExpectation,
+    private readonly pace: EndpointPace,
+    private readonly clock: Clock,
+  ) {
     super();
   }
 
@@ -54,7 +59,7 @@
     };
   }
 
-  getLoad(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
+  getLoad(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId' | 'paceMs'> {
     const held = [...(this.byEndpoint.get(endpointId)?.values() ?? [])];
     const requests = held.filter(({ kind }) => kind === 'request');
     const sum = (parts: ReadonlyArray<Held>, count: (part: Held) => number): number =>
@@ -75,9 +80,12 @@
   }
 
   override listLoads(): ReadonlyArray<EndpointLoad> {
-    return [...this.byEndpoint.keys()].map((endpointId) => ({
+    const nowMs = this.clock.nowMs();
+    const endpointIds = new Set([...this.byEndpoint.keys(), ...this.pace.listKnown(nowMs)]);
+    return [...endpointIds].map((endpointId) => ({
       endpointId,
       ...this.getLoad(endpointId),
+      paceMs: this.pace.get(endpointId, nowMs),
     }));
   }
 }
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -183,6 +183,7 @@
         state.events += whole.count;
         leg.noteTokens(state.outputTokens);
         await admitted.exchange.write(whole.bytes);
+        leg.noteReading();
       }
       this.parts.placer.noteOutcome(endpointId, 'answered');
       return { end: 'complete', rest: splitter.rest };
--- a/src/plugins/forwarding/StreamLeg.ts
+++ b/src/plugins/forwarding/StreamLeg.ts
@@ -45,6 +45,11 @@
     this.copy?.noteTokens(outputTokens);
   }
 
+  /** The node waits for the engine's next event from now on. */
+  noteReading(): void {
+    this.placed.noteReading();
+  }
+
   /** Frees what a move has reserved for a run that doesn't need it any more. */
   async abandonMove(): Promise<void> {
     (await this.move)?.placed.release();
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -145,13 +145,20 @@
     target.sentTo = [...admitted.sentTo, endpointId];
     try {
       const signal = AbortSignal.any([admitted.ended, cancelled]);
+      const { clock } = this.kernel;
+      const sentAtMs = clock.nowMs();
       const sent = await this.sender.send(admitted, placed.backEnd, signal);
+      // A try that another one overtook took at least so long.
+      if (cancelled.aborted) this.placer.noteCallTime(endpointId, clock.nowMs() - sentAtMs);
       if (sent.outcome === 'not-run') {
         if (!sent.wasSent) target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
         return { result: 'not-run', reason: sent.reason, wasSent: sent.wasSent };
       }
       if (sent.outcome === 'lost') return { result: 'lost', reason: sent.reason };
       const tried = await this.readAnswer(sent.head, sent.answer);
+      if (tried.result === 'complete' && isGood(tried)) {
+        this.placer.noteCallTime(endpointId, clock.nowMs() - sentAtMs);
+      }
       if (!signal.aborted) {
         this.placer.noteOutcome(endpointId, isGood(tried) ? 'answered' : 'failed');
       }
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -45,19 +45,28 @@
     return this.kernel.clock.nowMs() - heardAtMs;
   }
 
-  getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'> {
+  getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId' | 'paceMs'> {
+    return this.listLoads(endpointId).reduce(
+      (sum, load) => ({
+        requests: sum.requests + load.requests,
+        heldTokens: sum.heldTokens + load.heldTokens,
+        finalTokens: sum.finalTokens + load.finalTokens,
+        unreadTokens: sum.unreadTokens + load.unreadTokens,
+      }),
+      { requests: 0, heldTokens: 0, finalTokens: 0, unreadTokens: 0 },
+    );
+  }
+
+  listPacesMs(endpointId: EndpointId): ReadonlyArray<number> {
+    return this.listLoads(endpointId)
+      .map(({ paceMs }) => paceMs)
+      .filter((paceMs) => paceMs !== undefined);
+  }
+
+  private listLoads(endpointId: EndpointId): ReadonlyArray<EndpointLoad> {
     return this.listAll()
       .filter(({ heardAgeMs }) => heardAgeMs < MEMBER_OPTIONS.loadMaxAgeMs)
-      .flatMap(({ loads }) => loads.filter((load) => load.endpointId === endpointId))
-      .reduce(
-        (sum, load) => ({
-          requests: sum.requests + load.requests,
-          heldTokens: sum.heldTokens + load.heldTokens,
-          finalTokens: sum.finalTokens + load.finalTokens,
-          unreadTokens: sum.unreadTokens + load.unreadTokens,
-        }),
-        { requests: 0, heldTokens: 0, finalTokens: 0, unreadTokens: 0 },
-      );
+      .flatMap(({ loads }) => loads.filter((load) => load.endpointId === endpointId));
   }
 
   onHeard(listener: () => void): void {
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -88,8 +88,15 @@
       loads: this.kernel.getAll(LoadSource).flatMap((source) => source.listLoads()),
     };
     const loads = self.loads.map(
-      ({ endpointId, requests, heldTokens, finalTokens, unreadTokens }) =>
-        [endpointId, requests, heldTokens, Math.round(finalTokens), unreadTokens] as const,
+      ({ endpointId, requests, heldTokens, finalTokens, unreadTokens, paceMs }) =>
+        [
+          endpointId,
+          requests,
+          heldTokens,
+          Math.round(finalTokens),
+          unreadTokens,
+          paceMs === undefined ? undefined : Math.round(paceMs),
+        ] as const,
     );
     const knownAddresses = this.table.listLive().map(({ peerAddress }) => peerAddress);
     return { self: { ...self, loads }, knownAddresses };
@@ -97,12 +104,13 @@
 
   take({ self, knownAddresses }: MemberExchange): void {
     const loads = self.loads.map(
-      ([endpointId, requests, heldTokens, finalTokens, unreadTokens]) => ({
+      ([endpointId, requests, heldTokens, finalTokens, unreadTokens, paceMs]) => ({
         endpointId,
         requests,
         heldTokens,
         finalTokens,
         unreadTokens,
+        paceMs,
       }),
     );
     this.table.hear({ ...self, loads }, this.kernel.clock.nowMs());
--- a/src/plugins/members/memberMessages.ts
+++ b/src/plugins/members/memberMessages.ts
@@ -7,7 +7,14 @@
 const countSchema = z.number().min(0);
 
 const loadSchema = z
-  .tuple([endpointIdSchema, countSchema, countSchema, countSchema, countSchema])
+  .tuple([
+    endpointIdSchema,
+    countSchema,
+    countSchema,
+    countSchema,
+    countSchema,
+    countSchema.optional(),
+  ])
   .readonly();
 
 /** @internal */
@@ -20,7 +27,7 @@
     peerAddress: z.string(),
     callerAddress: z.string(),
     takesCallers: z.boolean(),
-    /** Endpoint, requests, tokens held now, at their ends, and not read yet. */
+    /** Endpoint, requests, tokens held now, at their ends, and not read yet; pace in ms. */
     loads: z.array(loadSchema).readonly(),
   })
   .readonly();
--- a/src/services/Members.ts
+++ b/src/services/Members.ts
@@ -14,6 +14,8 @@
   readonly finalTokens: number;
   /** Prompt tokens of those that have made no token yet. */
   readonly unreadTokens: number;
+  /** Time for a token, or for a call, as the node has seen it lately; undefined when unknown. */
+  readonly paceMs?: number | undefined;
 }
 
 /** What a node says of itself. @public */
@@ -40,7 +42,10 @@
   abstract listLive(): ReadonlyArray<KnownMember>;
 
   /** Sums the work of the other live nodes at an endpoint. */
-  abstract getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId'>;
+  abstract getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId' | 'paceMs'>;
+
+  /** Paces of an endpoint that the other live nodes have seen lately. */
+  abstract listPacesMs(endpointId: EndpointId): ReadonlyArray<number>;
 
   /** Calls the listener whenever another node has told its state. */
   abstract onHeard(listener: () => void): void;
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -22,6 +22,8 @@
   readonly instanceId: string;
   readonly events?: number;
   readonly eventIntervalMs?: number;
+  /** Time that a call takes. */
+  readonly callMs?: number;
 }
 
 const SEAL = 'X-Bramleyvane-Server-Seal';
@@ -129,6 +131,11 @@
     const head: Record<string, string> = { [REQUEST_ID]: answered };
     if (this.behaviour !== 'unsigned') head[SEAL] = `seal-${this.options.instanceId}`;
     if (this.behaviour === 'fail') return context.body('failed', 500, head);
+    if (this.options.callMs !== undefined) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, this.options.callMs);
+      });
+    }
     if (this.options.events === undefined) return context.body(`answer to ${requestId}`, 200, head);
     return this.stream(context, requestId, head);
   }
--- a/tests/front.test.ts
+++ b/tests/front.test.ts
@@ -127,6 +127,24 @@
   },
 );
 
+// Guards against an endpoint that answers well but slowly, and gets as much as the others.
+test('a slow endpoint gets little once its pace is known', async () => {
+  scene.store.put('op/config', createStoreConfiguration());
+  await scene.addEngine('desk', { instanceId: 'i-1', callMs: 10 });
+  await scene.addEngine('desk', { instanceId: 'i-2', callMs: 10 });
+  const slow = await scene.addEngine('desk', { instanceId: 'i-3', callMs: 200 });
+  const node = await scene.addReadyNode(3);
+  const sendCredits = async (count: number): Promise<void> => {
+    for (let sent = 0; sent < count; sent++) {
+      await callFront(node, '/credit/a', { method: 'POST', body: '{}' });
+    }
+  };
+  await sendCredits(20);
+  const before = slow.runs.length;
+  await sendCredits(40);
+  expect(slow.runs.length - before).toBeLessThan(4);
+});
+
 // Guards against work at an address that belongs to another engine by now.
 test('an address that another engine has taken runs nothing', async () => {
   scene.store.put('op/config', createStoreConfiguration());
