Take short generations while shutting down, and send callers back later when no node takes any

Ruled out: taking reports too, which last as long as the grace and would be cut at its end. Change: the check of a shutdown is a decision of its own; a generation of up to 150 expected tokens is taken as calls are, and a refusal names 1 s instead of 20 ms when no other node takes callers.

--- a/src/decisions/admitToRoute.ts
+++ b/src/decisions/admitToRoute.ts
@@ -10,8 +10,6 @@
   /** Age of the newest proof that nothing newer was published. */
   readonly confirmedAgeMs: number;
   readonly bounds: ServingBounds;
-  /** How long this node has been shutting down; undefined while it serves. */
-  readonly drainingForMs: number | undefined;
   readonly host: string;
   readonly target: string;
   readonly apiKey: string | undefined;
@@ -21,8 +19,6 @@
 export interface RouteAdmissionOptions {
   /** Subtracted from the time within which the removal of a key has to be known. */
   readonly confirmationMarginMs: number;
-  /** How long a node that shuts down still takes short requests. */
-  readonly drainAcceptMs: number;
   readonly retryAfterMs: number;
   readonly otherNodeRetryAfterMs: number;
 }
@@ -60,8 +56,7 @@
   view: RouteAdmissionView,
   options: RouteAdmissionOptions,
 ): RouteAdmission {
-  const { configuration, confirmedAgeMs, bounds, drainingForMs, apiKey } = view;
-  const { otherNodeRetryAfterMs, drainAcceptMs } = options;
+  const { configuration, confirmedAgeMs, bounds, apiKey } = view;
   if (!configuration) {
     const detail = 'No configuration has been learnt yet.';
     return refuse('not-ready', detail, undefined, options.retryAfterMs);
@@ -74,23 +69,15 @@
       'unconfirmed-configuration',
       `Version ${configuration.version} was last confirmed ${age} ago, allowed are ${maxAgeMs} ms.`,
       'bounds.revocationWithinMs',
-      otherNodeRetryAfterMs,
+      options.otherNodeRetryAfterMs,
     );
   const route = findRoute(configuration, view.host, view.target);
   if (!route) {
     return isSure ? refuse('unknown-path', 'No route begins this path.', 'routes') : unsure();
   }
-  const clause = `routes.${route.name}`;
   const isKeyed = configuration.keyHolders !== undefined && !route.isAnonymous;
   if (isKeyed && !isSure) return unsure();
   const holder = apiKey === undefined ? undefined : configuration.keyHolders?.get(apiKey);
   if (isKeyed && !holder) return refuse('unknown-key', 'No customer holds this key.', 'keys');
-  if (drainingForMs !== undefined) {
-    const isShort = route.delivery === 'whole' && drainingForMs < drainAcceptMs;
-    if (!isShort) {
-      const detail = 'This node is shutting down and takes no new long work.';
-      return refuse('draining', detail, clause, otherNodeRetryAfterMs);
-    }
-  }
   return { outcome: 'admit', configuration, route, holder };
 }
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -3,6 +3,7 @@
 export * from './assignability';
 export * from './limitShares';
 export * from './rendezvous';
+export * from './admitWhileDraining';
 export * from './chooseEntryAddresses';
 export * from './confirmation';
 export * from './describeDecision';
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -73,6 +73,7 @@
         expectation: this.expectation,
       }),
       repeats,
+      expectation: this.expectation,
     });
     this.listener = new FrontListener(kernel, this.forwarder);
     deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -1,13 +1,20 @@
 /**
  * One task for each request of a caller, from its first byte to the last of its answer.
  */
-import { ServingError, startDeadline, type ErrorKind } from '../../core';
-import { admitToRoute, chooseService } from '../../decisions';
+import { ServingError, startDeadline, type ErrorKind, type Route } from '../../core';
+import { admitToRoute, admitWhileDraining, chooseService } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Deployment, RequestDialect, ServingMetrics, type ServingRequest } from '../../services';
+import {
+  Deployment,
+  Members,
+  RequestDialect,
+  ServingMetrics,
+  type ServingRequest,
+} from '../../services';
 import { AdmittedRequest } from './AdmittedRequest';
 import type { CallerBody, CallerExchange } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
+import type { ExpectedWork, OutputExpectation } from './OutputExpectation';
 import type { RepeatRules } from './RepeatRules';
 import type { StreamDelivery } from './StreamDelivery';
 import type { WholeDelivery } from './WholeDelivery';
@@ -20,6 +27,7 @@
   readonly whole: WholeDelivery;
   readonly stream: StreamDelivery;
   readonly repeats: RepeatRules;
+  readonly expectation: OutputExpectation;
 }
 
 /** @internal */
@@ -60,8 +68,6 @@
         configuration: deployment.configuration,
         confirmedAgeMs: deployment.getConfirmedAgeMs(),
         bounds: deployment.bounds,
-        drainingForMs:
-          this.drainingSinceMs === undefined ? undefined : clock.nowMs() - this.drainingSinceMs,
         host: request.host,
         target: request.target,
         apiKey: request.apiKey,
@@ -80,6 +86,9 @@
         clause: `routes.${route.name}.targets`,
       });
     }
+    const { prompt } = request;
+    const expected = { customer: holder?.customer, routeName: route.name, prompt };
+    this.checkDrain(route, expected);
     this.parts.repeats.noteRequest(service);
     const waitsForMs = Math.min(request.waitsForMs ?? Infinity, route.answerWithinMs);
     const deadlineMs = exchange.arrivedAtMs + waitsForMs;
@@ -90,13 +99,11 @@
       route,
       {
         requestId: request.requestId,
-        customer: holder?.customer,
+        ...expected,
         configuration,
-        routeName: route.name,
         service,
         rank: holder?.rank ?? route.rank,
         promptWithinMs: route.promptWithinMs,
-        prompt: request.prompt,
       },
       body,
       deadlineMs,
@@ -104,6 +111,25 @@
     );
   }
 
+  private checkDrain(route: Route, expected: ExpectedWork): void {
+    if (this.drainingSinceMs === undefined) return;
+    const verdict = admitWhileDraining(
+      {
+        delivery: route.delivery,
+        drainingForMs: this.kernel.clock.nowMs() - this.drainingSinceMs,
+        expectedTokens: this.parts.expectation.getRemaining(expected, 0),
+        hasOtherNode: this.kernel
+          .get(Members)
+          .listLive()
+          .some(({ takesCallers }) => takesCallers),
+      },
+      FORWARDING_OPTIONS,
+    );
+    if (verdict.outcome === 'admit') return;
+    const { detail, retryAfterMs } = verdict;
+    throw new ServingError('draining', { detail, clause: `routes.${route.name}`, retryAfterMs });
+  }
+
   private async readBody(exchange: CallerExchange): Promise<CallerBody> {
     const { limits } = this.kernel.get(Deployment).configuration ?? {};
     if (limits) exchange.checkHeaders(limits.maxHeaderBytes);
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -41,6 +41,10 @@
   copyTimeoutMs: 2_500,
   /** Pause before all engines are asked again for room for a run that has to move. */
   moveRetryMs: 60,
+  /** Time to come back while no node takes callers, as when all of them start anew. */
+  noNodeRetryAfterMs: 1_000,
+  /** Expected output of a generation up to which a node that shuts down still takes it. */
+  drainMaxTokens: 150,
   /** After the signal to stop: how long short requests are still taken. */
   drainAcceptMs: 2_500,
   /** Time before the process is killed at which it ends by itself. */
