Choose the waits of a watch by the age of what is known and by the time that a deployment allows

The times were fixed, so a deployment with a shorter time for the removal of keys would have refused all of them between two watches. Ruled out: confirming at the answer of a watch with changes, whose time at the store isn't known. Change: watches wait until the age that is aimed at (0.38 of the allowed time, 1.9 s at most); the ages at which other nodes are asked, nothing is passed on and callers are sent elsewhere are parts of the same time.

--- /dev/null
+++ b/src/decisions/freshness.test.ts
@@ -0,0 +1,20 @@
+import { chooseFreshnessAges, chooseWatchWaitMs } from './freshness';
+
+// Guards against a node that refuses keys between two watches because a deployment allows less time.
+test.each([1_000, 3_000, 5_000, 60_000])('the ages stay in their order at %i ms', (allowedMs) => {
+  const { watchMs, relayAfterMs, maxRelayedMs, staleForCallersMs } = chooseFreshnessAges(allowedMs);
+  const ages = [watchMs, relayAfterMs, maxRelayedMs, staleForCallersMs, allowedMs];
+  expect([...ages].sort((a, b) => a - b)).toEqual(ages);
+  expect(staleForCallersMs).toBeLessThanOrEqual(2_800);
+});
+
+// Guards against an age that adds up over two watches when the first one returned a change.
+test.each([
+  ['just confirmed', 0, 1_900],
+  ['after a change', 1_200, 700],
+  ['after a late change', 1_900, 200],
+  ['after an outage', 9_000, 0],
+  ['after a suspension', Infinity, 0],
+])('wait of a watch %s', (_name, ageMs, expected) => {
+  expect(chooseWatchWaitMs(ageMs, chooseFreshnessAges(5_000))).toBe(expected);
+});
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -6,6 +6,7 @@
 export * from './admitWhileDraining';
 export * from './chooseEntryAddresses';
 export * from './confirmation';
+export * from './freshness';
 export * from './describeDecision';
 export * from './describeLogLine';
 export * from './LogExplanation';
--- a/src/plugins/deployment/RelayHandler.ts
+++ b/src/plugins/deployment/RelayHandler.ts
@@ -1,10 +1,9 @@
 /**
  * Tells a node that can't reach the source what this one has learnt.
  */
-import { hashText } from '../../decisions';
+import { chooseFreshnessAges, hashText } from '../../decisions';
 import { PeerHandler, type KnownBackEnd, type Peer } from '../../services';
 import type { DeploymentBook } from './DeploymentBook';
-import { DEPLOYMENT_OPTIONS } from './options';
 import { relayRequestSchema, type RelayReply, type RelayRequest } from './relayMessages';
 
 /** @internal */
@@ -36,7 +35,8 @@
     const { book } = this;
     const { completeToRevision } = book;
     const confirmedAgeMs = book.getConfirmedAgeMs();
-    if (confirmedAgeMs > DEPLOYMENT_OPTIONS.maxRelayedAgeMs) return { completeToRevision };
+    const { maxRelayedMs } = chooseFreshnessAges(book.bounds.revocationWithinMs);
+    if (confirmedAgeMs > maxRelayedMs) return { completeToRevision };
     const isNewer = (book.configuration?.version ?? 0) > request.configurationVersion;
     return {
       confirmedAgeMs,
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -5,7 +5,7 @@
  * the question. What it knows is therefore complete up to the time of the question less that age.
  */
 import type { EndpointId } from '../../core';
-import type { ClockReading } from '../../decisions';
+import { chooseFreshnessAges, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { DeploymentSource, Members, Peers, type KnownMember } from '../../services';
 import type { DeploymentBook } from './DeploymentBook';
@@ -35,7 +35,7 @@
   }
 
   private isNeeded(): boolean {
-    const { relayAfterMs } = DEPLOYMENT_OPTIONS;
+    const { relayAfterMs } = chooseFreshnessAges(this.book.bounds.revocationWithinMs);
     return this.book.isSourceLost || this.book.getConfirmedAgeMs() > relayAfterMs;
   }
 
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -5,6 +5,7 @@
  * its start, is the time up to which the book is complete.
  */
 import { startDeadline, type EndpointId } from '../../core';
+import { chooseFreshnessAges, chooseWatchWaitMs } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   DeploymentSource,
@@ -57,10 +58,9 @@
 
   private async watch(signal: AbortSignal): Promise<void> {
     const { log } = this.kernel;
-    const { watchMs, watchMarginMs } = DEPLOYMENT_OPTIONS;
-    // After an outage or a suspension the first answer has to come at once.
-    const isConfirmed = this.book.getConfirmedAgeMs() < watchMs * 2;
-    const waitMs = isConfirmed ? Math.round(this.vary(watchMs)) : 0;
+    const { watchMarginMs } = DEPLOYMENT_OPTIONS;
+    const ages = chooseFreshnessAges(this.book.bounds.revocationWithinMs);
+    const waitMs = Math.round(this.vary(chooseWatchWaitMs(this.book.getConfirmedAgeMs(), ages)));
     const asked = this.book.readClocks();
     const changes = await this.readChanges(waitMs, waitMs + watchMarginMs, signal);
     if (!changes) {
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -11,24 +11,18 @@
   departedKeptMs: 30_000,
   /** Interval at which lapsed and departed entries, and the clocks, are looked at. */
   sweepIntervalMs: 250,
-  /** Longest wait of a watch; the calls of all nodes are priced, and the wait ages what is known. */
-  watchMs: 1_500,
   /** Time beyond its wait after which a watch counts as lost. */
   watchMarginMs: 600,
   /** Time limit of a read of everything. */
   readTimeoutMs: 1_500,
   /** Interval between tries while the source fails. */
   retryIntervalMs: 250,
-  /** Age of the confirmation at which other nodes are asked; a watch that waits doesn't reach it. */
-  relayAfterMs: 2_000,
   /** Interval at which another node is asked while the source can't be reached. */
   relayIntervalMs: 250,
   /** The longest such interval, while no other node knows more. */
   maxRelayIntervalMs: 2_000,
   /** Time limit of the question. */
   relayTimeoutMs: 400,
-  /** Age of a confirmation above which a node passes nothing on. */
-  maxRelayedAgeMs: 2_500,
   /** Share by which intervals vary at random. */
   jitterShare: 0.15,
 } as const;
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -2,7 +2,7 @@
  * Forwarding of callers' requests to endpoints.
  */
 import { Plugin, registerPlugin } from '../../kernel';
-import { EndpointPace } from '../../decisions';
+import { chooseFreshnessAges, EndpointPace } from '../../decisions';
 import { CallerAdmission, Deployment, LoadSource, Members } from '../../services';
 import { EndpointConnections } from './EndpointConnections';
 import { EndpointPlacer } from './EndpointPlacer';
@@ -27,8 +27,9 @@
   }
 
   takesCallers(): boolean {
-    const { configuration } = this.deployment;
-    const isFresh = this.deployment.getConfirmedAgeMs() < FORWARDING_OPTIONS.staleForCallersMs;
+    const { configuration, bounds } = this.deployment;
+    const { staleForCallersMs } = chooseFreshnessAges(bounds.revocationWithinMs);
+    const isFresh = this.deployment.getConfirmedAgeMs() < staleForCallersMs;
     return this.isServing() && configuration !== undefined && isFresh;
   }
 }
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -21,8 +21,6 @@
   heldAnswerBytes: 262_144,
   /** Age of the confirmation up to which a request with a key is served, under the bound. */
   confirmationMarginMs: 400,
-  /** Age of the confirmation at which callers are sent to other nodes. */
-  staleForCallersMs: 2_800,
   /** Time to come back after a refusal. */
   retryAfterMs: 150,
   /** The same when this node can't take anything and another one has to be used. */
