--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -10,19 +10,17 @@
 import {
   chooseCopyHolder,
   choosePlacement,
-  computeSlowness,
   drawDestination,
-  EndpointHealth,
   PrefillSpeed,
+  type EndpointHealth,
   type EndpointOutcome,
   type EndpointPace,
   type MemoryNeed,
   type Placement,
-  type PlacementCandidate,
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Deployment, Members, type KnownBackEnd } from '../../services';
-import type { EndpointConnections } from './EndpointConnections';
+import { EndpointSurvey, type SurveyParts } from './EndpointSurvey';
 import { FORWARDING_OPTIONS } from './options';
 import type { ExpectedWork, OutputExpectation } from './OutputExpectation';
 import type { OwnWork } from './OwnWork';
@@ -61,7 +59,13 @@
 
 /** @internal */
 export class EndpointPlacer {
-  readonly health = new EndpointHealth();
+  readonly health: EndpointHealth;
+
+  private readonly pace: EndpointPace;
+
+  private readonly ownWork: OwnWork;
+
+  private readonly survey: EndpointSurvey;
 
   private readonly prefillSpeed = new PrefillSpeed();
 
@@ -69,11 +73,13 @@
 
   constructor(
     private readonly kernel: Kernel,
-    private readonly connections: EndpointConnections,
-    private readonly ownWork: OwnWork,
     private readonly expectation: OutputExpectation,
-    private readonly pace: EndpointPace,
+    parts: SurveyParts,
   ) {
+    this.health = parts.health;
+    this.pace = parts.pace;
+    this.ownWork = parts.ownWork;
+    this.survey = new EndpointSurvey(kernel, parts);
     this.waiters = new RoomWaiters(kernel.clock);
   }
 
@@ -143,7 +149,7 @@
       .get(Deployment)
       .listAssignable(work.service)
       .filter(({ endpointId }) => endpointId !== primary.endpointId);
-    const candidates = this.describeAll(work, backEnds, primary.dataCentre);
+    const candidates = this.survey.describe(work, backEnds, primary.dataCentre);
     const chosenId = chooseCopyHolder(candidates, need);
     const backEnd = backEnds.find(({ endpointId }) => endpointId === chosenId);
     if (!backEnd) return undefined;
@@ -165,7 +171,7 @@
       .filter(({ endpointId }) => !excluded.includes(endpointId));
     const need = this.describeNeed(work, producedTokens);
     const near = from ?? this.kernel.settings;
-    const candidates = this.describeAll(work, backEnds, near.dataCentre);
+    const candidates = this.survey.describe(work, backEnds, near.dataCentre);
     const verdict =
       step === 'place'
         ? drawDestination(candidates, need, Math.random())
@@ -254,83 +260,6 @@
     this.pace.observe(endpointId, 1, elapsedMs, this.kernel.clock.nowMs());
   }
 
-  /** @param nearDataCentre the one from which the distance counts. */
-  private describeAll(
-    work: PlacedWork,
-    backEnds: ReadonlyArray<KnownBackEnd>,
-    nearDataCentre: string,
-  ): ReadonlyArray<PlacementCandidate> {
-    const countsByRegion = this.countByRegion(work.service);
-    const pacesMs = backEnds.map(({ endpointId }) => this.findPaceMs(endpointId));
-    const knownPacesMs = pacesMs.filter((paceMs) => paceMs !== undefined);
-    return backEnds.map((backEnd, index) => ({
-      ...this.describe(work, backEnd, nearDataCentre),
-      endpointsInRegion: countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
-      slowness: computeSlowness(pacesMs[index], knownPacesMs),
-    }));
-  }
-
-  /** Mean of what this node and the others have seen. */
-  private findPaceMs(endpointId: EndpointId): number | undefined {
-    const own = this.pace.get(endpointId, this.kernel.clock.nowMs());
-    const others = this.kernel.get(Members).listPacesMs(endpointId);
-    const all = own === undefined ? others : [own, ...others];
-    if (all.length === 0) return undefined;
-    return all.reduce((sum, paceMs) => sum + paceMs, 0) / all.length;
-  }
-
-  private describe(
-    work: PlacedWork,
-    backEnd: KnownBackEnd,
-    nearDataCentre: string,
-  ): Omit<PlacementCandidate, 'endpointsInRegion' | 'slowness'> {
-    const nowMs = this.kernel.clock.nowMs();
-    const own = this.ownWork.getLoad(backEnd.endpointId);
-    const others = this.kernel.get(Members).getLoadOfOthers(backEnd.endpointId);
-    const profile = work.configuration.services.get(work.service);
-    return {
-      endpointId: backEnd.endpointId,
-      slots: backEnd.slots,
-      memoryTokens: profile?.engine?.memoryTokens,
-      requests: own.requests + others.requests,
-      heldTokens: own.heldTokens + others.heldTokens,
-      finalTokens: own.finalTokens + others.finalTokens,
-      unreadTokens: own.unreadTokens + others.unreadTokens,
-      distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
-      failureShare: this.health.getFailureShare(backEnd.endpointId, nowMs),
-      isWarmingUp: backEnd.warmUpUntilMs > nowMs,
-      isAvoided: this.health.isAvoided(backEnd.endpointId, nowMs),
-      hasConnection:
-        this.connections.countBusy(backEnd) < this.getConnectionShare(profile?.maxConnections),
-    };
-  }
-
-  private getDistance(dataCentre: string, other: string): PlacementCandidate['distance'] {
-    if (dataCentre === other) return 'same-data-centre';
-    return this.getRegion(dataCentre) === this.getRegion(other) ? 'same-region' : 'other-region';
-  }
-
-  private getRegion(dataCentre: string): string | undefined {
-    return this.kernel.get(Deployment).getRegion(dataCentre);
-  }
-
-  /** Endpoints of a service in each region, also those that a request has tried already. */
-  private countByRegion(service: string): ReadonlyMap<string | undefined, number> {
-    const counts = new Map<string | undefined, number>();
-    this.kernel
-      .get(Deployment)
-      .listAssignable(service)
-      .map(({ dataCentre }) => this.getRegion(dataCentre))
-      .forEach((region) => counts.set(region, (counts.get(region) ?? 0) + 1));
-    return counts;
-  }
-
-  private getConnectionShare(maxConnections = Infinity): number {
-    const nodes = this.kernel.get(Members).listLive().length + 1;
-    const share = Math.floor((maxConnections * FORWARDING_OPTIONS.connectionPart) / nodes);
-    return Math.max(FORWARDING_OPTIONS.minConnections, share);
-  }
-
   /** Memory that a generation takes where it is placed. */
   private describeNeed(work: PlacedWork, producedTokens: number): MemoryNeed {
     return {
--- /dev/null
+++ b/src/plugins/forwarding/EndpointSurvey.ts
@@ -0,0 +1,110 @@
+/**
+ * What is known of the endpoints that a request could be sent to, for the decision between them.
+ */
+import type { EndpointId } from '../../core';
+import {
+  computeSlowness,
+  type EndpointHealth,
+  type EndpointPace,
+  type PlacementCandidate,
+} from '../../decisions';
+import type { Kernel } from '../../kernel';
+import { Deployment, Members, type KnownBackEnd } from '../../services';
+import type { EndpointConnections } from './EndpointConnections';
+import type { PlacedWork } from './EndpointPlacer';
+import { FORWARDING_OPTIONS } from './options';
+import type { OwnWork } from './OwnWork';
+
+/** @internal */
+export interface SurveyParts {
+  readonly connections: EndpointConnections;
+  readonly ownWork: OwnWork;
+  readonly health: EndpointHealth;
+  readonly pace: EndpointPace;
+}
+
+/** @internal */
+export class EndpointSurvey {
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly parts: SurveyParts,
+  ) {}
+
+  /** @param nearDataCentre the one from which the distance counts. */
+  describe(
+    work: PlacedWork,
+    backEnds: ReadonlyArray<KnownBackEnd>,
+    nearDataCentre: string,
+  ): ReadonlyArray<PlacementCandidate> {
+    const countsByRegion = this.countByRegion(work.service);
+    const pacesMs = backEnds.map(({ endpointId }) => this.findPaceMs(endpointId));
+    const knownPacesMs = pacesMs.filter((paceMs) => paceMs !== undefined);
+    return backEnds.map((backEnd, index) => ({
+      ...this.describeOne(work, backEnd, nearDataCentre),
+      endpointsInRegion: countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
+      slowness: computeSlowness(pacesMs[index], knownPacesMs),
+    }));
+  }
+
+  /** Mean of what this node and the others have seen. */
+  private findPaceMs(endpointId: EndpointId): number | undefined {
+    const own = this.parts.pace.get(endpointId, this.kernel.clock.nowMs());
+    const others = this.kernel.get(Members).listPacesMs(endpointId);
+    const all = own === undefined ? others : [own, ...others];
+    if (all.length === 0) return undefined;
+    return all.reduce((sum, paceMs) => sum + paceMs, 0) / all.length;
+  }
+
+  private describeOne(
+    work: PlacedWork,
+    backEnd: KnownBackEnd,
+    nearDataCentre: string,
+  ): Omit<PlacementCandidate, 'endpointsInRegion' | 'slowness'> {
+    const nowMs = this.kernel.clock.nowMs();
+    const own = this.parts.ownWork.getLoad(backEnd.endpointId);
+    const others = this.kernel.get(Members).getLoadOfOthers(backEnd.endpointId);
+    const profile = work.configuration.services.get(work.service);
+    return {
+      endpointId: backEnd.endpointId,
+      slots: backEnd.slots,
+      memoryTokens: profile?.engine?.memoryTokens,
+      requests: own.requests + others.requests,
+      heldTokens: own.heldTokens + others.heldTokens,
+      finalTokens: own.finalTokens + others.finalTokens,
+      unreadTokens: own.unreadTokens + others.unreadTokens,
+      distance: this.getDistance(backEnd.dataCentre, nearDataCentre),
+      failureShare: this.parts.health.getFailureShare(backEnd.endpointId, nowMs),
+      isWarmingUp: backEnd.warmUpUntilMs > nowMs,
+      isAvoided: this.parts.health.isAvoided(backEnd.endpointId, nowMs),
+      hasConnection:
+        this.parts.connections.countBusy(backEnd) <
+        this.getConnectionShare(profile?.maxConnections),
+    };
+  }
+
+  private getDistance(dataCentre: string, other: string): PlacementCandidate['distance'] {
+    if (dataCentre === other) return 'same-data-centre';
+    return this.getRegion(dataCentre) === this.getRegion(other) ? 'same-region' : 'other-region';
+  }
+
+  private getRegion(dataCentre: string): string | undefined {
+    return this.kernel.get(Deployment).getRegion(dataCentre);
+  }
+
+  /** Endpoints of a service in each region, also those that a request has tried already. */
+  private countByRegion(service: string): ReadonlyMap<string | undefined, number> {
+    const counts = new Map<string | undefined, number>();
+    this.kernel
+      .get(Deployment)
+      .listAssignable(service)
+      .map(({ dataCentre }) => this.getRegion(dataCentre))
+      .forEach((region) => counts.set(region, (counts.get(region) ?? 0) + 1));
+    return counts;
+  }
+
+  private getConnectionShare(maxConnections = Infinity): number {
+    const nodes = this.kernel.get(Members).listLive().length + 1;
+    const share = Math.floor((maxConnections * FORWARDING_OPTIONS.connectionPart) / nodes);
+    return Math.max(FORWARDING_OPTIONS.minConnections, share);
+  }
+}
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -2,7 +2,7 @@
  * Forwarding of callers' requests to endpoints.
  */
 import { Plugin, registerPlugin } from '../../kernel';
-import { chooseFreshnessAges, EndpointPace } from '../../decisions';
+import { chooseFreshnessAges, EndpointHealth, EndpointPace } from '../../decisions';
 import { CallerAdmission, Deployment, LoadSource, Members } from '../../services';
 import { EndpointConnections } from './EndpointConnections';
 import { EndpointPlacer } from './EndpointPlacer';
@@ -42,17 +42,18 @@
 
   private readonly expectation = new OutputExpectation();
 
+  private readonly health = new EndpointHealth();
+
   private readonly pace = new EndpointPace();
 
   private readonly ownWork = new OwnWork(this.expectation, this.pace, this.kernel.clock);
 
-  private readonly placer = new EndpointPlacer(
-    this.kernel,
-    this.connections,
-    this.ownWork,
-    this.expectation,
-    this.pace,
-  );
+  private readonly placer = new EndpointPlacer(this.kernel, this.expectation, {
+    connections: this.connections,
+    ownWork: this.ownWork,
+    health: this.health,
+    pace: this.pace,
+  });
 
   private forwarder!: RequestForwarder;
 
@@ -79,7 +80,7 @@
     this.listener = new FrontListener(kernel, this.forwarder);
     deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
     deployment.onLeaving((backEnd) => {
-      placer.health.forget(backEnd.endpointId);
+      this.health.forget(backEnd.endpointId);
       this.pace.forget(backEnd.endpointId);
       mover.moveAll(backEnd);
     });
