Let changes gather before the next watch, longer in a larger fleet

Ruled out for now: a few nodes that read for all, which needs a way to hand changes on at once. Change: after a watch with changes a node pauses 5 ms for each other node, 0.4 s at most.

--- a/src/decisions/freshness.test.ts
+++ b/src/decisions/freshness.test.ts
@@ -1,4 +1,4 @@
-import { chooseFreshnessAges, chooseWatchWaitMs } from './freshness';
+import { chooseChangePauseMs, chooseFreshnessAges, chooseWatchWaitMs } from './freshness';
 
 // Guards against a node that refuses keys between two watches because a deployment allows less time.
 test.each([1_000, 3_000, 5_000, 60_000])('the ages stay in their order at %i ms', (allowedMs) => {
@@ -18,3 +18,8 @@
 ])('wait of a watch %s', (_name, ageMs, expected) => {
   expect(chooseWatchWaitMs(ageMs, chooseFreshnessAges(5_000))).toBe(expected);
 });
+
+// Guards against a call of every node of a large fleet for each change of a burst.
+test('changes gather longer in a larger fleet', () => {
+  expect([0, 8, 59, 1_000].map(chooseChangePauseMs)).toEqual([0, 40, 295, 400]);
+});
--- a/src/decisions/freshness.ts
+++ b/src/decisions/freshness.ts
@@ -18,6 +18,13 @@
   staleForCallersPart: 0.56,
   /** Shortest wait of a watch, so that a stream of changes isn't asked for without a pause. */
   minWatchMs: 200,
+  /**
+   * Pause after a watch that returned changes, for each other node: all of them watch, so a burst of
+   * changes costs as many calls as there are nodes, unless several are read at once.
+   */
+  changePausePerNodeMs: 5,
+  /** Longest such pause; a leaving engine gives notice of one to two seconds. */
+  maxChangePauseMs: 400,
 } as const;
 
 /** @public */
@@ -48,3 +55,9 @@
   if (confirmedAgeMs > watchMs * 2) return 0;
   return Math.max(FRESHNESS_OPTIONS.minWatchMs, watchMs - confirmedAgeMs);
 }
+
+/** How long changes are let gather before the next watch. */
+export function chooseChangePauseMs(otherNodes: number): number {
+  const { changePausePerNodeMs, maxChangePauseMs } = FRESHNESS_OPTIONS;
+  return Math.min(maxChangePauseMs, otherNodes * changePausePerNodeMs);
+}
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -5,10 +5,11 @@
  * its start, is the time up to which the book is complete.
  */
 import { startDeadline, type EndpointId } from '../../core';
-import { chooseFreshnessAges, chooseWatchWaitMs } from '../../decisions';
+import { chooseChangePauseMs, chooseFreshnessAges, chooseWatchWaitMs } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   DeploymentSource,
+  Members,
   ServingMetrics,
   type PublishedChange,
   type PublishedChanges,
@@ -73,6 +74,9 @@
     const isUnchanged = changes.changes.length === 0;
     this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
     this.book.confirm(isUnchanged ? asked.nowMs + waitMs : asked.nowMs, asked);
+    if (isUnchanged) return;
+    const otherNodes = this.kernel.get(Members).listLive().length;
+    await this.kernel.clock.sleep(chooseChangePauseMs(otherNodes), signal);
   }
 
   private take({ changes, position }: PublishedChanges, isComplete: boolean): void {
