--- a/src/kernel/BoundedWriter.test.ts
+++ b/src/kernel/BoundedWriter.test.ts
@@ -25,7 +25,7 @@
     clock,
     output,
     write: (event, isImportant = false) => {
-      writer.write({ text: `${event}\n`, event, isImportant });
+      writer.write({ format: () => `${event}\n`, event, isImportant });
     },
   };
 }
--- a/src/kernel/BoundedWriter.ts
+++ b/src/kernel/BoundedWriter.ts
@@ -11,7 +11,8 @@
 
 /** A line with what decides whether it is kept. @internal */
 export interface BoundedLine {
-  readonly text: string;
+  /** Called only when the line is kept. */
+  readonly format: () => string;
   readonly event: string;
   /** Whether an engineer who explains a failure needs it. */
   readonly isImportant: boolean;
@@ -48,7 +49,7 @@
 
   private readonly important: LineAllowance;
 
-  private omitted: ReadonlyMap<string, number> = new Map();
+  private readonly omitted = new Map<string, number>();
 
   constructor(
     private readonly output: Pick<Writable, 'write' | 'writableLength'>,
@@ -58,18 +59,18 @@
     this.important = new LineAllowance(LOG_OPTIONS.importantLinesPerSecond, clock);
   }
 
-  write({ text, event, isImportant }: BoundedLine): void {
+  write({ format, event, isImportant }: BoundedLine): void {
     const isBehind = this.output.writableLength > LOG_OPTIONS.maxUnwrittenBytes;
     const isAllowed = this.ordinary.take() || (isImportant && this.important.take());
     if (isBehind || !isAllowed) {
-      this.omitted = new Map([...this.omitted, [event, (this.omitted.get(event) ?? 0) + 1]]);
+      this.omitted.set(event, (this.omitted.get(event) ?? 0) + 1);
       return;
     }
     if (this.omitted.size > 0) {
       const counts = Object.fromEntries(this.omitted);
-      this.omitted = new Map();
+      this.omitted.clear();
       this.output.write(`${JSON.stringify({ level: 'warn', event: 'lines left out', counts })}\n`);
     }
-    this.output.write(text);
+    this.output.write(format());
   }
 }
--- a/src/kernel/Log.ts
+++ b/src/kernel/Log.ts
@@ -66,18 +66,15 @@
     const reporter: ConsolaReporter = {
       log: (entry) => {
         const [event, extra] = entry.args as [string, LogFields | undefined];
-        const line = {
-          time: entry.date.toISOString(),
-          level: entry.type,
-          event,
-          ...fields,
-          ...extra,
+        const format = (): string => {
+          const time = entry.date.toISOString();
+          const line = { time, level: entry.type, event, ...fields, ...extra };
+          return `${JSON.stringify(line, serializeError)}\n`;
         };
-        const text = `${JSON.stringify(line, serializeError)}\n`;
-        if (write) write(text);
+        if (write) write(format());
         else {
           const isNeeded = isImportant(entry.type, event, extra);
-          getStandardOutput().write({ text, event, isImportant: isNeeded });
+          getStandardOutput().write({ format, event, isImportant: isNeeded });
         }
       },
     };
