--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -30,10 +30,16 @@
       if (signal.aborted) return;
       const member = this.isNeeded() ? this.chooseMember() : undefined;
       if (member) this.noteResult(member, await this.ask(member));
-      else this.isRelaying = false;
+      else this.rest();
     }
   }
 
+  /** Nobody is asked; the next outage begins with short intervals again. */
+  private rest(): void {
+    this.isRelaying = false;
+    this.intervalMs = DEPLOYMENT_OPTIONS.relayIntervalMs;
+  }
+
   private isNeeded(): boolean {
     const { relayAfterMs } = chooseFreshnessAges(this.book.bounds.revocationWithinMs);
     return this.book.isSourceLost || this.book.getConfirmedAgeMs() > relayAfterMs;
--- /dev/null
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -0,0 +1,68 @@
+import type { ServingBounds } from '../../core';
+import { TestKernel } from '../../kernel/TestKernel';
+import {
+  DeploymentSource,
+  Members,
+  ServingMetrics,
+  type PublishedChange,
+  type PublishedChanges,
+} from '../../services';
+import { DeploymentBook } from './DeploymentBook';
+import { SourceTask } from './SourceTask';
+
+/** Answers from a list, and then not at all. */
+class ListedSource extends DeploymentSource {
+  private answers: ReadonlyArray<PublishedChanges>;
+
+  constructor(answers: ReadonlyArray<PublishedChanges>) {
+    super();
+    this.answers = answers;
+  }
+
+  decode(): PublishedChange | undefined {
+    return undefined;
+  }
+
+  async readAll(): Promise<PublishedChanges> {
+    return this.next();
+  }
+
+  async readChanges(): Promise<PublishedChanges> {
+    return this.next();
+  }
+
+  private async next(): Promise<PublishedChanges> {
+    const [answer, ...rest] = this.answers;
+    this.answers = rest;
+    return answer ?? new Promise(() => {});
+  }
+}
+
+const bounds = { revocationWithinMs: 5_000 } as ServingBounds;
+
+/** Age of the confirmation 4 s after the source has given all its answers. */
+async function runAnswers(positions: ReadonlyArray<number>): Promise<number> {
+  const kernel = new TestKernel([]);
+  const book = new DeploymentBook(kernel, bounds, new Map());
+  const answers = positions.map((position) => ({ changes: [], position }));
+  kernel.provide(DeploymentSource, new ListedSource(answers));
+  kernel.provide(ServingMetrics, { countSourceCall: () => {} } as unknown as ServingMetrics);
+  kernel.provide(Members, { listLive: () => [] } as unknown as Members);
+  const end = new AbortController();
+  void new SourceTask(kernel, book).run(end.signal);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+  kernel.manualClock.advance(4_000);
+  const ageMs = book.getConfirmedAgeMs();
+  end.abort();
+  return ageMs;
+}
+
+// Guards against a key that is served because a stale answer passes for a proof that nothing changed.
+test('an answer from before what is known confirms nothing', async () => {
+  const ageMs = await runAnswers([9]);
+  expect(ageMs).toBe(4_000);
+  expect(await runAnswers([9, 7])).toBe(ageMs);
+  expect(await runAnswers([9, 9])).toBeLessThan(ageMs);
+});
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -49,8 +49,8 @@
     const source = this.kernel.get(DeploymentSource);
     const limit = startDeadline(DEPLOYMENT_OPTIONS.readTimeoutMs, signal);
     try {
-      this.take(await source.readAll(limit.signal), true);
-      this.book.confirm(asked.nowMs, asked);
+      const isCurrent = this.take(await source.readAll(limit.signal), true);
+      if (isCurrent) this.book.confirm(asked.nowMs, asked);
       this.kernel.get(ServingMetrics).countSourceCall('changes');
     } finally {
       limit.stop();
@@ -70,16 +70,22 @@
       this.position = undefined;
       return;
     }
-    this.take(changes, false);
+    const isCurrent = this.take(changes, false);
     const isUnchanged = changes.changes.length === 0;
     this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
-    this.book.confirm(isUnchanged ? asked.nowMs + waitMs : asked.nowMs, asked);
+    if (isCurrent) this.book.confirm(isUnchanged ? asked.nowMs + waitMs : asked.nowMs, asked);
     if (isUnchanged) return;
     const otherNodes = this.kernel.get(Members).listLive().length;
     await this.kernel.clock.sleep(chooseChangePauseMs(otherNodes), signal);
   }
 
-  private take({ changes, position }: PublishedChanges, isComplete: boolean): void {
+  /**
+   * Takes an answer; tells whether the source was at least where this node has been. An answer from
+   * before that is stale: what is newer in it is taken, but it confirms nothing.
+   */
+  private take({ changes, position }: PublishedChanges, isComplete: boolean): boolean {
+    const isCurrent = position >= this.book.completeToRevision;
+    if (!isCurrent) this.kernel.log.warn('stale answer of the source', { position });
     changes.forEach((change) => this.takeChange(change, isComplete));
     if (isComplete) {
       const listed = changes.flatMap((change) =>
@@ -89,6 +95,7 @@
     }
     this.position = Math.max(position, this.position ?? 0);
     this.book.noteCompleteTo(this.position);
+    return isCurrent;
   }
 
   private takeChange(change: PublishedChange, isComplete: boolean): void {
