--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -2,8 +2,8 @@
  * Choice of an endpoint for one request: the cheapest of those that may get it.
  *
  * The cost is the share of the endpoint that would be taken, in slots or in memory, whichever is
- * scarcer, with additions for distance, failures and a recent start. All are in the same unit, so
- * that a nearer endpoint is preferred until it is fuller by the addition.
+ * scarcer, with additions for distance, failures, a slow pace and a recent start. All are in the same
+ * unit, so that a nearer endpoint is preferred until it is fuller by the addition.
  */
 import type { EndpointId } from '../core';
 
