--- a/src/decisions/EndpointPace.ts
+++ b/src/decisions/EndpointPace.ts
@@ -13,8 +13,8 @@
   maxAgeMs: 5_000,
   /** Observations, by weight, that a pace needs: one slow answer says nothing. */
   minObservations: 2,
-  /** Multiple of the median up to which a pace comes from the load: prompts that are read. */
-  toleratedRatio: 2.5,
+  /** Multiple of the median up to which a pace comes from the load: prompts and full batches. */
+  toleratedRatio: 4,
 } as const;
 
 interface PaceRecord {
