--- a/tests/frontProcess.test.ts
+++ b/tests/frontProcess.test.ts
@@ -70,8 +70,12 @@
     await lookUp();
     return node.lines.some(({ event }) => event === 'lines left out');
   });
-  const left = node.lines.find(({ event }) => event === 'lines left out');
-  expect(left?.counts).toMatchObject({ decision: expect.any(Number) });
+  const left = node.lines
+    .filter(({ event }) => event === 'lines left out')
+    .flatMap(({ counts }) => Object.entries(counts as Readonly<Record<string, number>>));
+  // Which kind of line meets the bound first depends on how fast the requests come.
+  left.forEach(([event]) => expect(['decision', 'request']).toContain(event));
+  expect(left.reduce((sum, [, count]) => sum + count, 0)).toBeGreaterThan(0);
 });
 
 // Guards against a paused process that wakes and serves a key which was taken away meanwhile.
