Let both tasks take changes through one piece of code, and read loads without copying members

Cause: found on a last read. The task that reads the store and the one that asks other nodes each took changes and looked for unlisted endpoints; the second passed over relayed values that it couldn't read without a line. Whether a node takes callers was computed in two places. Sums of loads copied every member for each endpoint of each placement. Copies carried a function that does nothing. Change: DeploymentBook takes changes and finds unlisted endpoints for both; MembersPlugin asks the directory; MemberTable filters members where they are; PlacedRoom is what a copy has; counters are made by one function, as histograms are. A relayed value that can't be read is logged like any other; nothing else changes.

--- a/bench/explainedShare.ts
+++ b/bench/explainedShare.ts
@@ -10,10 +10,6 @@
 import { LogExplanation, type LogLine } from '../src/decisions';
 import { formatTable } from './formatTable';
 
-interface LoggedRequest {
-  readonly lines: ReadonlyArray<LogLine>;
-}
-
 function parseLine(text: string): LogLine | undefined {
   try {
     return JSON.parse(text.slice(text.indexOf('{'))) as LogLine;
@@ -22,7 +18,9 @@
   }
 }
 
-function groupByRequest(lines: ReadonlyArray<LogLine>): ReadonlyMap<string, LoggedRequest> {
+function groupByRequest(
+  lines: ReadonlyArray<LogLine>,
+): ReadonlyMap<string, ReadonlyArray<LogLine>> {
   const found = new Map<string, LogLine[]>();
   lines
     .filter(({ event }) => event === 'request' || event === 'decision')
@@ -32,18 +30,18 @@
       if (known) known.push(line);
       else found.set(line.requestId, [line]);
     });
-  return new Map([...found].map(([requestId, group]) => [requestId, { lines: group }]));
+  return found;
 }
 
 /** How the request ended; undefined for a good end. */
-function classify({ lines }: LoggedRequest): string | undefined {
+function classify(lines: ReadonlyArray<LogLine>): string | undefined {
   const end = lines.findLast(({ event }) => event === 'request');
   if (!end) return 'no end logged';
   const outcome = String(end.outcome);
   return /^2\d\d$/.test(outcome) ? undefined : outcome;
 }
 
-function namesCause({ lines }: LoggedRequest, outcome: string, told: string): boolean {
+function namesCause(lines: ReadonlyArray<LogLine>, outcome: string, told: string): boolean {
   const refusal = lines.find(({ step }) => step === 'refuse');
   if (refusal) return refusal.kind !== undefined && refusal.reason !== undefined;
   if (outcome === 'no end logged') return told.includes('Started anew');
@@ -60,15 +58,15 @@
     .map(parseLine)
     .filter((line) => line !== undefined);
   const starts = lines.filter(({ event }) => event === 'started');
-  groupByRequest(lines).forEach((request, requestId) => {
-    const outcome = classify(request);
+  groupByRequest(lines).forEach((about, requestId) => {
+    const outcome = classify(about);
     if (outcome === undefined) return;
     const explanation = new LogExplanation(requestId);
-    [...starts, ...request.lines].forEach((line) => explanation.add(line));
+    [...starts, ...about].forEach((line) => explanation.add(line));
     const told = explanation.tell().join('\n');
     const count = counts.get(outcome) ?? { total: 0, named: 0 };
     count.total += 1;
-    if (namesCause(request, outcome, told)) count.named += 1;
+    if (namesCause(about, outcome, told)) count.named += 1;
     counts.set(outcome, count);
   });
 }
--- a/src/platform/StoreSource.ts
+++ b/src/platform/StoreSource.ts
@@ -138,8 +138,7 @@
       // A connection on which an answer was lost returns nothing further.
       void this.agent.destroy();
       this.agent = new Agent({ pipelining: 1 });
-      const reason = thrown instanceof Error ? thrown.message : String(thrown);
-      throw new ServingError('endpoint-failed', { detail: reason, cause: thrown });
+      throw ServingError.from(thrown, 'endpoint-failed');
     }
   }
 }
--- a/src/plugins/deployment/DeploymentBook.ts
+++ b/src/plugins/deployment/DeploymentBook.ts
@@ -13,7 +13,12 @@
 } from '../../core';
 import { computeConfirmedAgeMs, type ClockReading, type Confirmation } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Deployment, type KnownBackEnd, type PublishedValue } from '../../services';
+import {
+  Deployment,
+  type KnownBackEnd,
+  type PublishedChange,
+  type PublishedValue,
+} from '../../services';
 import { DEPLOYMENT_OPTIONS } from './options';
 
 type LeavingListener = (backEnd: KnownBackEnd) => void;
@@ -125,6 +130,23 @@
     this.configurationListeners = [...this.configurationListeners, listener];
   }
 
+  /** @param isComplete whether the change is part of a read of everything. */
+  takeChange(change: PublishedChange, isComplete: boolean): void {
+    if (change.kind === 'configuration') this.takeConfiguration(change.configuration, change.value);
+    if (change.kind === 'endpoint') this.takeBackEnd(change.backEnd, change.value);
+    if (change.kind === 'endpoint-removed') this.removeBackEnd(change.endpointId, change.revision);
+    if (change.kind === 'unreadable') {
+      const { key, reason } = change;
+      this.kernel.log.warn('published value ignored', { key, reason, isComplete });
+    }
+  }
+
+  /** Endpoints that are known here and missing from a list. */
+  findUnlisted(listed: ReadonlyArray<EndpointId>): ReadonlyArray<EndpointId> {
+    const known = new Set(listed);
+    return [...this.backEnds.keys()].filter((endpointId) => !known.has(endpointId));
+  }
+
   takeConfiguration(configuration: ServingConfiguration, value: PublishedValue): void {
     if (this.held && configuration.version <= this.held.version) return;
     this.kernel.log.info('configuration taken', {
@@ -194,7 +216,8 @@
 
   /** The same proof from another node; it says nothing about this node's own source. */
   confirmRelayed(asOfMs: number, asked: ClockReading): void {
-    this.setConfirmation(asOfMs, asked);
+    if (asOfMs <= (this.confirmation?.asOfMs ?? -Infinity)) return;
+    this.confirmation = { asOfMs, ...asked };
   }
 
   /**
@@ -211,7 +234,7 @@
         this.lapsed.set(endpointId, this.returnedAtMs + DEPLOYMENT_OPTIONS.lapsedEntryGraceMs),
       );
     }
-    this.setConfirmation(asOfMs, asked);
+    this.confirmRelayed(asOfMs, asked);
   }
 
   noteUnavailable(reason: string): void {
@@ -261,11 +284,6 @@
       });
   }
 
-  private setConfirmation(asOfMs: number, asked: ClockReading): void {
-    if (asOfMs <= (this.confirmation?.asOfMs ?? -Infinity)) return;
-    this.confirmation = { asOfMs, ...asked };
-  }
-
   private markLeaving(known: KnownBackEnd, reason: string): void {
     const leaving = { ...known, leavingSinceMs: this.kernel.clock.nowMs() };
     this.backEnds.set(known.endpointId, leaving);
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -4,10 +4,16 @@
  * A node that answers tells the age of its own confirmation as of its answer, which is later than
  * the question. What it knows is therefore complete up to the time of the question less that age.
  */
-import type { EndpointId } from '../../core';
 import { chooseFreshnessAges, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { DeploymentSource, Members, Peers, type KnownMember } from '../../services';
+import {
+  DeploymentSource,
+  Members,
+  Peers,
+  type KnownMember,
+  type PublishedChange,
+  type PublishedValue,
+} from '../../services';
 import type { DeploymentBook } from './DeploymentBook';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { digestEndpoints, RELAY_MESSAGE_TYPE } from './RelayHandler';
@@ -90,15 +96,11 @@
    */
   private take(reply: RelayReply, asked: ClockReading): boolean {
     const { book } = this;
-    const { configuration: relayed, confirmedAgeMs, endpoints = [], completeToRevision } = reply;
+    const { configuration, confirmedAgeMs, endpoints, completeToRevision } = reply;
     if (confirmedAgeMs === undefined) return false;
-    const configuration = relayed && this.kernel.get(DeploymentSource).decode(relayed);
     // Without the configuration that the other node goes by, nothing is confirmed.
-    if (relayed && configuration?.kind !== 'configuration') return false;
-    if (configuration?.kind === 'configuration') {
-      book.takeConfiguration(configuration.configuration, configuration.value);
-    }
-    if (reply.endpoints) this.takeEndpoints(endpoints, completeToRevision);
+    if (configuration && this.takeValue(configuration)?.kind !== 'configuration') return false;
+    if (endpoints) this.takeEndpoints(endpoints, completeToRevision);
     book.confirmRelayed(asked.nowMs - confirmedAgeMs, asked);
     return true;
   }
@@ -107,16 +109,18 @@
     endpoints: NonNullable<RelayReply['endpoints']>,
     completeToRevision: number,
   ): void {
-    const source = this.kernel.get(DeploymentSource);
     endpoints.forEach(({ endpointId, revision, value }) => {
-      const change = value && source.decode(value);
-      if (change?.kind === 'endpoint') this.book.takeBackEnd(change.backEnd, change.value);
-      if (!value) this.book.takeDeparture(endpointId, revision);
+      if (value) this.takeValue(value);
+      else this.book.takeDeparture(endpointId, revision);
     });
-    const listed = new Set<EndpointId>(endpoints.map(({ endpointId }) => endpointId));
     this.book
-      .listAll()
-      .filter(({ endpointId }) => !listed.has(endpointId))
-      .forEach(({ endpointId }) => this.book.takeDeparture(endpointId, completeToRevision));
+      .findUnlisted(endpoints.map(({ endpointId }) => endpointId))
+      .forEach((endpointId) => this.book.takeDeparture(endpointId, completeToRevision));
+  }
+
+  private takeValue(value: PublishedValue): PublishedChange | undefined {
+    const change = this.kernel.get(DeploymentSource).decode(value);
+    if (change) this.book.takeChange(change, false);
+    return change;
   }
 }
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -4,16 +4,10 @@
  * A watch that comes back empty proves that nothing changed while it waited, so its end, and not
  * its start, is the time up to which the book is complete.
  */
-import { startDeadline, type EndpointId } from '../../core';
+import { startDeadline } from '../../core';
 import { chooseChangePauseMs, chooseFreshnessAges, chooseWatchWaitMs } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import {
-  DeploymentSource,
-  Members,
-  ServingMetrics,
-  type PublishedChange,
-  type PublishedChanges,
-} from '../../services';
+import { DeploymentSource, Members, ServingMetrics, type PublishedChanges } from '../../services';
 import type { DeploymentBook } from './DeploymentBook';
 import { DEPLOYMENT_OPTIONS } from './options';
 
@@ -86,39 +80,20 @@
   private take({ changes, position }: PublishedChanges, isComplete: boolean): boolean {
     const isCurrent = position >= this.book.completeToRevision;
     if (!isCurrent) this.kernel.log.warn('stale answer of the source', { position });
-    changes.forEach((change) => this.takeChange(change, isComplete));
+    changes.forEach((change) => this.book.takeChange(change, isComplete));
     if (isComplete) {
       const listed = changes.flatMap((change) =>
         change.kind === 'endpoint' ? [change.backEnd.endpointId] : [],
       );
-      this.removeUnlisted(listed, position);
+      this.book
+        .findUnlisted(listed)
+        .forEach((endpointId) => this.book.removeBackEnd(endpointId, position));
     }
     this.position = Math.max(position, this.position ?? 0);
     this.book.noteCompleteTo(this.position);
     return isCurrent;
   }
 
-  private takeChange(change: PublishedChange, isComplete: boolean): void {
-    if (change.kind === 'configuration') {
-      this.book.takeConfiguration(change.configuration, change.value);
-    }
-    if (change.kind === 'endpoint') this.book.takeBackEnd(change.backEnd, change.value);
-    if (change.kind === 'endpoint-removed') {
-      this.book.removeBackEnd(change.endpointId, change.revision);
-    }
-    if (change.kind === 'unreadable') {
-      const { key, reason } = change;
-      this.kernel.log.warn('published value ignored', { key, reason, isComplete });
-    }
-  }
-
-  private removeUnlisted(listed: ReadonlyArray<EndpointId>, position: number): void {
-    this.book
-      .listAll()
-      .filter(({ endpointId }) => !listed.includes(endpointId))
-      .forEach(({ endpointId }) => this.book.removeBackEnd(endpointId, position));
-  }
-
   /** Ends the call at its time limit, or early when a suspension has shown. */
   private async readChanges(
     waitMs: number,
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -36,13 +36,17 @@
   readonly promptWithinMs: number;
 }
 
-/** A request's room at an endpoint, until it is released. @internal */
-export interface PlacedRequest {
+/** Room at an endpoint for a request, or for a copy of its memory, until it is released. @internal */
+export interface PlacedRoom {
   readonly backEnd: KnownBackEnd;
   readonly noteTokens: (outputTokens: number) => void;
+  readonly release: () => unknown;
+}
+
+/** @internal */
+export interface PlacedRequest extends PlacedRoom {
   /** The node waits for the endpoint's next bytes from now on. */
   readonly noteReading: () => void;
-  readonly release: () => unknown;
 }
 
 /** Why a request is placed: anew, once more, or away from an engine that leaves. @internal */
@@ -137,11 +141,7 @@
   }
 
   /** Reserves room for a copy of a run, on an engine that can take the run over, if there is room. */
-  placeCopy(
-    work: PlacedWork,
-    primary: KnownBackEnd,
-    producedTokens = 0,
-  ): PlacedRequest | undefined {
+  placeCopy(work: PlacedWork, primary: KnownBackEnd, producedTokens = 0): PlacedRoom | undefined {
     const profile = work.configuration.services.get(work.service)?.engine;
     if (!profile?.canBackUp || !work.prompt) return undefined;
     const need = this.describeNeed(work, producedTokens);
@@ -159,7 +159,7 @@
       work,
       producedTokens,
     );
-    return { backEnd, noteTokens, noteReading: () => {}, release };
+    return { backEnd, noteTokens, release };
   }
 
   /** Undefined when the request should wait. */
--- a/src/plugins/forwarding/StreamLeg.ts
+++ b/src/plugins/forwarding/StreamLeg.ts
@@ -3,7 +3,7 @@
  */
 import type { AnswerHead, CopiedMemory } from '../../services';
 import type { EndpointAnswer } from './EndpointAnswer';
-import type { PlacedRequest } from './EndpointPlacer';
+import type { PlacedRequest, PlacedRoom } from './EndpointPlacer';
 
 /** Where a run goes on after its engine has given it up. @internal */
 export interface NextLeg {
@@ -26,7 +26,7 @@
     readonly head: AnswerHead,
     readonly answer: EndpointAnswer,
     /** Room at the engine that gets a copy of the run's memory as it grows. */
-    readonly copy: PlacedRequest | undefined,
+    readonly copy: PlacedRoom | undefined,
   ) {}
 
   /** Aborted when the engine's part is over, however it ended. */
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -64,9 +64,10 @@
   }
 
   private listLoads(endpointId: EndpointId): ReadonlyArray<EndpointLoad> {
-    return this.listAll()
-      .filter(({ heardAgeMs }) => heardAgeMs < MEMBER_OPTIONS.loadMaxAgeMs)
-      .flatMap(({ loads }) => loads.filter((load) => load.endpointId === endpointId));
+    const heardSinceMs = this.kernel.clock.nowMs() - MEMBER_OPTIONS.loadMaxAgeMs;
+    return [...this.members.values()]
+      .filter(({ heardAtMs }) => heardAtMs > heardSinceMs)
+      .flatMap(({ state }) => state.loads.filter((load) => load.endpointId === endpointId));
   }
 
   onHeard(listener: () => void): void {
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -8,7 +8,7 @@
 import type { VmId } from '../../core';
 import { Plugin, registerPlugin } from '../../kernel';
 import {
-  CallerAdmission,
+  EntryDirectory,
   LoadSource,
   Members,
   PeerDirectory,
@@ -84,7 +84,7 @@
       region: settings.region,
       peerAddress: settings.peerAddress,
       callerAddress: settings.callerAddress,
-      takesCallers: this.kernel.getAll(CallerAdmission).every((check) => check.takesCallers()),
+      takesCallers: this.kernel.get(EntryDirectory).takesCallers(),
       loads: this.kernel.getAll(LoadSource).flatMap((source) => source.listLoads()),
     };
     const loads = self.loads.map(
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -74,47 +74,40 @@
     METRICS_OPTIONS.waitBucketsSeconds,
   );
 
-  private readonly preemptions = new Counter({
-    name: 'bramleyvane_preemptions_total',
-    help: 'Stalls during which the engine reported a preemption.',
-    labelNames: LABEL_NAMES,
-    registers: [this.registry],
-  });
-
-  private readonly answers = new Counter({
-    name: 'bramleyvane_answers_total',
-    help: 'Answers by outcome.',
-    labelNames: [...LABEL_NAMES, 'outcome'] as const,
-    registers: [this.registry],
-  });
-
-  private readonly refusals = new Counter({
-    name: 'bramleyvane_refusals_total',
-    help: 'Requests refused or failed by this node, by kind of error.',
-    labelNames: ['kind'] as const,
-    registers: [this.registry],
-  });
-
-  private readonly attempts = new Counter({
-    name: 'bramleyvane_attempts_total',
-    help: 'Sendings of requests to endpoints by outcome.',
-    labelNames: ['service', 'outcome'] as const,
-    registers: [this.registry],
-  });
-
-  private readonly continuations = new Counter({
-    name: 'bramleyvane_continuations_total',
-    help: 'Streams that their engine gave up, by how they went on.',
-    labelNames: ['outcome'] as const,
-    registers: [this.registry],
-  });
-
-  private readonly sourceCalls = new Counter({
-    name: 'bramleyvane_source_calls_total',
-    help: 'Calls of the source of the configuration by outcome.',
-    labelNames: ['outcome'] as const,
-    registers: [this.registry],
-  });
+  private readonly preemptions = this.createCounter(
+    'preemptions',
+    'Stalls during which the engine reported a preemption.',
+    LABEL_NAMES,
+  );
+
+  private readonly answers = this.createCounter('answers', 'Answers by outcome.', [
+    ...LABEL_NAMES,
+    'outcome',
+  ]);
+
+  private readonly refusals = this.createCounter(
+    'refusals',
+    'Requests refused or failed by this node, by kind of error.',
+    ['kind'],
+  );
+
+  private readonly attempts = this.createCounter(
+    'attempts',
+    'Sendings of requests to endpoints by outcome.',
+    ['service', 'outcome'],
+  );
+
+  private readonly continuations = this.createCounter(
+    'continuations',
+    'Streams that their engine gave up, by how they went on.',
+    ['outcome'],
+  );
+
+  private readonly sourceCalls = this.createCounter(
+    'source_calls',
+    'Calls of the source of the configuration by outcome.',
+    ['outcome'],
+  );
 
   private readonly gauges = new Map<string, Gauge>();
 
@@ -190,6 +183,15 @@
     return gauge;
   }
 
+  private createCounter<T extends string>(
+    name: string,
+    help: string,
+    labelNames: ReadonlyArray<T>,
+  ): Counter<T> {
+    const registers = [this.registry];
+    return new Counter({ name: `bramleyvane_${name}_total`, help, labelNames, registers });
+  }
+
   private createHistogram(
     name: string,
     help: string,
