--- a/src/decisions/freshness.ts
+++ b/src/decisions/freshness.ts
@@ -8,8 +8,12 @@
 export const FRESHNESS_OPTIONS = {
   /** Cap on that time, so that a long one doesn't make nodes update less often. */
   maxRevocationMs: 5_000,
-  /** Age at which a watch without changes returns. */
+  /** Age at which a watch without changes returns on a node that reads only for itself. */
   watchTimeoutShare: 0.38,
+  /** The same on a node that others follow: two nodes on the way add to the age of what they know. */
+  readerWatchTimeoutShare: 0.18,
+  /** Age of what a reader passed on at which the other readers are asked as well. */
+  readerMaxAgeShare: 0.4,
   /** Age at which peers are asked, unless a watch has confirmed the configuration before. */
   relayAfterShare: 0.46,
   /** Age above which a node no longer serves its configuration to peers. */
@@ -19,17 +23,18 @@
   /** Minimum timeout of a watch, so that a stream of changes doesn't cause back-to-back calls. */
   minWatchTimeoutMs: 200,
   /**
-   * Delay after a watch that returned changes, per other node. Every node watches, so each change
-   * of a burst would cost one call per node unless several changes are read together.
+   * Delay after a watch that returned changes, so that changes in quick succession cost one call
+   * together. It must be well below the 1 to 2 s of notice that a leaving engine gives.
    */
-  batchDelayPerNodeMs: 5,
-  /** Maximum batch delay; must be well below the 1 to 2 s of notice that a leaving engine gives. */
-  maxBatchDelayMs: 400,
+  batchDelayMs: 80,
 } as const;
 
 /** @public */
 export interface FreshnessThresholds {
   readonly watchTimeoutMs: number;
+  /** Watch timeout of a node that reads for others. */
+  readonly readerWatchTimeoutMs: number;
+  readonly readerMaxAgeMs: number;
   readonly relayAfterMs: number;
   readonly maxRelayAgeMs: number;
   readonly staleForCallersMs: number;
@@ -39,6 +44,8 @@
   const {
     maxRevocationMs,
     watchTimeoutShare,
+    readerWatchTimeoutShare,
+    readerMaxAgeShare,
     relayAfterShare,
     maxRelayAgeShare,
     staleForCallersShare,
@@ -46,6 +53,8 @@
   const baseMs = Math.min(revocationWithinMs, maxRevocationMs);
   return {
     watchTimeoutMs: Math.round(baseMs * watchTimeoutShare),
+    readerWatchTimeoutMs: Math.round(baseMs * readerWatchTimeoutShare),
+    readerMaxAgeMs: Math.round(baseMs * readerMaxAgeShare),
     relayAfterMs: Math.round(baseMs * relayAfterShare),
     maxRelayAgeMs: Math.round(baseMs * maxRelayAgeShare),
     staleForCallersMs: Math.round(baseMs * staleForCallersShare),
@@ -58,14 +67,11 @@
  */
 export function computeWatchTimeoutMs(
   confirmedAgeMs: number,
-  { watchTimeoutMs }: FreshnessThresholds,
+  thresholds: FreshnessThresholds,
+  readsForOthers = false,
 ): number {
+  const { watchTimeoutMs: usualMs, readerWatchTimeoutMs } = thresholds;
+  const watchTimeoutMs = readsForOthers ? readerWatchTimeoutMs : usualMs;
   if (confirmedAgeMs > watchTimeoutMs * 2) return 0;
   return Math.max(FRESHNESS_OPTIONS.minWatchTimeoutMs, watchTimeoutMs - confirmedAgeMs);
 }
-
-/** Returns the delay before the next watch, in which further changes accumulate. */
-export function computeBatchDelayMs(otherNodes: number): number {
-  const { batchDelayPerNodeMs, maxBatchDelayMs } = FRESHNESS_OPTIONS;
-  return Math.min(maxBatchDelayMs, otherNodes * batchDelayPerNodeMs);
-}
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -48,6 +48,8 @@
 
   private readonly suspensionWatches = new Set<AbortController>();
 
+  private readonly changeWaiters = new Set<AbortController>();
+
   private unavailableReason: string | undefined;
 
   private sourceRecoveredAtMs = -Infinity;
@@ -159,6 +161,7 @@
     this.current = configuration;
     this.publishedConfiguration = value;
     this.configurationListeners.forEach((listener) => listener(configuration));
+    this.notifyChange();
   }
 
   /** Ignores states older than the known one, which stale reads and other nodes may deliver. */
@@ -242,6 +245,15 @@
     this.confirmRelayed(asOfMs, sentAt);
   }
 
+  /** Resolves at the next change of the configuration or of an endpoint, or after the time. */
+  async waitForChange(maxWaitMs: number): Promise<void> {
+    if (maxWaitMs <= 0) return;
+    const waiter = new AbortController();
+    this.changeWaiters.add(waiter);
+    await this.kernel.clock.sleep(maxWaitMs, waiter.signal);
+    this.changeWaiters.delete(waiter);
+  }
+
   markSourceUnavailable(reason: string): void {
     if (this.unavailableReason === undefined) {
       const confirmedAgeMs = Math.round(this.getConfirmedAgeMs());
@@ -302,6 +314,10 @@
     this.leavingListeners.forEach((listener) => listener(backEnd));
   }
 
+  private notifyChange(): void {
+    this.changeWaiters.forEach((waiter) => waiter.abort());
+  }
+
   private logChange({ endpointId, service, address, ...known }: KnownBackEnd, why: string): void {
     this.kernel.log.info('endpoint', {
       endpointId,
@@ -311,5 +327,6 @@
       isLeaving: known.leavingSinceMs !== undefined,
       why,
     });
+    this.notifyChange();
   }
 }
--- a/src/plugins/deployment/RelayHandler.ts
+++ b/src/plugins/deployment/RelayHandler.ts
@@ -1,5 +1,5 @@
 /**
- * Answers nodes that can't reach the source with the configuration and endpoints known here.
+ * Answers nodes that don't read from the source with the configuration and endpoints known here.
  */
 import { computeFreshnessThresholds, hashText } from '../../decisions';
 import { PeerHandler, type KnownBackEnd, type Peer } from '../../services';
@@ -33,11 +33,12 @@
 
   async handle(_from: Peer, request: RelayRequest): Promise<RelayReply> {
     const { store } = this;
+    if (!this.hasNews(request)) await store.waitForChange(request.waitMs);
     const { completeToRevision } = store;
     const confirmedAgeMs = store.getConfirmedAgeMs();
     const { maxRelayAgeMs } = computeFreshnessThresholds(store.bounds.revocationWithinMs);
     if (confirmedAgeMs > maxRelayAgeMs) return { completeToRevision };
-    const isNewer = (store.configuration?.version ?? 0) > request.configurationVersion;
+    const isNewer = this.hasNewerConfiguration(request);
     return {
       confirmedAgeMs,
       completeToRevision,
@@ -52,4 +53,13 @@
             })),
     };
   }
+
+  private hasNews(request: RelayRequest): boolean {
+    const hasOtherEndpoints = digestEndpoints(this.store) !== request.endpointsDigest;
+    return hasOtherEndpoints || this.hasNewerConfiguration(request);
+  }
+
+  private hasNewerConfiguration({ configurationVersion }: RelayRequest): boolean {
+    return (this.store.configuration?.version ?? 0) > configurationVersion;
+  }
 }
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -1,11 +1,12 @@
 /**
- * The task that reads the configuration and endpoints from other nodes while this node can't reach
- * the source.
+ * The task that reads the configuration and endpoints from other nodes: always on a node that others
+ * read for, and on any node while it can't reach the source.
  *
  * The answering node reports the age of its own confirmation at the time of its answer, which is
  * later than the request. Its data is therefore complete up to the time of the request minus that
  * age.
  */
+import type { VmId } from '../../core';
 import { computeFreshnessThresholds, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
@@ -21,6 +22,11 @@
 import { digestEndpoints, RELAY_MESSAGE_TYPE } from './RelayHandler';
 import { relayReplySchema, type RelayReply, type RelayRequest } from './relayMessages';
 
+/** Whether an entry expired while the source was unavailable, and may still be renewed. */
+function isExpired({ value, revision }: NonNullable<RelayReply['endpoints']>[number]): boolean {
+  return value !== undefined && value.revision < revision;
+}
+
 /** @internal */
 export class RelayTask {
   private intervalMs: number = DEPLOYMENT_OPTIONS.relayIntervalMs;
@@ -34,14 +40,38 @@
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      await this.kernel.clock.sleep(this.intervalMs, signal);
-      if (signal.aborted) return;
-      const member = this.isNeeded() ? this.chooseMember() : undefined;
-      if (member) this.adjustInterval(member, await this.requestFrom(member));
-      else this.resetInterval();
+      const readers = this.kernel.get(Members).listReaders();
+      if (readers.length > 0) await this.followReaders(readers, signal);
+      else await this.replaceSource(signal);
     }
   }
 
+  /**
+   * Asks the best reader, which answers at the next change or after a short wait. If what it knows
+   * is old, or it doesn't answer, the others are asked in turn.
+   */
+  private async followReaders(readers: ReadonlyArray<VmId>, signal: AbortSignal): Promise<void> {
+    const { readerWaitMs, readerPauseMs, relayIntervalMs } = DEPLOYMENT_OPTIONS;
+    const { readerMaxAgeMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
+    const isFresh = (): boolean => this.store.getConfirmedAgeMs() <= readerMaxAgeMs;
+    const [best, ...others] = readers;
+    if (best) await this.requestFrom(best, readerWaitMs);
+    for (const reader of others) {
+      if (signal.aborted || isFresh()) break;
+      await this.requestFrom(reader, 0);
+    }
+    await this.kernel.clock.sleep(isFresh() ? readerPauseMs : relayIntervalMs, signal);
+  }
+
+  /** Asks any node if this one can't reach the source. */
+  private async replaceSource(signal: AbortSignal): Promise<void> {
+    await this.kernel.clock.sleep(this.intervalMs, signal);
+    if (signal.aborted) return;
+    const member = this.isNeeded() ? this.chooseMember() : undefined;
+    if (member) this.adjustInterval(member, await this.requestFrom(member.vmId, 0));
+    else this.resetInterval();
+  }
+
   /** Makes the next outage start with short intervals again. */
   private resetInterval(): void {
     this.isRelaying = false;
@@ -73,15 +103,16 @@
     this.kernel.log.info('deployment confirmed by another node', { member: vmId, confirmedAgeMs });
   }
 
-  private async requestFrom({ vmId }: KnownMember): Promise<boolean> {
+  private async requestFrom(vmId: VmId, waitMs: number): Promise<boolean> {
     const { log } = this.kernel;
     const sentAt = this.store.readClocks();
     const request: RelayRequest = {
       configurationVersion: this.store.configuration?.version ?? 0,
       endpointsDigest: digestEndpoints(this.store),
+      waitMs,
     };
     try {
-      const deadlineMs = sentAt.nowMs + DEPLOYMENT_OPTIONS.relayTimeoutMs;
+      const deadlineMs = sentAt.nowMs + waitMs + DEPLOYMENT_OPTIONS.relayTimeoutMs;
       const answer = await this.kernel
         .get(Peers)
         .call(vmId, RELAY_MESSAGE_TYPE, request, deadlineMs);
@@ -103,6 +134,7 @@
     // The confirmation covers the other node's configuration, so it is void if that can't be decoded.
     if (configuration && this.applyValue(configuration)?.kind !== 'configuration') return false;
     if (endpoints) this.applyEndpoints(endpoints, completeToRevision);
+    if (!endpoints?.some(isExpired)) store.markCompleteTo(completeToRevision);
     store.confirmRelayed(sentAt.nowMs - confirmedAgeMs, sentAt);
     return true;
   }
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -7,9 +7,9 @@
  */
 import { startDeadline } from '../../core';
 import {
-  computeBatchDelayMs,
   computeFreshnessThresholds,
   computeWatchTimeoutMs,
+  FRESHNESS_OPTIONS,
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { DeploymentSource, Members, ServingMetrics, type PublishedChanges } from '../../services';
@@ -18,19 +18,29 @@
 
 /** @internal */
 export class SourceTask {
-  private position: number | undefined;
+  /** Whether the source no longer has the changes after what this node knows. */
+  private isHistoryGone = false;
+
+  private readonly startedAtMs: number;
 
   constructor(
     private readonly kernel: Kernel,
     private readonly store: DeploymentStore,
-  ) {}
+  ) {
+    this.startedAtMs = kernel.clock.nowMs();
+  }
 
   async run(signal: AbortSignal): Promise<void> {
     const { clock } = this.kernel;
     while (!signal.aborted) {
+      if (!this.mustRead()) {
+        await clock.sleep(DEPLOYMENT_OPTIONS.roleCheckIntervalMs, signal);
+        continue;
+      }
       const startedAtMs = clock.nowMs();
       try {
-        await (this.position === undefined ? this.readAll(signal) : this.watch(signal));
+        const needsAll = this.isHistoryGone || this.store.completeToRevision === 0;
+        await (needsAll ? this.readAll(signal) : this.watch(signal));
       } catch (thrown) {
         if (signal.aborted) return;
         const reason = thrown instanceof Error ? thrown.message : String(thrown);
@@ -38,12 +48,26 @@
         this.kernel.get(ServingMetrics).countSourceCall('failed');
         // The interval starts with the call: a quick failure waits for the rest of it, and a timeout
         // is retried at once.
-        const { retryIntervalMs } = DEPLOYMENT_OPTIONS;
+        const retryIntervalMs = this.chooseRetryIntervalMs();
         await clock.sleep(startedAtMs + this.addJitter(retryIntervalMs) - clock.nowMs(), signal);
       }
     }
   }
 
+  /** Whether this node is a reader, or what its readers confirmed is too old. */
+  private mustRead(): boolean {
+    const { relayAfterMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
+    if (this.kernel.get(Members).readsSource()) return true;
+    // The readers get the same time after the start as after a confirmation.
+    const startedForMs = this.kernel.clock.nowMs() - this.startedAtMs;
+    return Math.min(startedForMs, this.store.getConfirmedAgeMs()) > relayAfterMs;
+  }
+
+  private chooseRetryIntervalMs(): number {
+    const { retryIntervalMs, memberRetryIntervalMs } = DEPLOYMENT_OPTIONS;
+    return this.kernel.get(Members).readsSource() ? retryIntervalMs : memberRetryIntervalMs;
+  }
+
   private async readAll(signal: AbortSignal): Promise<void> {
     const sentAt = this.store.readClocks();
     const source = this.kernel.get(DeploymentSource);
@@ -62,14 +86,20 @@
     const { watchTimeoutMarginMs } = DEPLOYMENT_OPTIONS;
     const thresholds = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
     const waitMs = Math.round(
-      this.addJitter(computeWatchTimeoutMs(this.store.getConfirmedAgeMs(), thresholds)),
+      this.addJitter(
+        computeWatchTimeoutMs(
+          this.store.getConfirmedAgeMs(),
+          thresholds,
+          this.kernel.get(Members).readsForOthers(),
+        ),
+      ),
     );
     const sentAt = this.store.readClocks();
     const changes = await this.readChanges(waitMs, waitMs + watchTimeoutMarginMs, signal);
     if (!changes) {
-      log.info('source no longer has the history', { position: this.position });
+      log.info('source no longer has the history', { position: this.store.completeToRevision });
       this.kernel.get(ServingMetrics).countSourceCall('history-gone');
-      this.position = undefined;
+      this.isHistoryGone = true;
       return;
     }
     const isCurrent = this.applyAnswer(changes, false);
@@ -77,8 +107,7 @@
     this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
     if (isCurrent) this.store.confirm(isUnchanged ? sentAt.nowMs + waitMs : sentAt.nowMs, sentAt);
     if (isUnchanged) return;
-    const otherNodes = this.kernel.get(Members).listLive().length;
-    await this.kernel.clock.sleep(computeBatchDelayMs(otherNodes), signal);
+    await this.kernel.clock.sleep(FRESHNESS_OPTIONS.batchDelayMs, signal);
   }
 
   /**
@@ -96,9 +125,9 @@
       this.store
         .listMissingFrom(listed)
         .forEach((endpointId) => this.store.removeEndpoint(endpointId, position));
+      this.isHistoryGone = false;
     }
-    this.position = Math.max(position, this.position ?? 0);
-    this.store.markCompleteTo(this.position);
+    this.store.markCompleteTo(position);
     return isCurrent;
   }
 
@@ -112,7 +141,7 @@
     const limit = startDeadline(timeoutMs, signal, suspension.signal);
     try {
       const source = this.kernel.get(DeploymentSource);
-      return await source.readChanges(this.position ?? 0, waitMs, limit.signal);
+      return await source.readChanges(this.store.completeToRevision, waitMs, limit.signal);
     } finally {
       limit.stop();
       suspension.stop();
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -17,6 +17,14 @@
   readTimeoutMs: 1_500,
   /** Retry interval while the source fails. */
   retryIntervalMs: 250,
+  /** Interval of attempts at the source by a node that others read for. */
+  memberRetryIntervalMs: 1_000,
+  /** How long a reader may wait for a change before it answers a node that it reads for. */
+  readerWaitMs: 400,
+  /** Pause between two requests to a reader, in which further changes accumulate. */
+  readerPauseMs: 50,
+  /** Interval at which a node that others read for checks whether it has to read itself. */
+  roleCheckIntervalMs: 100,
   /** Interval of requests to other nodes while the source can't be reached. */
   relayIntervalMs: 250,
   /** Longest such interval; it doubles while no other node can confirm its data. */
--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -1,9 +1,12 @@
 /**
- * Messages by which a node that can't reach the source reads the published values from another.
+ * Messages by which a node reads the published values from another node instead of the source.
  */
 import { z } from 'zod';
 import { endpointIdSchema } from '../../core';
 
+/** Longest wait that a node may ask for. */
+const MAX_WAIT_MS = 5_000;
+
 const revisionSchema = z.number().min(0);
 
 const valueSchema = z
@@ -17,9 +20,11 @@
     configurationVersion: z.number().min(0),
     /** Digest of its endpoints and their revisions. */
     endpointsDigest: z.number(),
+    /** How long the answer may wait for a change. */
+    waitMs: z.number().min(0).max(MAX_WAIT_MS).default(0),
   })
   .readonly();
-export type RelayRequest = z.infer<typeof relayRequestSchema>;
+export type RelayRequest = z.output<typeof relayRequestSchema>;
 
 const relayedEndpointSchema = z
   .object({
--- a/src/plugins/forwarding/LocalLoad.ts
+++ b/src/plugins/forwarding/LocalLoad.ts
@@ -2,8 +2,8 @@
  * This node's own load on endpoints: requests in flight, and backups of runs on other engines.
  */
 import type { Clock, EndpointId } from '../../core';
-import type { EndpointPace } from '../../decisions';
-import { LoadSource, type EndpointLoad } from '../../services';
+import type { EndpointLoad, EndpointPace } from '../../decisions';
+import { LoadSource } from '../../services';
 import type { EstimateInput, OutputEstimator } from './OutputEstimator';
 
 /** A `copy` takes KV cache but no slot, and its prompt needs no prefill. @internal */
--- a/src/plugins/forwarding/PlacementCandidates.ts
+++ b/src/plugins/forwarding/PlacementCandidates.ts
@@ -37,10 +37,12 @@
     nearDataCentre: string,
   ): ReadonlyArray<PlacementCandidate> {
     const countsByRegion = this.countByRegion(work.service);
+    const connectionShare = this.getConnectionShare(work);
     const pacesMs = backEnds.map(({ endpointId }) => this.findPaceMs(endpointId));
     const knownPacesMs = pacesMs.filter((paceMs) => paceMs !== undefined);
     return backEnds.map((backEnd, index) => ({
       ...this.describeOne(work, backEnd, nearDataCentre),
+      hasConnection: this.parts.connections.countBusy(backEnd) < connectionShare,
       endpointsInRegion: countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
       slowness: computeSlowness(pacesMs[index], knownPacesMs),
     }));
@@ -49,17 +51,16 @@
   /** Returns the mean of the paces measured by this node and by the others. */
   private findPaceMs(endpointId: EndpointId): number | undefined {
     const own = this.parts.pace.get(endpointId, this.kernel.clock.nowMs());
-    const others = this.kernel.get(Members).listPacesMs(endpointId);
-    const all = own === undefined ? others : [own, ...others];
-    if (all.length === 0) return undefined;
-    return all.reduce((sum, paceMs) => sum + paceMs, 0) / all.length;
+    const { paceSumMs, paceCount } = this.kernel.get(Members).getLoadOfOthers(endpointId);
+    const count = paceCount + (own === undefined ? 0 : 1);
+    return count === 0 ? undefined : (paceSumMs + (own ?? 0)) / count;
   }
 
   private describeOne(
     work: PlacementInput,
     backEnd: KnownBackEnd,
     nearDataCentre: string,
-  ): Omit<PlacementCandidate, 'endpointsInRegion' | 'slowness'> {
+  ): Omit<PlacementCandidate, 'endpointsInRegion' | 'slowness' | 'hasConnection'> {
     const nowMs = this.kernel.clock.nowMs();
     const own = this.parts.localLoad.getLoad(backEnd.endpointId);
     const others = this.kernel.get(Members).getLoadOfOthers(backEnd.endpointId);
@@ -76,9 +77,6 @@
       failureShare: this.parts.health.getFailureShare(backEnd.endpointId, nowMs),
       isWarmingUp: backEnd.warmUpUntilMs > nowMs,
       isEjected: this.parts.health.isEjected(backEnd.endpointId, nowMs),
-      hasConnection:
-        this.parts.connections.countBusy(backEnd) <
-        this.getConnectionShare(profile?.maxConnections),
     };
   }
 
@@ -102,8 +100,9 @@
     return counts;
   }
 
-  private getConnectionShare(maxConnections = Infinity): number {
-    const nodes = this.kernel.get(Members).listLive().length + 1;
+  private getConnectionShare({ configuration, service }: PlacementInput): number {
+    const { maxConnections = Infinity } = configuration.services.get(service) ?? {};
+    const nodes = this.kernel.get(Members).countSharingNodes();
     const share = Math.floor((maxConnections * FORWARDING_OPTIONS.connectionShare) / nodes);
     return Math.max(FORWARDING_OPTIONS.minConnections, share);
   }
--- a/src/plugins/forwarding/RetryPolicy.ts
+++ b/src/plugins/forwarding/RetryPolicy.ts
@@ -29,7 +29,7 @@
 
   /** Consumes one retry from the budget of a service. */
   takeFromBudget(service: string): boolean {
-    const nodes = this.kernel.get(Members).listLive().length + 1;
+    const nodes = this.kernel.get(Members).countSharingNodes();
     const isTaken = this.budget.tryConsume(service, this.kernel.clock.nowMs(), nodes);
     if (!isTaken) {
       this.kernel.log.info('decision', { step: 'retry', service, outcome: 'no budget' });
--- /dev/null
+++ b/src/plugins/members/ExchangeMembers.ts
@@ -0,0 +1,108 @@
+/**
+ * What the plug-ins see of the fleet: the live nodes, their load, and who reads from the source.
+ */
+import type { EndpointId, VmId } from '../../core';
+import { chooseExchangePartners, type ExchangePartners, type LoadSum } from '../../decisions';
+import type { Kernel } from '../../kernel';
+import { Members, type KnownMember } from '../../services';
+import type { FleetLoads } from './FleetLoads';
+import type { MemberTable } from './MemberTable';
+import type { StateExchange } from './StateExchange';
+import { MEMBER_OPTIONS } from './options';
+
+/** @internal */
+export class ExchangeMembers extends Members {
+  private readonly announceListeners = new Set<() => void>();
+
+  private updateListeners: ReadonlyArray<() => void> = [];
+
+  private currentPartners: ExchangePartners = { role: 'mesh', partners: [], readers: [] };
+
+  private readonly startedAtMs: number;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly table: MemberTable,
+    private readonly loads: FleetLoads,
+    private readonly exchange: StateExchange,
+  ) {
+    super();
+    this.startedAtMs = kernel.clock.nowMs();
+  }
+
+  get partners(): ExchangePartners {
+    return this.currentPartners;
+  }
+
+  /** Chooses the partners again, by what is known of the fleet now. */
+  choosePartners(): void {
+    const { maxSummaryAgeMs, failedForMs, silentFailedForMs } = MEMBER_OPTIONS;
+    const isLive = ({ stateAgeMs }: KnownMember): boolean => stateAgeMs < maxSummaryAgeMs;
+    const known = this.table.listAll().map((member) => {
+      const withinMs = isLive(member) ? failedForMs : silentFailedForMs;
+      return { ...member, hasFailed: this.table.hasFailed(member.vmId, withinMs) };
+    });
+    const others = known.filter(isLive);
+    const silent = known.filter((member) => !isLive(member));
+    const self = { ...this.exchange.describeSelf(), hasFailed: false };
+    const { role } = this.currentPartners;
+    this.currentPartners = chooseExchangePartners(self, others, silent, this.exchange.isAsked);
+    if (role === this.currentPartners.role) return;
+    this.loads.invalidate();
+    this.kernel.log.info('exchange role', {
+      role: this.currentPartners.role,
+      before: role,
+      nodes: others.length + 1,
+    });
+  }
+
+  listLive(): ReadonlyArray<KnownMember> {
+    return this.partners.role === 'mesh' ? this.table.listHeardDirectly() : this.table.listHeard();
+  }
+
+  countSharingNodes(): number {
+    return this.table.countSharingNodes();
+  }
+
+  getLoadOfOthers(endpointId: EndpointId): LoadSum {
+    return this.loads.getLoadOfOthers(endpointId, this.partners.role);
+  }
+
+  readsSource(): boolean {
+    const { partners, readers } = this.partners;
+    if (partners.length > 0) return readers.length === 0;
+    return this.kernel.clock.nowMs() - this.startedAtMs >= MEMBER_OPTIONS.discoveryMs;
+  }
+
+  readsForOthers(): boolean {
+    const { partners, readers } = this.partners;
+    return partners.length > 0 && readers.length === 0;
+  }
+
+  listReaders(): ReadonlyArray<VmId> {
+    return this.partners.readers;
+  }
+
+  onUpdate(listener: () => void): void {
+    this.updateListeners = [...this.updateListeners, listener];
+  }
+
+  notifyUpdated(): void {
+    this.updateListeners.forEach((listener) => listener());
+  }
+
+  announce(): void {
+    if (this.partners.role === 'mesh') this.announceToPartners();
+  }
+
+  /** Announces a change to all partners, whatever the role. */
+  announceToPartners(): void {
+    this.announceListeners.forEach((listener) => listener());
+  }
+
+  /** Calls the listener on each announcement until the signal aborts. */
+  onAnnounce(listener: () => void, signal: AbortSignal): void {
+    this.announceListeners.add(listener);
+    signal.addEventListener('abort', () => this.announceListeners.delete(listener), { once: true });
+  }
+}
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -1,119 +1,224 @@
 /**
- * The latest state of each other node, as received from that node itself.
+ * The other nodes of the fleet: what each told this node itself, and whom other nodes heard from.
  */
-import type { EndpointId, VmId } from '../../core';
+import type { VmId } from '../../core';
+import type { EndpointLoad } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Members, type EndpointLoad, type KnownMember, type MemberState } from '../../services';
+import { SeedAddresses, type KnownMember, type MemberIdentity } from '../../services';
+import { hashIdentity } from './encodeMembers';
+import { FleetSummaries, type FleetSummary } from './FleetSummaries';
 import { MEMBER_OPTIONS } from './options';
 
-interface MemberEntry {
-  readonly state: MemberState;
+/** What a node told about itself in its latest exchange with this node. @internal */
+export interface DirectState {
+  readonly identity: MemberIdentity;
+  readonly identityHash: number;
+  readonly loads: ReadonlyArray<EndpointLoad>;
   readonly receivedAtMs: number;
 }
 
+interface HeardMember {
+  readonly identity: MemberIdentity;
+  readonly identityHash: number;
+  readonly heardAtMs: number;
+}
+
+interface FleetSize {
+  readonly nodes: number;
+  readonly measuredAtMs: number;
+}
+
 /** @internal */
-export class MemberTable extends Members {
-  private readonly members = new Map<VmId, MemberEntry>();
+export class MemberTable {
+  readonly summaries = new FleetSummaries();
+
+  private readonly identities = new Map<number, MemberIdentity>();
+
+  private readonly direct = new Map<VmId, DirectState>();
 
-  private readonly announceListeners = new Set<() => void>();
+  private readonly heard = new Map<VmId, HeardMember>();
 
-  private updateListeners: ReadonlyArray<() => void> = [];
+  /** Identities in fresh summaries that this node lacks; undefined when they have to be listed. */
+  private missing: ReadonlyArray<number> | undefined;
+
+  /** Monotonic times at which nodes didn't answer, unless they have sent something since. */
+  private readonly failedAtMs = new Map<VmId, number>();
+
+  private evictedAtMs = -Infinity;
+
+  private readonly startedAtMs: number;
+
+  private largestSize: FleetSize = { nodes: 1, measuredAtMs: -Infinity };
 
   constructor(private readonly kernel: Kernel) {
-    super();
+    this.startedAtMs = kernel.clock.nowMs();
   }
 
-  listLive(): ReadonlyArray<KnownMember> {
-    return this.listAll().filter(
-      ({ stateAgeMs }) => stateAgeMs < MEMBER_OPTIONS.unresponsiveAfterMs,
-    );
+  /** Stores the state that a node sent, unless a newer one is known. */
+  updateDirect(
+    identity: MemberIdentity,
+    loads: ReadonlyArray<EndpointLoad>,
+    receivedAtMs: number,
+  ): void {
+    const { vmId } = identity;
+    if ((this.direct.get(vmId)?.receivedAtMs ?? -Infinity) > receivedAtMs) return;
+    const identityHash = this.addIdentity(identity);
+    this.direct.set(vmId, { identity, identityHash, loads, receivedAtMs });
+    this.failedAtMs.delete(vmId);
+    this.recordHeard(identityHash, identity, receivedAtMs);
   }
 
-  /** All members that haven't been evicted, including unresponsive ones. */
-  listAll(): ReadonlyArray<KnownMember> {
-    const nowMs = this.kernel.clock.nowMs();
-    return [...this.members.values()].map(({ state, receivedAtMs }) => ({
-      ...state,
-      stateAgeMs: nowMs - receivedAtMs,
-    }));
+  addIdentity(identity: MemberIdentity): number {
+    const identityHash = hashIdentity(identity);
+    if (!this.identities.has(identityHash)) {
+      this.identities.set(identityHash, identity);
+      this.missing = undefined;
+    }
+    return identityHash;
   }
 
-  find(vmId: VmId): MemberState | undefined {
-    return this.members.get(vmId)?.state;
+  findIdentity(identityHash: number): MemberIdentity | undefined {
+    return this.identities.get(identityHash);
   }
 
-  getStateAgeMs(vmId: VmId): number {
-    const receivedAtMs = this.members.get(vmId)?.receivedAtMs ?? -Infinity;
-    return this.kernel.clock.nowMs() - receivedAtMs;
+  storeSummary(summary: FleetSummary): void {
+    if (summary.origin === this.kernel.settings.vmId) return;
+    if (this.summaries.store(summary)) this.missing = undefined;
+    this.recordSummaryMembers(summary);
   }
 
-  getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId' | 'paceMs'> {
-    return this.listLoads(endpointId).reduce(
-      (sum, load) => ({
-        requests: sum.requests + load.requests,
-        heldTokens: sum.heldTokens + load.heldTokens,
-        finalTokens: sum.finalTokens + load.finalTokens,
-        pendingPrefillTokens: sum.pendingPrefillTokens + load.pendingPrefillTokens,
-      }),
-      { requests: 0, heldTokens: 0, finalTokens: 0, pendingPrefillTokens: 0 },
-    );
+  /** Records the members of all summaries again, after identities were added. */
+  recordAllSummaries(): void {
+    this.summaries
+      .listFresh(this.kernel.clock.nowMs())
+      .forEach((summary) => this.recordSummaryMembers(summary));
+  }
+
+  /** Returns the identities in fresh summaries that this node lacks. */
+  listMissingIdentities(): ReadonlyArray<number> {
+    this.missing ??= [...this.listSummarised()].filter((hash) => !this.identities.has(hash));
+    return this.missing;
+  }
+
+  /** Returns the nodes that sent their state themselves within a time. */
+  listDirect(withinMs: number): ReadonlyArray<DirectState> {
+    const sinceMs = this.kernel.clock.nowMs() - withinMs;
+    return [...this.direct.values()].filter(({ receivedAtMs }) => receivedAtMs > sinceMs);
   }
 
-  listPacesMs(endpointId: EndpointId): ReadonlyArray<number> {
-    return this.listLoads(endpointId)
-      .map(({ paceMs }) => paceMs)
-      .filter((paceMs) => paceMs !== undefined);
+  getDirectAgeMs(vmId: VmId): number {
+    return this.kernel.clock.nowMs() - (this.direct.get(vmId)?.receivedAtMs ?? -Infinity);
   }
 
-  private listLoads(endpointId: EndpointId): ReadonlyArray<EndpointLoad> {
-    const receivedSinceMs = this.kernel.clock.nowMs() - MEMBER_OPTIONS.maxLoadAgeMs;
-    return [...this.members.values()]
-      .filter(({ receivedAtMs }) => receivedAtMs > receivedSinceMs)
-      .flatMap(({ state }) => state.loads.filter((load) => load.endpointId === endpointId));
+  /** Returns the nodes that this node or another one heard from recently. */
+  listHeard(): ReadonlyArray<KnownMember> {
+    return this.listAll().filter(({ stateAgeMs }) => stateAgeMs < MEMBER_OPTIONS.maxSummaryAgeMs);
   }
 
-  onUpdate(listener: () => void): void {
-    this.updateListeners = [...this.updateListeners, listener];
+  /** Returns the nodes that this node itself heard from recently. */
+  listHeardDirectly(): ReadonlyArray<KnownMember> {
+    const nowMs = this.kernel.clock.nowMs();
+    return this.listDirect(MEMBER_OPTIONS.unresponsiveAfterMs).map(
+      ({ identity, receivedAtMs }) => ({ ...identity, stateAgeMs: nowMs - receivedAtMs }),
+    );
   }
 
-  announce(): void {
-    if (this.members.size <= MEMBER_OPTIONS.maxAnnounceMembers) this.announceToAll();
+  /** All members that haven't been evicted, including unresponsive ones. */
+  listAll(): ReadonlyArray<KnownMember> {
+    const nowMs = this.kernel.clock.nowMs();
+    return [...this.heard.values()].map(({ identity, heardAtMs }) => ({
+      ...identity,
+      stateAgeMs: nowMs - heardAtMs,
+    }));
   }
 
-  /** Announces to all members, however many they are. */
-  announceToAll(): void {
-    this.announceListeners.forEach((listener) => listener());
+  find(vmId: VmId): MemberIdentity | undefined {
+    return this.heard.get(vmId)?.identity;
   }
 
-  /** Calls the listener on each announcement until the signal aborts. */
-  onAnnounce(listener: () => void, signal: AbortSignal): void {
-    this.announceListeners.add(listener);
-    signal.addEventListener('abort', () => this.announceListeners.delete(listener), { once: true });
+  findByAddress(peerAddress: string): MemberIdentity | undefined {
+    return [...this.heard.values()].find(({ identity }) => identity.peerAddress === peerAddress)
+      ?.identity;
   }
 
-  /** Stores the state that a node sent, unless a newer one is known; times are monotonic. */
-  update(state: MemberState, receivedAtMs: number): void {
-    const before = this.members.get(state.vmId);
-    if (before && before.receivedAtMs > receivedAtMs) return;
-    this.members.set(state.vmId, { state, receivedAtMs });
-    const isNewIncarnation = before?.state.incarnation !== state.incarnation;
-    if (isNewIncarnation || before.state.takesCallers !== state.takesCallers) {
-      this.kernel.log.info('member', {
-        member: state.vmId,
-        incarnation: state.incarnation,
-        takesCallers: state.takesCallers,
-        silentForMs: before ? Math.round(receivedAtMs - before.receivedAtMs) : undefined,
-      });
+  recordFailure(vmId: VmId): void {
+    this.failedAtMs.set(vmId, this.kernel.clock.nowMs());
+  }
+
+  /** Whether a node didn't answer within a time, and hasn't sent anything since. */
+  hasFailed(vmId: VmId, withinMs: number): boolean {
+    return this.kernel.clock.nowMs() - (this.failedAtMs.get(vmId) ?? -Infinity) < withinMs;
+  }
+
+  /** See `Members.countSharingNodes`. */
+  countSharingNodes(): number {
+    const nowMs = this.kernel.clock.nowMs();
+    const nodes = Math.max(this.listHeard().length + 1, this.listSummarised().size);
+    const { nodes: largest, measuredAtMs } = this.largestSize;
+    if (nodes >= largest || nowMs - measuredAtMs > MEMBER_OPTIONS.sharingRetentionMs) {
+      this.largestSize = { nodes, measuredAtMs: nowMs };
     }
-    this.updateListeners.forEach((listener) => listener());
+    if (!this.hasOtherSeeds()) return this.largestSize.nodes;
+    const isSettled = nowMs - this.startedAtMs > MEMBER_OPTIONS.sharingSettleMs;
+    return isSettled && this.largestSize.nodes > 1 ? this.largestSize.nodes : Infinity;
   }
 
   evictUnresponsive(): void {
-    this.listAll()
-      .filter(({ stateAgeMs }) => stateAgeMs > MEMBER_OPTIONS.evictAfterMs)
-      .forEach(({ vmId }) => {
-        this.members.delete(vmId);
+    const nowMs = this.kernel.clock.nowMs();
+    if (nowMs - this.evictedAtMs < MEMBER_OPTIONS.evictIntervalMs) return;
+    this.evictedAtMs = nowMs;
+    const evictBeforeMs = nowMs - MEMBER_OPTIONS.evictAfterMs;
+    this.summaries.evictBefore(evictBeforeMs);
+    this.missing = undefined;
+    [...this.heard]
+      .filter(([, { heardAtMs }]) => heardAtMs < evictBeforeMs)
+      .forEach(([vmId]) => {
+        this.heard.delete(vmId);
+        this.direct.delete(vmId);
+        this.failedAtMs.delete(vmId);
         this.kernel.log.info('member evicted', { member: vmId });
       });
+    const heard = new Set([...this.heard.values()].map(({ identityHash }) => identityHash));
+    const summarised = this.listSummarised();
+    [...this.identities.keys()]
+      .filter((identityHash) => !heard.has(identityHash) && !summarised.has(identityHash))
+      .forEach((identityHash) => this.identities.delete(identityHash));
+  }
+
+  /** Returns the hashes of the identities in fresh summaries. */
+  private listSummarised(): ReadonlySet<number> {
+    const fresh = this.summaries.listFresh(this.kernel.clock.nowMs());
+    return new Set(fresh.flatMap(({ members }) => members));
+  }
+
+  private recordSummaryMembers({ members, takenAtMs }: FleetSummary): void {
+    members.forEach((identityHash) => {
+      const identity = this.identities.get(identityHash);
+      if (identity) this.recordHeard(identityHash, identity, takenAtMs);
+    });
+  }
+
+  private recordHeard(identityHash: number, identity: MemberIdentity, heardAtMs: number): void {
+    const { vmId, incarnation, takesCallers } = identity;
+    if (vmId === this.kernel.settings.vmId) return;
+    const before = this.heard.get(vmId);
+    if (before && before.heardAtMs > heardAtMs) return;
+    this.heard.set(vmId, { identity, identityHash, heardAtMs });
+    const isNew = before?.identity.incarnation !== incarnation;
+    if (!isNew && before.identity.takesCallers === takesCallers) return;
+    this.kernel.log.info('member', {
+      member: vmId,
+      incarnation,
+      takesCallers,
+      silentForMs: before ? Math.round(heardAtMs - before.heardAtMs) : undefined,
+    });
+  }
+
+  private hasOtherSeeds(): boolean {
+    const { peerAddress } = this.kernel.settings;
+    return this.kernel
+      .getAll(SeedAddresses)
+      .flatMap((seeds) => seeds.listAddresses())
+      .some((address) => address !== peerAddress);
   }
 }
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -1,30 +1,36 @@
 /**
  * Membership without a central list: nodes find each other through seed addresses and exchange
- * their states and the addresses of the nodes they know.
+ * their states, in a small fleet each with each other, in a larger one over a few aggregators.
  *
- * One task for each address joins the node there, then exchanges states with it until the node has
- * been unreachable for long enough to be evicted.
+ * One task for each address exchanges states with the node there as long as it is a partner or a
+ * seed.
  */
-import type { VmId } from '../../core';
+import { ServingError, type VmId } from '../../core';
 import { Plugin, registerPlugin } from '../../kernel';
 import {
-  EntryDirectory,
-  LoadSource,
   Members,
   PeerDirectory,
   PeerHandler,
   Peers,
   SeedAddresses,
-  type MemberState,
   type Peer,
 } from '../../services';
-import { memberExchangeSchema, type MemberExchange } from './memberMessages';
+import { ExchangeMembers } from './ExchangeMembers';
+import { FleetLoads } from './FleetLoads';
+import {
+  exchangeReplySchema,
+  exchangeRequestSchema,
+  type ExchangeReply,
+  type ExchangeRequest,
+} from './memberMessages';
 import { MemberTable } from './MemberTable';
 import { MEMBER_OPTIONS } from './options';
+import { StateExchange } from './StateExchange';
 
 const MESSAGE_TYPE = 'member.exchange';
 
-const MS_PER_SECOND = 1_000;
+/** Reason of the abort that ends a wait. */
+const ENDED = 'ended';
 
 class MemberPeerDirectory extends PeerDirectory {
   constructor(private readonly table: MemberTable) {
@@ -36,18 +42,22 @@
   }
 }
 
-class ExchangeHandler extends PeerHandler<typeof memberExchangeSchema> {
+class ExchangeHandler extends PeerHandler<typeof exchangeRequestSchema> {
   readonly type = MESSAGE_TYPE;
 
-  readonly schema = memberExchangeSchema;
+  readonly schema = exchangeRequestSchema;
 
-  constructor(private readonly plugin: MembersPlugin) {
+  constructor(
+    private readonly members: ExchangeMembers,
+    private readonly exchange: StateExchange,
+  ) {
     super();
   }
 
-  async handle(_from: Peer, exchange: MemberExchange): Promise<unknown> {
-    this.plugin.applyExchange(exchange);
-    return this.plugin.createExchange();
+  async handle(from: Peer, request: ExchangeRequest): Promise<ExchangeReply> {
+    const reply = this.exchange.answer(this.members.partners.role, from, request);
+    this.members.notifyUpdated();
+    return reply;
   }
 }
 
@@ -57,13 +67,24 @@
 
   private readonly table = new MemberTable(this.kernel);
 
+  private readonly loads = new FleetLoads(this.kernel, this.table);
+
+  private readonly exchange = new StateExchange(this.kernel, this.table, this.loads);
+
+  private readonly members = new ExchangeMembers(
+    this.kernel,
+    this.table,
+    this.loads,
+    this.exchange,
+  );
+
   /** Addresses with a running task. */
   private readonly tasks = new Set<string>();
 
   override setUp(): void {
-    this.kernel.provide(Members, this.table);
+    this.kernel.provide(Members, this.members);
     this.kernel.provide(PeerDirectory, new MemberPeerDirectory(this.table));
-    this.kernel.provide(PeerHandler, new ExchangeHandler(this));
+    this.kernel.provide(PeerHandler, new ExchangeHandler(this.members, this.exchange));
   }
 
   override async start(): Promise<void> {
@@ -71,63 +92,30 @@
   }
 
   override async drain(): Promise<void> {
-    this.table.announceToAll();
-  }
-
-  /** Returns this node's state and the addresses of the live nodes it knows. */
-  createExchange(): MemberExchange {
-    const { settings, incarnation } = this.kernel;
-    const self: MemberState = {
-      vmId: settings.vmId,
-      incarnation,
-      dataCentre: settings.dataCentre,
-      region: settings.region,
-      peerAddress: settings.peerAddress,
-      callerAddress: settings.callerAddress,
-      takesCallers: this.kernel.get(EntryDirectory).takesCallers(),
-      loads: this.kernel.getAll(LoadSource).flatMap((source) => source.listLoads()),
-    };
-    const loads = self.loads.map(
-      ({ endpointId, requests, heldTokens, finalTokens, pendingPrefillTokens, paceMs }) =>
-        [
-          endpointId,
-          requests,
-          heldTokens,
-          Math.round(finalTokens),
-          pendingPrefillTokens,
-          paceMs === undefined ? undefined : Math.round(paceMs),
-        ] as const,
-    );
-    const knownAddresses = this.table.listLive().map(({ peerAddress }) => peerAddress);
-    return { self: { ...self, loads }, knownAddresses };
-  }
-
-  applyExchange({ self, knownAddresses }: MemberExchange): void {
-    const loads = self.loads.map(
-      ([endpointId, requests, heldTokens, finalTokens, pendingPrefillTokens, paceMs]) => ({
-        endpointId,
-        requests,
-        heldTokens,
-        finalTokens,
-        pendingPrefillTokens,
-        paceMs,
-      }),
-    );
-    this.table.update({ ...self, loads }, this.kernel.clock.nowMs());
-    [self.peerAddress, ...knownAddresses].forEach((address) => this.startTask(address));
+    this.members.announceToPartners();
   }
 
   private async superviseTasks(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       this.table.evictUnresponsive();
-      this.kernel
-        .getAll(SeedAddresses)
-        .flatMap((seeds) => seeds.listAddresses())
-        .forEach((address) => this.startTask(address));
+      this.members.choosePartners();
+      this.listAddresses().forEach((address) => this.startTask(address));
       await this.kernel.clock.sleep(MEMBER_OPTIONS.superviseIntervalMs, signal);
     }
   }
 
+  /** Returns the peer addresses of the partners, and of the seeds if this node has to find others. */
+  private listAddresses(): ReadonlyArray<string> {
+    const { role, partners } = this.members.partners;
+    const addresses = partners.flatMap((vmId) => this.table.find(vmId)?.peerAddress ?? []);
+    const needsSeeds = role !== 'member' || partners.length === 0;
+    return needsSeeds ? [...addresses, ...this.listSeeds()] : addresses;
+  }
+
+  private listSeeds(): ReadonlyArray<string> {
+    return this.kernel.getAll(SeedAddresses).flatMap((seeds) => seeds.listAddresses());
+  }
+
   private startTask(address: string): void {
     if (address === this.kernel.settings.peerAddress || this.tasks.has(address)) return;
     this.tasks.add(address);
@@ -141,76 +129,83 @@
   }
 
   private async runMember(address: string, signal: AbortSignal): Promise<void> {
-    const { clock } = this.kernel;
-    let lastContactMs = clock.nowMs();
     let isAnnouncing = false;
-    while (!signal.aborted && clock.nowMs() - lastContactMs < MEMBER_OPTIONS.evictAfterMs) {
-      const vmId = this.findMemberId(address) ?? (await this.join(address));
+    while (!signal.aborted && this.listAddresses().includes(address)) {
+      const vmId = this.table.findByAddress(address)?.vmId ?? (await this.join(address));
       const isReachable = vmId !== undefined && (await this.keepContact(vmId, isAnnouncing));
-      if (isReachable) lastContactMs = clock.nowMs();
-      const delayMs = isReachable ? this.chooseIntervalMs() : MEMBER_OPTIONS.joinRetryIntervalMs;
-      isAnnouncing = await this.waitForAnnouncement(delayMs, signal);
+      if (vmId && !isReachable) this.table.recordFailure(vmId);
+      isAnnouncing = await this.waitForAnnouncement(this.chooseDelayMs(vmId, isReachable), signal);
     }
   }
 
   /**
-   * Exchanges states unless it is the other node's turn: an exchange updates both sides, so only the
-   * node with the lower id starts it while both are reachable. Returns whether the node is reachable.
+   * Exchanges states unless it is the other node's turn: an exchange updates both sides, so among
+   * nodes that are each other's partners only the one with the lower id starts it. Returns whether
+   * the node is reachable.
    */
   private async keepContact(vmId: VmId, isAnnouncing: boolean): Promise<boolean> {
-    const isOurTurn = this.kernel.settings.vmId < vmId || isAnnouncing;
-    const stateAgeMs = this.table.getStateAgeMs(vmId);
-    if (!isOurTurn && stateAgeMs < MEMBER_OPTIONS.takeOverTurnAfterMs) return true;
-    return this.exchange(vmId);
-  }
-
-  private findMemberId(address: string): VmId | undefined {
-    return this.table.listAll().find(({ peerAddress }) => peerAddress === address)?.vmId;
+    const isMutual = this.members.partners.role !== 'member';
+    const isOurTurn = !isMutual || this.kernel.settings.vmId < vmId || isAnnouncing;
+    const ageMs = this.table.getDirectAgeMs(vmId);
+    if (!isOurTurn && ageMs < MEMBER_OPTIONS.takeOverTurnAfterMs) return true;
+    return this.runExchange(vmId);
   }
 
   private async join(address: string): Promise<VmId | undefined> {
     try {
-      const { vmId, incarnation } = await this.kernel.get(Peers).connect(address);
-      // Only the address and identity are known before the first exchange.
-      const state = { ...this.createExchange().self, vmId, incarnation, peerAddress: address };
-      const receivedAtMs = this.kernel.clock.nowMs() - MEMBER_OPTIONS.unresponsiveAfterMs;
-      this.table.update({ ...state, takesCallers: false, loads: [] }, receivedAtMs);
-      return vmId;
+      return (await this.kernel.get(Peers).connect(address)).vmId;
     } catch (thrown) {
       this.kernel.log.debug('member unreachable', { address, cause: thrown });
       return undefined;
     }
   }
 
-  private async exchange(vmId: VmId): Promise<boolean> {
-    const { clock, log } = this.kernel;
+  private async runExchange(vmId: VmId): Promise<boolean> {
     try {
-      const deadlineMs = clock.nowMs() + MEMBER_OPTIONS.callTimeoutMs;
-      const peers = this.kernel.get(Peers);
-      const reply = await peers.call(vmId, MESSAGE_TYPE, this.createExchange(), deadlineMs);
-      this.applyExchange(memberExchangeSchema.parse(reply));
+      for (let round = 0; round < MEMBER_OPTIONS.maxFetchRounds; round += 1) {
+        await this.exchangeOnce(vmId);
+        if (this.table.listMissingIdentities().length === 0) break;
+      }
       return true;
     } catch (thrown) {
-      log.debug('member exchange failed', { member: vmId, cause: thrown });
+      this.kernel.log.debug('member exchange failed', { member: vmId, cause: thrown });
       return false;
     }
   }
 
-  private chooseIntervalMs(): number {
-    const { intervalMs, jitterShare, exchangesPerSecond } = MEMBER_OPTIONS;
-    const factor = 1 + jitterShare * (2 * Math.random() - 1);
-    return Math.max(intervalMs, (this.tasks.size * MS_PER_SECOND) / exchangesPerSecond) * factor;
+  private async exchangeOnce(vmId: VmId): Promise<void> {
+    const { clock } = this.kernel;
+    const sentAtMs = clock.nowMs();
+    const { role, partners } = this.members.partners;
+    const request = this.exchange.createRequest(role, role === 'member' && vmId === partners[0]);
+    const peers = this.kernel.get(Peers);
+    const deadlineMs = sentAtMs + MEMBER_OPTIONS.callTimeoutMs;
+    const answer = await peers.call(vmId, MESSAGE_TYPE, request, deadlineMs);
+    const peer = peers.listLinked().find((linked) => linked.vmId === vmId);
+    if (!peer) throw new ServingError('peer-unreachable', { detail: `The link to ${vmId} ended.` });
+    this.exchange.applyReply(peer, exchangeReplySchema.parse(answer), sentAtMs);
+    this.members.notifyUpdated();
+  }
+
+  private chooseDelayMs(vmId: VmId | undefined, isReachable: boolean): number {
+    const { intervalMs, seedIntervalMs, joinRetryIntervalMs, jitterShare } = MEMBER_OPTIONS;
+    if (!isReachable) return joinRetryIntervalMs;
+    const { role, partners } = this.members.partners;
+    const isPartner = vmId !== undefined && partners.includes(vmId);
+    const delayMs = isPartner || role === 'mesh' ? intervalMs : seedIntervalMs;
+    return delayMs * (1 + jitterShare * (2 * Math.random() - 1));
   }
 
   /** Waits until the delay has passed or this node announces a change; returns whether it did. */
   private async waitForAnnouncement(delayMs: number, signal: AbortSignal): Promise<boolean> {
     const announced = new AbortController();
-    const stop = (): void => announced.abort();
+    // Without a reason, each abort would create an error with a stack trace.
+    const stop = (): void => announced.abort(ENDED);
     const ended = AbortSignal.any([signal, announced.signal]);
-    this.table.onAnnounce(stop, ended);
+    this.members.onAnnounce(stop, ended);
     await this.kernel.clock.sleep(delayMs, ended);
     const isAnnouncing = announced.signal.aborted;
-    announced.abort();
+    announced.abort(ENDED);
     return isAnnouncing;
   }
 }
--- a/src/plugins/members/memberMessages.ts
+++ b/src/plugins/members/memberMessages.ts
@@ -1,11 +1,22 @@
 /**
- * Messages by which nodes exchange their member states.
+ * Messages by which nodes exchange their states.
+ *
+ * An exchange is sent several times a second, so it carries what changes with it: the loads, and a
+ * summary of whom a node has heard from, as a list of numbers. What these numbers stand for is sent
+ * once to each node that lacks it.
  */
 import { z } from 'zod';
 import { endpointIdSchema, incarnationSchema, vmIdSchema } from '../../core';
 
+/** Bounds on the size of an exchange, several times those of the largest fleet in use. */
+const LIMITS = { nodes: 4_096, endpoints: 8_192, summaries: 256, textLength: 255 } as const;
+
 const countSchema = z.number().min(0);
+const textSchema = z.string().max(LIMITS.textLength);
+const hashSchema = z.number().int().min(0);
+const hashesSchema = z.array(hashSchema).max(LIMITS.nodes).readonly();
 
+/** Endpoint; requests; tokens held now, at completion, and not prefilled yet; pace in ms. */
 const loadSchema = z
   .tuple([
     endpointIdSchema,
@@ -16,28 +27,82 @@
     countSchema.optional(),
   ])
   .readonly();
+export type LoadMessage = z.infer<typeof loadSchema>;
+
+/** As a load, with the sum of the paces and the number of nodes that measured one. */
+const loadSumSchema = z
+  .tuple([
+    endpointIdSchema,
+    countSchema,
+    countSchema,
+    countSchema,
+    countSchema,
+    countSchema,
+    countSchema,
+  ])
+  .readonly();
+export type LoadSumMessage = z.infer<typeof loadSumSchema>;
+
+const loadsSchema = z.array(loadSchema).max(LIMITS.endpoints).readonly();
+const loadSumsSchema = z.array(loadSumSchema).max(LIMITS.endpoints).readonly();
+
+/** VM, incarnation, data centre, region, peer address, caller address, whether it takes callers. */
+const identitySchema = z
+  .tuple([
+    vmIdSchema,
+    incarnationSchema,
+    textSchema,
+    textSchema,
+    textSchema,
+    textSchema,
+    z.boolean(),
+  ])
+  .readonly();
+export type IdentityMessage = z.infer<typeof identitySchema>;
+
+/** Whom one node had heard from itself at one moment. */
+const summarySchema = z
+  .object({
+    origin: vmIdSchema,
+    dataCentre: textSchema,
+    ageMs: countSchema,
+    /** Hash of the members, by which a known list is recognised. */
+    membersHash: hashSchema,
+    /** Hashes of the identities; absent when the receiver has the list. */
+    members: hashesSchema.optional(),
+    /** Loads of the nodes of the data centre; only from an aggregator itself. */
+    loadSums: loadSumsSchema.optional(),
+  })
+  .readonly();
+export type SummaryMessage = z.infer<typeof summarySchema>;
+
+const exchangeShape = {
+  self: identitySchema,
+  loads: loadsSchema,
+  summaries: z.array(summarySchema).max(LIMITS.summaries).readonly(),
+};
 
 /** @internal */
-export const memberStateSchema = z
+export const exchangeRequestSchema = z
   .object({
-    vmId: vmIdSchema,
-    incarnation: incarnationSchema,
-    dataCentre: z.string(),
-    region: z.string(),
-    peerAddress: z.string(),
-    callerAddress: z.string(),
-    takesCallers: z.boolean(),
-    /** Endpoint; requests; tokens held now, at completion, and not prefilled yet; pace in ms. */
-    loads: z.array(loadSchema).readonly(),
+    ...exchangeShape,
+    role: z.enum(['mesh', 'aggregator', 'member']),
+    /** Lists of members that the sender has, by their hashes. */
+    knownLists: hashesSchema,
+    /** Hashes of identities that the sender lacks. */
+    missing: hashesSchema,
+    /** Whether the reply should have the loads of all other nodes. */
+    wantsLoadSums: z.boolean(),
   })
   .readonly();
-export type MemberStateMessage = z.infer<typeof memberStateSchema>;
+export type ExchangeRequest = z.infer<typeof exchangeRequestSchema>;
 
-/** The sender's own state, and the peer addresses of the live nodes it knows. @internal */
-export const memberExchangeSchema = z
+/** @internal */
+export const exchangeReplySchema = z
   .object({
-    self: memberStateSchema,
-    knownAddresses: z.array(z.string()).readonly(),
+    ...exchangeShape,
+    identities: z.array(identitySchema).max(LIMITS.nodes).readonly(),
+    loadSums: loadSumsSchema.optional(),
   })
   .readonly();
-export type MemberExchange = z.infer<typeof memberExchangeSchema>;
+export type ExchangeReply = z.infer<typeof exchangeReplySchema>;
--- a/src/services/Members.ts
+++ b/src/services/Members.ts
@@ -1,25 +1,11 @@
 /**
- * Membership: the other nodes of the fleet and the states that they report.
+ * Membership: the other nodes of the fleet, and the load that they put on the endpoints.
  */
 import type { EndpointId, Incarnation, VmId } from '../core';
+import type { EndpointLoad, LoadSum } from '../decisions';
 
-/** Load of one node on one endpoint. @public */
-export interface EndpointLoad {
-  readonly endpointId: EndpointId;
-  /** Requests in flight. */
-  readonly requests: number;
-  /** KV cache that they occupy now. */
-  readonly heldTokens: number;
-  /** KV cache that they are expected to occupy when they end. */
-  readonly finalTokens: number;
-  /** Prompt tokens of the requests that have not produced a token yet. */
-  readonly pendingPrefillTokens: number;
-  /** Recently measured time per token, or per call; undefined when unknown. */
-  readonly paceMs?: number | undefined;
-}
-
-/** State that a node reports about itself. @public */
-export interface MemberState {
+/** How a node is reached, and whether callers should be sent to it. @public */
+export interface MemberIdentity {
   readonly vmId: VmId;
   readonly incarnation: Incarnation;
   readonly dataCentre: string;
@@ -28,29 +14,43 @@
   readonly callerAddress: string;
   /** Whether callers should be directed to it. */
   readonly takesCallers: boolean;
-  readonly loads: ReadonlyArray<EndpointLoad>;
 }
 
 /** @public */
-export interface KnownMember extends MemberState {
+export interface KnownMember extends MemberIdentity {
+  /** Time since this node, or one that it exchanges states with, last heard from the node. */
   readonly stateAgeMs: number;
 }
 
 /** @public */
 export abstract class Members {
-  /** Returns the other nodes that reported within the time after which a node is unresponsive. */
+  /** Returns the other nodes that were heard of within the time after which one is unresponsive. */
   abstract listLive(): ReadonlyArray<KnownMember>;
 
+  /**
+   * Returns the number of nodes among which a budget of the fleet is divided, including this one.
+   * It counts nodes that were live until recently, and is infinite just after the start of this
+   * node, and while it knows none of the others that its settings name: the sum of the shares must
+   * not exceed the budget.
+   */
+  abstract countSharingNodes(): number;
+
   /** Returns the total load of the other live nodes on an endpoint. */
-  abstract getLoadOfOthers(endpointId: EndpointId): Omit<EndpointLoad, 'endpointId' | 'paceMs'>;
+  abstract getLoadOfOthers(endpointId: EndpointId): LoadSum;
+
+  /** Whether this node reads the published configuration and endpoints from their source. */
+  abstract readsSource(): boolean;
+
+  /** Whether other nodes get what this node reads from the source. */
+  abstract readsForOthers(): boolean;
 
-  /** Returns the times that the other live nodes have recently measured for an endpoint. */
-  abstract listPacesMs(endpointId: EndpointId): ReadonlyArray<number>;
+  /** Returns the nodes that this one follows instead of the source, best first; empty on a reader. */
+  abstract listReaders(): ReadonlyArray<VmId>;
 
-  /** Calls the listener whenever another node has reported its state. */
+  /** Calls the listener whenever the load of other nodes was updated. */
   abstract onUpdate(listener: () => void): void;
 
-  /** Sends a change of this node's state to the other nodes immediately, unless they are many. */
+  /** Sends a change of this node's load to the other nodes immediately, unless they are many. */
   abstract announce(): void;
 }
 
