Spread placements by sums that are old, and load only the used part of zod

Cause: in a fleet above 16 nodes the loads of others are sums up to a second old. All nodes that place in that time see the same emptiest engine.

Ruled out: two random choices: half of the engines are in the other region, which costs bytes between regions; and a fixed wider margin of ties, which would also blur placements where loads are exact.

Change: candidates count as ties if their cost differs by less than one more request would add at the best one, in proportion to the age of the loads. With announced loads (16 nodes and fewer) nothing changes.

Tried and dropped: a subset of undici in the bundle.

Tests: 27 placements by the same sums of 41 engines put at most 4 on one engine (more than 10 before); a full, failing or ejected engine is no tie.

--- a/src/cli/CallerClient.ts
+++ b/src/cli/CallerClient.ts
@@ -2,7 +2,7 @@
  * Client of the system: discovers node addresses, resumes interrupted streams and retries calls.
  */
 import { request, type Dispatcher } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { parseEventStream } from '../wire';
 
 const addressesSchema = z.object({ addresses: z.array(z.object({ url: z.string() })) });
--- a/src/cli/WhyCommand.ts
+++ b/src/cli/WhyCommand.ts
@@ -5,7 +5,7 @@
 import { createInterface } from 'node:readline';
 import type { Command } from 'commander';
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { LogExplanation, type LogLine } from '../decisions';
 import { CliCommand, EXIT_CODE_HELP, EXIT_CODES } from './CliCommand';
 
--- a/src/core/Contract.ts
+++ b/src/core/Contract.ts
@@ -5,7 +5,7 @@
  * responses identify a clause by its path in the document, such as `kindsOfWork[0].maxWaitMs`.
  */
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import { customerIdSchema } from './ids';
 
 const nameSchema = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'expected a lower-case name');
--- a/src/core/Decision.ts
+++ b/src/core/Decision.ts
@@ -4,7 +4,7 @@
  * The decisions about a request explain why it waited, slowed down or was refused. Each one names
  * the contract clause that it is based on and the state that was measured.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { customerIdSchema, requestIdSchema } from './ids';
 
 /** @public */
--- a/src/core/FrontSettings.ts
+++ b/src/core/FrontSettings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of a forwarding node, read from a JSON file that may change while the node runs.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { servingBoundsSchema, type ServingBounds } from './ServingBounds';
 import { ServingError } from './ServingError';
 import { addressSchema, settingsSchema } from './Settings';
--- a/src/core/PublishedRecord.ts
+++ b/src/core/PublishedRecord.ts
@@ -4,7 +4,7 @@
  * Records are ordered only by the publisher's revision. A removed record is kept as a tombstone, so
  * that an older copy from a peer cannot restore it.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Publishers of records, each with its own revision counter. @public */
 export const publishedSourceNameSchema = z.enum(['configuration', 'vm-list']);
--- a/src/core/ServingBounds.ts
+++ b/src/core/ServingBounds.ts
@@ -1,7 +1,7 @@
 /**
  * Time limits and retry budgets that the operator guarantees for a whole deployment.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 const positiveSchema = z.number().positive();
 
--- a/src/core/Settings.ts
+++ b/src/core/Settings.ts
@@ -4,7 +4,7 @@
  * Each setting can be given as a flag or as an environment variable. Settings do not affect how
  * customers are served; only contracts do.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { vmIdSchema } from './ids';
 
 export const addressSchema = z
--- a/src/core/Vm.ts
+++ b/src/core/Vm.ts
@@ -1,7 +1,7 @@
 /**
  * VMs as published by the platform, and the status reports of endpoints.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { vmIdSchema } from './ids';
 
 /** Entry VMs run nodes of this system; engines and services are endpoints. @public */
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -5,7 +5,7 @@
  * Each kind has a schema that validates the format of text from outside the process.
  */
 import { randomBytes } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Name of a VM, as the platform publishes it. @public */
 export const vmIdSchema = z
--- a/src/decisions/operationOutcome.ts
+++ b/src/decisions/operationOutcome.ts
@@ -1,7 +1,7 @@
 /**
  * Outcome of an operation, which its owner and witnesses store to answer repeated calls.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Bytes of a body; any `Uint8Array`, whatever its buffer. @public */
 export const bytesSchema = z.custom<Uint8Array>((value) => value instanceof Uint8Array);
--- a/src/decisions/operationTicket.ts
+++ b/src/decisions/operationTicket.ts
@@ -3,7 +3,7 @@
  * which record whether it may have been dispatched.
  */
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import { customerIdSchema, incarnationSchema, operationIdSchema, vmIdSchema } from '../core';
 
 /** One process of a node; each restart has a new incarnation. @public */
--- a/src/decisions/placement.test.ts
+++ b/src/decisions/placement.test.ts
@@ -53,6 +53,41 @@
   expect(choose([createCandidate('worse', changes), createCandidate('better')])).toBe('better');
 });
 
+// Guards against the herd of a large fleet: until the next sums arrive, many nodes place by the same
+// ones, and all would choose the engine that they show as the emptiest.
+test('nodes with the same old sums spread their requests', () => {
+  const engines = Array.from({ length: 41 }, (_, index) =>
+    createCandidate(`engine-${index}`, {
+      requests: 4 + (index % 3),
+      heldTokens: 9_000 + 300 * index,
+    }),
+  );
+  const countMost = (loadAgeMs: number): number => {
+    const counts = new Map<string, number>();
+    for (let node = 0; node < 27; node++) {
+      const placed = choosePlacement(engines, NEED, (node * 0.37) % 1, true, loadAgeMs);
+      const id = placed.outcome === 'place' ? placed.endpointId : 'none';
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    return Math.max(...counts.values());
+  };
+  expect(countMost(0)).toBeGreaterThan(10);
+  expect(countMost(900)).toBeLessThanOrEqual(4);
+});
+
+// Guards against a spread that ignores what is known: a full or failing engine is no tie.
+test.each([
+  ['full', { requests: 24 }],
+  ['failing', { failureShare: 0.5 }],
+  ['ejected', { isEjected: true }],
+])('old sums do not lead to a %s engine', (_name, changes) => {
+  const engines = [createCandidate('worse', changes), createCandidate('better')];
+  [0, 0.5, 0.99].forEach((draw) => {
+    const placed = choosePlacement(engines, NEED, draw, true, 3_000);
+    expect(placed).toMatchObject({ outcome: 'place', endpointId: 'better' });
+  });
+});
+
 // Guards against refusing requests when every endpoint is ejected.
 test('uses an ejected endpoint when there is no other', () => {
   expect(choose([createCandidate('only', { isEjected: true })])).toBe('only');
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -26,6 +26,8 @@
   ejectedCost: 10,
   /** Candidates within this cost of the cheapest count as ties, and one is chosen at random. */
   costTieMargin: 0.02,
+  /** Age of the loads at which another node has probably placed a request that they don't contain. */
+  staleLoadMs: 1_000,
   /**
    * Weight of a migration target by distance. Copying the KV cache to another data centre takes
    * twice as long, and a copy over the narrow link between regions doesn't finish in time.
@@ -252,16 +254,42 @@
   return { outcome: 'refuse', reason, candidates };
 }
 
+/** How much a request adds to the cost of the next one at the same endpoint. */
+function computeCostOfOneMore(candidate: PlacementCandidate, need: ResourceNeed): number {
+  const { knownTokens, growthTokens, prefillTokens } = need;
+  const withOneMore = {
+    ...candidate,
+    requests: candidate.requests + 1,
+    heldTokens: candidate.heldTokens + knownTokens,
+    finalTokens: candidate.finalTokens + knownTokens + growthTokens,
+    pendingPrefillTokens: candidate.pendingPrefillTokens + prefillTokens,
+  };
+  return computePlacementCost(withOneMore, need) - computePlacementCost(candidate, need);
+}
+
+/**
+ * Cost difference within which candidates count as ties. Many nodes place by the same sums until
+ * the next ones arrive. The older the sums are, the likelier is a request there that they don't
+ * contain, so endpoints whose order such a request would change are equally good.
+ */
+function computeTieMargin(best: PlacementCandidate, need: ResourceNeed, loadAgeMs: number): number {
+  const { costTieMargin, staleLoadMs } = PLACEMENT_OPTIONS;
+  const unseenRequests = Math.min(1, loadAgeMs / staleLoadMs);
+  return Math.max(costTieMargin, unseenRequests * computeCostOfOneMore(best, need));
+}
+
 /**
  * @param draw uniform in [0, 1); chooses among ties.
  * @param mayWait whether a request that no engine can start now may wait at the node. There it
  *   doesn't block shorter requests behind it, and it goes to the first engine with free capacity.
+ * @param loadAgeMs age of the loads of other nodes in the candidates.
  */
 export function choosePlacement(
   candidates: ReadonlyArray<PlacementCandidate>,
   need: ResourceNeed,
   draw: number,
   mayWait = false,
+  loadAgeMs = 0,
 ): Placement {
   const connected = candidates.filter(({ hasConnection }) => hasConnection);
   const usable = connected
@@ -270,7 +298,8 @@
     .sort((a, b) => a.cost - b.cost);
   const [best] = usable;
   if (!best) return explainNoPlacement(candidates.length, connected.length);
-  const ties = usable.filter(({ cost }) => cost - best.cost < PLACEMENT_OPTIONS.costTieMargin);
+  const tieMargin = computeTieMargin(best.candidate, need, loadAgeMs);
+  const ties = usable.filter(({ cost }) => cost - best.cost < tieMargin);
   const chosen = ties[Math.floor(draw * ties.length)] ?? best;
   return {
     outcome: 'place',
--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -1,7 +1,7 @@
 /**
  * Encodes and decodes requests and responses in the platform's headers.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { callerRequestIdSchema, ServingError, type CallerRequestId } from '../core';
 import {
   RequestDialect,
--- a/src/platform/StoreSource.ts
+++ b/src/platform/StoreSource.ts
@@ -2,7 +2,7 @@
  * Reads the configuration and the list of endpoints from the platform's metadata store.
  */
 import { Agent, request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ServingError } from '../core';
 import {
   DeploymentSource,
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -1,7 +1,7 @@
 /**
  * Decodes values of the platform's metadata store into the system's types.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   customerIdSchema,
   endpointIdSchema,
--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages by which a node reads the published values from another node instead of the source.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { endpointIdSchema } from '../../core';
 
 /** Longest wait that a node may ask for. */
--- a/src/plugins/explain/DecisionFindHandler.ts
+++ b/src/plugins/explain/DecisionFindHandler.ts
@@ -1,7 +1,7 @@
 /**
  * Handles lookups by other nodes of the decisions made on this node.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { requestIdSchema, type Decision } from '../../core';
 import { PeerHandler, type DecisionLog, type Peer } from '../../services';
 
--- a/src/plugins/explain/InMemoryDecisionLog.ts
+++ b/src/plugins/explain/InMemoryDecisionLog.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps this node's decisions about the most recent requests in memory, and logs every decision.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { decisionSchema, getDecidingVm, type Decision, type RequestId } from '../../core';
 import type { Kernel } from '../../kernel';
 import { DecisionLog, Peers } from '../../services';
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -183,7 +183,13 @@
     const placement =
       step === 'place'
         ? chooseMigrationTarget(candidates, need, Math.random())
-        : choosePlacement(candidates, need, Math.random(), mayWait);
+        : choosePlacement(
+            candidates,
+            need,
+            Math.random(),
+            mayWait,
+            this.kernel.get(Members).getLoadAgeMs(),
+          );
     if (placement.outcome === 'wait') return undefined;
     this.logPlacement(attempt, need, placement);
     if (placement.outcome === 'refuse') {
--- a/src/plugins/generations/generationToken.ts
+++ b/src/plugins/generations/generationToken.ts
@@ -3,7 +3,7 @@
  *
  * The id of every event contains the token, so its payload is a tuple without field names.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   customerIdSchema,
   endpointIdSchema,
--- a/src/plugins/generations/requestSchema.ts
+++ b/src/plugins/generations/requestSchema.ts
@@ -2,7 +2,7 @@
  * Validates the fields of completion requests that the node uses; others go to the engine as is.
  */
 import { createHash } from 'node:crypto';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   findKindByModel,
   findKindByName,
--- a/src/plugins/gossip/GossipPlugin.ts
+++ b/src/plugins/gossip/GossipPlugin.ts
@@ -4,7 +4,7 @@
  * One task for each neighbour requests its changes once a second. A supervising task starts and stops
  * these tasks to match the VM list.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { VmId } from '../../core';
 import { Plugin, registerPlugin, type Kernel } from '../../kernel';
 import {
--- a/src/plugins/gossip/RecordPush.ts
+++ b/src/plugins/gossip/RecordPush.ts
@@ -3,7 +3,7 @@
  *
  * A push may be lost; comparing digests then finds the missing records.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { publishedRecordSchema, type PublishedRecord, type VmId } from '../../core';
 import { PeerHandler, type Peer, type Peers, type PublishedState } from '../../services';
 import { getPackedBytes } from '../../wire';
--- a/src/plugins/limits/leaseMessages.ts
+++ b/src/plugins/limits/leaseMessages.ts
@@ -1,7 +1,7 @@
 /**
  * Lease messages between a node and the home node of a customer.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { customerIdSchema } from '../../core';
 
 /** @internal */
--- a/src/plugins/members/ExchangeMembers.ts
+++ b/src/plugins/members/ExchangeMembers.ts
@@ -68,6 +68,10 @@
     return this.loads.getLoadOfOthers(endpointId, this.partners.role);
   }
 
+  getLoadAgeMs(): number {
+    return this.loads.getAgeMs(this.partners.role);
+  }
+
   readsSource(): boolean {
     const { partners, readers } = this.partners;
     if (partners.length > 0) return readers.length === 0;
--- a/src/plugins/members/FleetLoads.ts
+++ b/src/plugins/members/FleetLoads.ts
@@ -56,6 +56,14 @@
     return this.others.get(endpointId) ?? NO_LOAD;
   }
 
+  getAgeMs(role: ExchangeRole): number {
+    if (role === 'mesh') return 0;
+    if (role === 'aggregator') return MEMBER_OPTIONS.intervalMs;
+    // What the aggregator had of other data centres was as old as the pause between two exchanges.
+    const { maxLoadAgeMs, intervalMs } = MEMBER_OPTIONS;
+    return Math.min(maxLoadAgeMs, this.kernel.clock.nowMs() - this.received.takenAtMs + intervalMs);
+  }
+
   /** Makes the next reading of a load add up the loads again. */
   invalidate(): void {
     this.others = undefined;
--- a/src/plugins/members/memberMessages.ts
+++ b/src/plugins/members/memberMessages.ts
@@ -5,7 +5,7 @@
  * summary of whom a node has heard from, as a list of numbers. What these numbers stand for is sent
  * once to each node that lacks it.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { endpointIdSchema, incarnationSchema, vmIdSchema } from '../../core';
 
 /** Bounds on the size of an exchange, several times those of the largest fleet in use. */
--- a/src/plugins/operations/OperationRoutes.ts
+++ b/src/plugins/operations/OperationRoutes.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP routes for operation keys: `POST /v1/operations`, `GET /v1/operations/<key>`.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { findKindByName, ServingError, type RunOutcome } from '../../core';
 import { LimitLeases, type OperationOutcome, type Operations } from '../../services';
 import type { Kernel } from '../../kernel';
--- a/src/plugins/operations/messages.ts
+++ b/src/plugins/operations/messages.ts
@@ -2,7 +2,7 @@
  * Messages between nodes about operations. A refusal is a regular reply too, because an error reply
  * doesn't show what the peer did.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { incarnationSchema, operationIdSchema, requestIdSchema } from '../../core';
 import { bytesSchema, storedOutcomeSchema, reservationSchema } from '../../decisions';
 
--- a/src/plugins/peers/PeerLinks.test.ts
+++ b/src/plugins/peers/PeerLinks.test.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
 import { WebSocket, WebSocketServer } from 'ws';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   startNodes,
   waitUntil,
--- a/src/plugins/published/PublishedSource.ts
+++ b/src/plugins/published/PublishedSource.ts
@@ -2,7 +2,7 @@
  * Clients of the platform's publishers, whose records can only be read and watched.
  */
 import { request } from 'undici';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   publishedRecordSchema,
   ServingError,
--- a/src/services/Members.ts
+++ b/src/services/Members.ts
@@ -38,6 +38,9 @@
   /** Returns the total load of the other live nodes on an endpoint. */
   abstract getLoadOfOthers(endpointId: EndpointId): LoadSum;
 
+  /** Returns the age of that load; 0 while every change is announced at once. */
+  abstract getLoadAgeMs(): number;
+
   /** Whether this node reads the published configuration and endpoints from their source. */
   abstract readsSource(): boolean;
 
--- a/src/wire/gossipMessages.ts
+++ b/src/wire/gossipMessages.ts
@@ -5,7 +5,7 @@
  * is identified by a 32-bit hash of its id. Ages are encoded in units of `AGE_UNIT_MS` and rounded
  * up, so that state never appears fresher than it is.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { incarnationSchema, type EndpointReport, type Incarnation } from '../core';
 
 /** Chosen so that one byte holds ages below 1.6 s together with the state. */
--- a/src/wire/peerFrames.ts
+++ b/src/wire/peerFrames.ts
@@ -5,7 +5,7 @@
  * carries requests and replies. Data from a peer is validated against a schema before use.
  */
 import { Packr } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   incarnationSchema,
   isErrorKind,
--- a/stand-ins/ConfigurationService.ts
+++ b/stand-ins/ConfigurationService.ts
@@ -3,7 +3,7 @@
  *
  * The service protocol is read-only; records change only through the control paths.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { PublishedRecord } from '../src/core';
 import { ChangeSignal } from './ChangeSignal';
 import {
--- a/stand-ins/ModelEngine.ts
+++ b/stand-ins/ModelEngine.ts
@@ -3,7 +3,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
-import { z } from 'zod';
+import * as z from 'zod';
 import { ChangeSignal } from './ChangeSignal';
 import {
   ChatFormat,
--- a/stand-ins/PlainService.ts
+++ b/stand-ins/PlainService.ts
@@ -4,7 +4,7 @@
  * The id is the header `x-run-id`, else the field `id` of a JSON body, else the query parameter
  * `id`.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { ChangeSignal } from './ChangeSignal';
 import {
   parseControlBody,
--- a/stand-ins/VmList.ts
+++ b/stand-ins/VmList.ts
@@ -1,7 +1,7 @@
 /**
  * Stand-in of the platform's list of live and leaving VMs, which shows changes with a delay.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Vm, VmId } from '../src/core';
 import { ChangeSignal } from './ChangeSignal';
 import {
--- a/stand-ins/WeightStore.ts
+++ b/stand-ins/WeightStore.ts
@@ -2,7 +2,7 @@
  * Stand-in of the weight store, whose concurrent downloads share one rate limit.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   parseControlBody,
   registerStandIn,
--- a/stand-ins/engine/CompletionFormat.ts
+++ b/stand-ins/engine/CompletionFormat.ts
@@ -1,7 +1,7 @@
 /**
  * The chat and text forms of the OpenAI-compatible completions API.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import type { FinishReason } from './EngineSequence';
 
 /** Request fields that are common to both forms. */
--- a/stand-ins/engine/OrderProcessor.ts
+++ b/stand-ins/engine/OrderProcessor.ts
@@ -4,7 +4,7 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { match } from 'ts-pattern';
-import { z } from 'zod';
+import * as z from 'zod';
 import type { EngineScheduler } from './EngineScheduler';
 
 const orderSchema = z.discriminatedUnion('type', [
