Make waits and the choice of partners cheap; read at once after a restart of all

(2) A node of 195 spent its time in the choice of partners, which copied all members ten times a second and compared lists with each other, and in errors: each abort of a signal without a reason creates one with a stack trace, also the abort by which a sleep removed its listener.

Change: a node without a first copy reads after 0.1 s alone or 0.3 s as a follower. Candidates are small, the list of live nodes is reused for 50 ms, the choice runs five times a second. Sleeps and deadlines remove their listeners themselves.

--- a/src/core/Clock.ts
+++ b/src/core/Clock.ts
@@ -32,16 +32,17 @@
 
   async sleep(delayMs: number, signal?: AbortSignal): Promise<void> {
     if (signal?.aborted) return;
-    const listening = new AbortController();
+    // Not with a second AbortController: each abort creates an error with a stack trace.
+    let stop = (): void => {};
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, Math.max(0, delayMs));
-      const stop = (): void => {
+      stop = () => {
         clearTimeout(timer);
         resolve();
       };
-      signal?.addEventListener('abort', stop, { once: true, signal: listening.signal });
+      signal?.addEventListener('abort', stop);
     });
-    listening.abort();
+    signal?.removeEventListener('abort', stop);
   }
 }
 
--- a/src/core/startDeadline.ts
+++ b/src/core/startDeadline.ts
@@ -16,22 +16,14 @@
 /** @param parents signals that abort the deadline early. */
 export function startDeadline(delayMs: number, ...parents: ReadonlyArray<AbortSignal>): Deadline {
   const controller = new AbortController();
-  const listening = new AbortController();
-  const stop = (): void => {
-    // Also removes the listeners from the parents.
-    listening.abort();
-  };
-  const abort = (): void => {
-    controller.abort();
-    stop();
-  };
+  const abort = (): void => controller.abort();
   const timer = setTimeout(abort, Math.max(0, delayMs));
-  listening.signal.addEventListener('abort', () => {
+  const stop = (): void => {
     clearTimeout(timer);
-  });
-  parents.forEach((parent) => {
-    if (parent.aborted) abort();
-    else parent.addEventListener('abort', abort, { once: true, signal: listening.signal });
-  });
+    parents.forEach((parent) => parent.removeEventListener('abort', abort));
+  };
+  controller.signal.addEventListener('abort', stop, { once: true });
+  parents.forEach((parent) => parent.addEventListener('abort', abort));
+  if (parents.some(({ aborted }) => aborted)) abort();
   return { signal: controller.signal, stop };
 }
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -315,7 +315,7 @@
   }
 
   private notifyChange(): void {
-    this.changeWaiters.forEach((waiter) => waiter.abort());
+    this.changeWaiters.forEach((waiter) => waiter.abort('changed'));
   }
 
   private logChange({ endpointId, service, address, ...known }: KnownBackEnd, why: string): void {
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -55,12 +55,18 @@
     const { readerMaxAgeMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
     const isFresh = (): boolean => this.store.getConfirmedAgeMs() <= readerMaxAgeMs;
     const [best, ...others] = readers;
-    if (best) await this.requestFrom(best, readerWaitMs);
+    // A reader that has started together with this node may have nothing to wait for.
+    const waitMs = this.store.configuration ? readerWaitMs : 0;
+    if (best) await this.requestFrom(best, waitMs);
     for (const reader of others) {
       if (signal.aborted || isFresh()) break;
       await this.requestFrom(reader, 0);
     }
-    await this.kernel.clock.sleep(isFresh() ? readerPauseMs : relayIntervalMs, signal);
+    const isStarting = !this.store.configuration;
+    await this.kernel.clock.sleep(
+      isFresh() || isStarting ? readerPauseMs : relayIntervalMs,
+      signal,
+    );
   }
 
   /** Asks any node if this one can't reach the source. */
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -58,8 +58,10 @@
   private mustRead(): boolean {
     const { relayAfterMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
     if (this.kernel.get(Members).readsSource()) return true;
-    // The readers get the same time after the start as after a confirmation.
     const startedForMs = this.kernel.clock.nowMs() - this.startedAtMs;
+    // After a restart of all nodes, nobody has a copy yet.
+    if (!this.store.configuration) return startedForMs > DEPLOYMENT_OPTIONS.firstCopyWaitMs;
+    // The readers get the same time after the start as after a confirmation.
     return Math.min(startedForMs, this.store.getConfirmedAgeMs()) > relayAfterMs;
   }
 
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -19,6 +19,8 @@
   retryIntervalMs: 250,
   /** Interval of attempts at the source by a node that others read for. */
   memberRetryIntervalMs: 1_000,
+  /** How long a new node waits for a first copy from others before it reads the source itself. */
+  firstCopyWaitMs: 300,
   /** How long a reader may wait for a change before it answers a node that it reads for. */
   readerWaitMs: 400,
   /** Pause between two requests to a reader, in which further changes accumulate. */
--- a/src/plugins/members/ExchangeMembers.ts
+++ b/src/plugins/members/ExchangeMembers.ts
@@ -10,6 +10,11 @@
 import type { StateExchange } from './StateExchange';
 import { MEMBER_OPTIONS } from './options';
 
+interface LiveList {
+  readonly members: ReadonlyArray<KnownMember>;
+  readonly listedAtMs: number;
+}
+
 /** @internal */
 export class ExchangeMembers extends Members {
   private readonly announceListeners = new Set<() => void>();
@@ -18,6 +23,8 @@
 
   private currentPartners: ExchangePartners = { role: 'mesh', partners: [], readers: [] };
 
+  private live: LiveList = { members: [], listedAtMs: -Infinity };
+
   private readonly startedAtMs: number;
 
   constructor(
@@ -36,14 +43,9 @@
 
   /** Chooses the partners again, by what is known of the fleet now. */
   choosePartners(): void {
-    const { maxSummaryAgeMs, failedForMs, silentFailedForMs } = MEMBER_OPTIONS;
-    const isLive = ({ stateAgeMs }: KnownMember): boolean => stateAgeMs < maxSummaryAgeMs;
-    const known = this.table.listAll().map((member) => {
-      const withinMs = isLive(member) ? failedForMs : silentFailedForMs;
-      return { ...member, hasFailed: this.table.hasFailed(member.vmId, withinMs) };
-    });
-    const others = known.filter(isLive);
-    const silent = known.filter((member) => !isLive(member));
+    const known = this.table.listCandidates();
+    const others = known.filter(({ isLive }) => isLive);
+    const silent = known.filter(({ isLive }) => !isLive);
     const self = { ...this.exchange.describeSelf(), hasFailed: false };
     const { role } = this.currentPartners;
     this.currentPartners = chooseExchangePartners(self, others, silent, this.exchange.isAsked);
@@ -57,7 +59,12 @@
   }
 
   listLive(): ReadonlyArray<KnownMember> {
-    return this.partners.role === 'mesh' ? this.table.listHeardDirectly() : this.table.listHeard();
+    const nowMs = this.kernel.clock.nowMs();
+    if (nowMs - this.live.listedAtMs < MEMBER_OPTIONS.liveListReuseMs) return this.live.members;
+    const isMesh = this.partners.role === 'mesh';
+    const members = isMesh ? this.table.listHeardDirectly() : this.table.listHeard();
+    this.live = { members, listedAtMs: nowMs };
+    return members;
   }
 
   countSharingNodes(): number {
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -2,7 +2,7 @@
  * The other nodes of the fleet: what each told this node itself, and whom other nodes heard from.
  */
 import type { VmId } from '../../core';
-import type { EndpointLoad } from '../../decisions';
+import type { EndpointLoad, ExchangeNode } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { SeedAddresses, type KnownMember, type MemberIdentity } from '../../services';
 import { hashIdentity } from './encodeMembers';
@@ -17,6 +17,12 @@
   readonly receivedAtMs: number;
 }
 
+/** @internal */
+export interface ExchangeCandidate extends ExchangeNode {
+  /** Whether this node or another one heard from it recently. */
+  readonly isLive: boolean;
+}
+
 interface HeardMember {
   readonly identity: MemberIdentity;
   readonly identityHash: number;
@@ -112,7 +118,11 @@
 
   /** Returns the nodes that this node or another one heard from recently. */
   listHeard(): ReadonlyArray<KnownMember> {
-    return this.listAll().filter(({ stateAgeMs }) => stateAgeMs < MEMBER_OPTIONS.maxSummaryAgeMs);
+    const nowMs = this.kernel.clock.nowMs();
+    const sinceMs = nowMs - MEMBER_OPTIONS.maxSummaryAgeMs;
+    return [...this.heard.values()]
+      .filter(({ heardAtMs }) => heardAtMs > sinceMs)
+      .map(({ identity, heardAtMs }) => ({ ...identity, stateAgeMs: nowMs - heardAtMs }));
   }
 
   /** Returns the nodes that this node itself heard from recently. */
@@ -123,13 +133,21 @@
     );
   }
 
-  /** All members that haven't been evicted, including unresponsive ones. */
-  listAll(): ReadonlyArray<KnownMember> {
+  /** Returns all nodes that haven't been evicted, as candidates for an exchange. */
+  listCandidates(): ReadonlyArray<ExchangeCandidate> {
     const nowMs = this.kernel.clock.nowMs();
-    return [...this.heard.values()].map(({ identity, heardAtMs }) => ({
-      ...identity,
-      stateAgeMs: nowMs - heardAtMs,
-    }));
+    const { maxSummaryAgeMs, failedForMs, silentFailedForMs } = MEMBER_OPTIONS;
+    return [...this.heard].map(([vmId, { identity, heardAtMs }]) => {
+      const isLive = nowMs - heardAtMs < maxSummaryAgeMs;
+      const failedAgeMs = nowMs - (this.failedAtMs.get(vmId) ?? -Infinity);
+      return {
+        vmId,
+        dataCentre: identity.dataCentre,
+        takesCallers: identity.takesCallers,
+        isLive,
+        hasFailed: failedAgeMs < (isLive ? failedForMs : silentFailedForMs),
+      };
+    });
   }
 
   find(vmId: VmId): MemberIdentity | undefined {
@@ -145,15 +163,10 @@
     this.failedAtMs.set(vmId, this.kernel.clock.nowMs());
   }
 
-  /** Whether a node didn't answer within a time, and hasn't sent anything since. */
-  hasFailed(vmId: VmId, withinMs: number): boolean {
-    return this.kernel.clock.nowMs() - (this.failedAtMs.get(vmId) ?? -Infinity) < withinMs;
-  }
-
   /** See `Members.countSharingNodes`. */
   countSharingNodes(): number {
     const nowMs = this.kernel.clock.nowMs();
-    const nodes = Math.max(this.listHeard().length + 1, this.listSummarised().size);
+    const nodes = Math.max(this.countHeard() + 1, this.listSummarised().size);
     const { nodes: largest, measuredAtMs } = this.largestSize;
     if (nodes >= largest || nowMs - measuredAtMs > MEMBER_OPTIONS.sharingRetentionMs) {
       this.largestSize = { nodes, measuredAtMs: nowMs };
@@ -163,6 +176,11 @@
     return isSettled && this.largestSize.nodes > 1 ? this.largestSize.nodes : Infinity;
   }
 
+  private countHeard(): number {
+    const sinceMs = this.kernel.clock.nowMs() - MEMBER_OPTIONS.maxSummaryAgeMs;
+    return [...this.heard.values()].filter(({ heardAtMs }) => heardAtMs > sinceMs).length;
+  }
+
   evictUnresponsive(): void {
     const nowMs = this.kernel.clock.nowMs();
     if (nowMs - this.evictedAtMs < MEMBER_OPTIONS.evictIntervalMs) return;
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -8,6 +8,7 @@
 import { ServingError, type VmId } from '../../core';
 import { Plugin, registerPlugin } from '../../kernel';
 import {
+  GaugeSource,
   Members,
   PeerDirectory,
   PeerHandler,
@@ -23,6 +24,7 @@
   type ExchangeReply,
   type ExchangeRequest,
 } from './memberMessages';
+import { MemberGauges } from './MemberGauges';
 import { MemberTable } from './MemberTable';
 import { MEMBER_OPTIONS } from './options';
 import { StateExchange } from './StateExchange';
@@ -83,6 +85,7 @@
 
   override setUp(): void {
     this.kernel.provide(Members, this.members);
+    this.kernel.provide(GaugeSource, new MemberGauges(this.members));
     this.kernel.provide(PeerDirectory, new MemberPeerDirectory(this.table));
     this.kernel.provide(PeerHandler, new ExchangeHandler(this.members, this.exchange));
   }
--- a/src/plugins/members/options.ts
+++ b/src/plugins/members/options.ts
@@ -24,24 +24,26 @@
   maxSummaryAgeMs: 2_500,
   /** Newest summaries of each data centre that are passed on. */
   summariesPerDataCentre: 2,
+  /** How long a list of the live nodes is reused. */
+  liveListReuseMs: 50,
   /** How long the own summary and its sums are reused for other exchanges. */
   summaryReuseMs: 100,
   /** Time since a node was asked as an aggregator for which it acts as one. */
   askedWithinMs: 2_000,
   /** Time since the start within which a node that knows no other one doesn't read the source. */
-  discoveryMs: 500,
+  discoveryMs: 100,
   /** Age at which a node is evicted; one at a seed address of the settings is contacted again. */
   evictAfterMs: 30_000,
   /** How long nodes that are gone still count where a budget is divided among the nodes. */
   sharingRetentionMs: 30_000,
   /** Interval of the evictions. */
-  evictIntervalMs: 1_000,
+  evictIntervalMs: 5_000,
   /** Time since the start within which a node takes no share of a budget, as it may know too few. */
   sharingSettleMs: 5_000,
   /** Retry interval for an address at which no node answers. */
   joinRetryIntervalMs: 500,
   /** Interval of the choice of partners. */
-  superviseIntervalMs: 100,
+  superviseIntervalMs: 200,
   /** Age up to which the load of other nodes is counted. */
   maxLoadAgeMs: 3_000,
 } as const;
