Bound what an endpoint in trouble may send

Cause: an event of a stream without end was collected without a bound (and searched again with each chunk), and the answers to copy orders and load reports were read whole. A success with a Content-Encoding that the caller hadn't accepted was passed on, though it isn't the engine's body.

Change: an event may have 256 KB, the answer to a copy order 64 KB, a report 1 MB; beyond, the connection is closed. A success with an unwanted encoding counts as a lost answer, so it is neither passed on nor taken for not run.

Before: the answer with an encoding streamed on to the caller until its deadline; the splitter kept whatever came.

--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -8,8 +8,10 @@
   ServingMetrics,
   type AnswerHead,
   type AttemptOutcome,
+  type HeaderList,
   type KvCacheCopy,
   type KnownBackEnd,
+  type ServingRequest,
 } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointResponse } from './EndpointResponse';
@@ -51,6 +53,16 @@
   return status >= MIN_SUCCESS_STATUS && status < MIN_REDIRECT_STATUS;
 }
 
+function hasHeader(headers: HeaderList, name: string): boolean {
+  return headers.some(([each]) => each.toLowerCase() === name);
+}
+
+/** A body with an encoding that the caller didn't accept can't be read by the caller. */
+function hasUnwantedEncoding(request: ServingRequest, answer: EndpointResponse): boolean {
+  const isEncoded = hasHeader(answer.headers, 'content-encoding');
+  return isEncoded && !hasHeader(request.headers, 'accept-encoding');
+}
+
 /** @internal */
 export class EndpointSender {
   constructor(
@@ -113,6 +125,10 @@
       answer.abort();
       return { outcome: 'lost', reason: 'the response has no signature' };
     }
+    if (isSuccess(head) && hasUnwantedEncoding(admitted.request, answer)) {
+      answer.abort();
+      return { outcome: 'lost', reason: 'the response has an encoding that was not asked for' };
+    }
     return { outcome: 'answered', head, answer };
   }
 
--- a/src/plugins/forwarding/EventSplitter.test.ts
+++ b/src/plugins/forwarding/EventSplitter.test.ts
@@ -33,3 +33,13 @@
   expect(splitter.push(Buffer.from('id: 1\nda'))).toBeUndefined();
   expect(Buffer.from(splitter.rest).toString()).toBe('id: 1\nda');
 });
+
+// Guards against an event without end that fills the memory of the node.
+test('ends a stream whose event is too long', () => {
+  const splitter = new EventSplitter();
+  const chunk = Buffer.alloc(65_536, 'x');
+  const push = (): void => {
+    for (let index = 0; index < 6; index++) splitter.push(chunk);
+  };
+  expect(push).toThrow(expect.objectContaining({ kind: 'endpoint-failed' }));
+});
--- a/src/plugins/forwarding/EventSplitter.ts
+++ b/src/plugins/forwarding/EventSplitter.ts
@@ -3,6 +3,8 @@
  *
  * The caller receives only complete events, so that another engine can continue after the last one.
  */
+import { ServingError } from '../../core';
+import { FORWARDING_OPTIONS } from './options';
 
 /** @internal */
 export interface CompleteEvents {
@@ -37,11 +39,15 @@
     return this.pending;
   }
 
+  /** @throws ServingError `endpoint-failed` when an event is longer than an event may be. */
   push(chunk: Uint8Array): CompleteEvents | undefined {
     const bytes =
       this.pending.length === 0 ? Buffer.from(chunk) : Buffer.concat([this.pending, chunk]);
     const end = findLastEventEnd(bytes);
     this.pending = bytes.subarray(end);
+    if (this.pending.length > FORWARDING_OPTIONS.maxEventBytes) {
+      throw new ServingError('endpoint-failed', { detail: 'An event of the stream is too long.' });
+    }
     if (end === 0) return undefined;
     const complete = bytes.subarray(0, end);
     const text = complete.toString('latin1');
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -14,6 +14,7 @@
   type CopyOutcome,
   type KnownBackEnd,
 } from '../../services';
+import { readBoundedText } from '../../wire';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
@@ -235,6 +236,7 @@
       body: call.body,
       signal: AbortSignal.timeout(FORWARDING_OPTIONS.copyTimeoutMs),
     });
-    return dialect.readCopyAnswer(response.statusCode, await response.body.text());
+    const text = await readBoundedText(response.body, FORWARDING_OPTIONS.maxCopyAnswerBytes);
+    return dialect.readCopyAnswer(response.statusCode, text);
   }
 }
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -19,6 +19,10 @@
   maxReplayableBodyBytes: 65_536,
   /** Responses up to this size are buffered and sent to the caller once complete. */
   maxBufferedResponseBytes: 262_144,
+  /** Longest event of a stream; an endpoint in trouble may send one without end. */
+  maxEventBytes: 262_144,
+  /** Longest answer to an order to copy a KV cache. */
+  maxCopyAnswerBytes: 65_536,
   /** How far below the bound the confirmed age must be for a request with a key to be served. */
   confirmationMarginMs: 400,
   /** `Retry-After` of a refusal. */
--- a/src/plugins/reports/options.ts
+++ b/src/plugins/reports/options.ts
@@ -4,6 +4,8 @@
   pollIntervalMs: 1_000,
   /** Timeout of one poll; the next poll starts only after it. */
   pollTimeoutMs: 1_000,
+  /** Longest report; an endpoint in trouble may send one without end. */
+  maxReportBytes: 1_048_576,
   /** Nodes that poll each endpoint. */
   pollersPerEndpoint: 2,
   /** Interval at which a node checks which endpoints it polls. */
--- a/src/plugins/reports/readReport.ts
+++ b/src/plugins/reports/readReport.ts
@@ -3,6 +3,8 @@
  */
 import { request, type Dispatcher } from 'undici';
 import { endpointReportSchema, ServingError, type EndpointReport, type Vm } from '../../core';
+import { readBoundedText } from '../../wire';
+import { REPORT_OPTIONS } from './options';
 
 /** Load reported for a service, which has no KV cache. */
 const SERVICE_LOAD = {
@@ -15,7 +17,8 @@
 } as const;
 
 async function readEngine(response: Dispatcher.ResponseData): Promise<EndpointReport> {
-  return endpointReportSchema.parse(await response.body.json());
+  const text = await readBoundedText(response.body, REPORT_OPTIONS.maxReportBytes);
+  return endpointReportSchema.parse(JSON.parse(text));
 }
 
 async function readService({ headers, body }: Dispatcher.ResponseData): Promise<EndpointReport> {
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -9,3 +9,4 @@
 export * from './closeServers';
 export * from './listenOn';
 export * from './pairHeaders';
+export * from './readBoundedText';
