Count the nodes that share a budget in a class of its own; end a poll before the next

Ruled out: two tasks for one endpoint; the log of the poller shows one.

Change: a poll times out 150 ms before the next is due. MemberTable gave up the division of budgets to SharingNodes.

--- a/src/plugins/members/ExchangeMembers.ts
+++ b/src/plugins/members/ExchangeMembers.ts
@@ -7,6 +7,7 @@
 import { Members, type KnownMember } from '../../services';
 import type { FleetLoads } from './FleetLoads';
 import type { MemberTable } from './MemberTable';
+import { SharingNodes } from './SharingNodes';
 import type { StateExchange } from './StateExchange';
 import { MEMBER_OPTIONS } from './options';
 
@@ -25,6 +26,8 @@
 
   private live: LiveList = { members: [], listedAtMs: -Infinity };
 
+  private readonly sharingNodes: SharingNodes;
+
   private readonly startedAtMs: number;
 
   constructor(
@@ -34,6 +37,7 @@
     private readonly exchange: StateExchange,
   ) {
     super();
+    this.sharingNodes = new SharingNodes(kernel);
     this.startedAtMs = kernel.clock.nowMs();
   }
 
@@ -68,7 +72,7 @@
   }
 
   countSharingNodes(): number {
-    return this.table.countSharingNodes();
+    return this.sharingNodes.count(this.table.countNodes());
   }
 
   getLoadOfOthers(endpointId: EndpointId): LoadSum {
--- a/src/plugins/members/MemberTable.ts
+++ b/src/plugins/members/MemberTable.ts
@@ -4,7 +4,7 @@
 import type { VmId } from '../../core';
 import type { EndpointLoad, ExchangeNode } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { SeedAddresses, type KnownMember, type MemberIdentity } from '../../services';
+import type { KnownMember, MemberIdentity } from '../../services';
 import { hashIdentity } from './encodeMembers';
 import { FleetSummaries, type FleetSummary } from './FleetSummaries';
 import { MEMBER_OPTIONS } from './options';
@@ -29,11 +29,6 @@
   readonly heardAtMs: number;
 }
 
-interface FleetSize {
-  readonly nodes: number;
-  readonly measuredAtMs: number;
-}
-
 /** @internal */
 export class MemberTable {
   readonly summaries = new FleetSummaries();
@@ -52,13 +47,7 @@
 
   private evictedAtMs = -Infinity;
 
-  private readonly startedAtMs: number;
-
-  private largestSize: FleetSize = { nodes: 1, measuredAtMs: -Infinity };
-
-  constructor(private readonly kernel: Kernel) {
-    this.startedAtMs = kernel.clock.nowMs();
-  }
+  constructor(private readonly kernel: Kernel) {}
 
   /** Stores the state that a node sent, unless a newer one is known. */
   updateDirect(
@@ -163,22 +152,11 @@
     this.failedAtMs.set(vmId, this.kernel.clock.nowMs());
   }
 
-  /** See `Members.countSharingNodes`. */
-  countSharingNodes(): number {
-    const nowMs = this.kernel.clock.nowMs();
-    const nodes = Math.max(this.countHeard() + 1, this.listSummarised().size);
-    const { nodes: largest, measuredAtMs } = this.largestSize;
-    if (nodes >= largest || nowMs - measuredAtMs > MEMBER_OPTIONS.sharingRetentionMs) {
-      this.largestSize = { nodes, measuredAtMs: nowMs };
-    }
-    if (!this.hasOtherSeeds()) return this.largestSize.nodes;
-    const isSettled = nowMs - this.startedAtMs > MEMBER_OPTIONS.sharingSettleMs;
-    return isSettled && this.largestSize.nodes > 1 ? this.largestSize.nodes : Infinity;
-  }
-
-  private countHeard(): number {
+  /** Returns the number of nodes in sight, including this one and those without a known identity. */
+  countNodes(): number {
     const sinceMs = this.kernel.clock.nowMs() - MEMBER_OPTIONS.maxSummaryAgeMs;
-    return [...this.heard.values()].filter(({ heardAtMs }) => heardAtMs > sinceMs).length;
+    const heard = [...this.heard.values()].filter(({ heardAtMs }) => heardAtMs > sinceMs);
+    return Math.max(heard.length + 1, this.listSummarised().size);
   }
 
   evictUnresponsive(): void {
@@ -231,12 +209,4 @@
       silentForMs: before ? Math.round(heardAtMs - before.heardAtMs) : undefined,
     });
   }
-
-  private hasOtherSeeds(): boolean {
-    const { peerAddress } = this.kernel.settings;
-    return this.kernel
-      .getAll(SeedAddresses)
-      .flatMap((seeds) => seeds.listAddresses())
-      .some((address) => address !== peerAddress);
-  }
 }
--- a/src/plugins/reports/options.ts
+++ b/src/plugins/reports/options.ts
@@ -2,8 +2,11 @@
 export const REPORT_OPTIONS = {
   /** Interval between the starts of two polls of one endpoint. */
   pollIntervalMs: 1_000,
-  /** Timeout of one poll; the next poll starts only after it. */
-  pollTimeoutMs: 1_000,
+  /**
+   * Timeout of one poll. Shorter than the interval, so that the endpoint sees the end of a poll that
+   * timed out before the next one arrives.
+   */
+  pollTimeoutMs: 850,
   /** Longest report; an endpoint in trouble may send one without end. */
   maxReportBytes: 1_048_576,
   /** Nodes that poll each endpoint. */
--- a/tests/MemberFleet.ts
+++ b/tests/MemberFleet.ts
@@ -21,9 +21,17 @@
 const DATA_CENTRES = ['seq-1', 'seq-2', 'seq-3', 'fnq-1', 'fnq-2', 'fnq-3'] as const;
 
 class FixedLoad extends LoadSource {
+  constructor(private readonly endpoints: number) {
+    super();
+  }
+
   override listLoads(): ReadonlyArray<EndpointLoad> {
     const load = { requests: 1, heldTokens: 10, finalTokens: 20, pendingPrefillTokens: 5 };
-    return [{ endpointId: ENDPOINT, ...load, paceMs: 8 }];
+    return Array.from({ length: this.endpoints }, (_, index) => ({
+      ...load,
+      endpointId: `engine-${index + 1}` as EndpointId,
+      paceMs: 8,
+    }));
   }
 }
 
@@ -47,13 +55,13 @@
   }
 }
 
-function createStub(seeds: ReadonlyArray<string>): PluginClass {
+function createStub(seeds: ReadonlyArray<string>, endpoints: number): PluginClass {
   return class MemberStubPlugin extends Plugin {
     static override readonly type = 'member-stub';
 
     override setUp(): void {
       this.kernel.provide(EntryDirectory, new OpenDirectory());
-      this.kernel.provide(LoadSource, new FixedLoad());
+      this.kernel.provide(LoadSource, new FixedLoad(endpoints));
       this.kernel.provide(SeedAddresses, new FixedSeeds(seeds));
     }
   };
@@ -65,10 +73,19 @@
   private constructor(
     readonly network: MemoryNetwork,
     private readonly dataCentres: number,
+    private readonly endpoints: number,
   ) {}
 
-  /** @param dataCentres over which the nodes are spread evenly. */
-  static async start(seed: number, nodes: number, dataCentres: number): Promise<MemberFleet> {
+  /**
+   * @param dataCentres over which the nodes are spread evenly.
+   * @param endpoints on which each node reports a load.
+   */
+  static async start(
+    seed: number,
+    nodes: number,
+    dataCentres: number,
+    endpoints = 1,
+  ): Promise<MemberFleet> {
     let state = seed;
     const fleet = new MemberFleet(
       new MemoryNetwork(() => {
@@ -76,6 +93,7 @@
         return state / 2 ** 31;
       }),
       dataCentres,
+      endpoints,
     );
     for (let index = 0; index < nodes; index++) await fleet.startNode(index);
     return fleet;
@@ -97,7 +115,7 @@
         callerAddress: getAddress(index),
       },
       fleet: MembersPlugin,
-      plugins: [createStub([getAddress(0), getAddress(1), getAddress(2)])],
+      plugins: [createStub([getAddress(0), getAddress(1), getAddress(2)], this.endpoints)],
     });
   }
 
--- a/tests/MemoryNetwork.ts
+++ b/tests/MemoryNetwork.ts
@@ -27,19 +27,14 @@
   readonly run: () => void;
 }
 
-/** Encodes and decodes a body, as a transfer over the wire does. */
-function encodeAndDecode(body: unknown): unknown {
-  const data = encodePeerFrame({ form: 'request', request: { type: 't', body } });
-  const frame = decodePeerFrame(data);
-  return frame.form === 'request' ? frame.request.body : undefined;
-}
-
 /** Operations of the network that the links of a node use. */
 interface NetworkPort {
   readonly nodes: ReadonlyMap<string, TestNode>;
   deliver: (from: string, to: string, run: () => void) => void;
   isDropped: (type: string) => boolean;
   countMessage: (type: string) => void;
+  /** Encodes and decodes a body, as a transfer over the wire does. */
+  transfer: (body: unknown) => unknown;
 }
 
 class MemoryPeers extends Peers {
@@ -58,7 +53,7 @@
         // A node that was killed doesn't reply.
         if (!this.network.nodes.has(vmId)) return;
         void this.handle(vmId, type, body).then((response) =>
-          this.network.deliver(vmId, settings.vmId, () => resolve(encodeAndDecode(response))),
+          this.network.deliver(vmId, settings.vmId, () => resolve(this.network.transfer(response))),
         );
       });
     });
@@ -92,7 +87,7 @@
     const handlers = this.network.nodes.get(vmId)?.getAll(PeerHandler) ?? [];
     this.network.countMessage(type);
     const handler = handlers.find((each) => each.type === type);
-    const parsed: unknown = handler?.schema.parse(encodeAndDecode(body));
+    const parsed: unknown = handler?.schema.parse(this.network.transfer(body));
     return handler?.handle({ vmId: settings.vmId, incarnation }, parsed);
   }
 }
@@ -126,9 +121,12 @@
   /** Types of messages that are dropped. */
   private droppedTypes: ReadonlyArray<string> = [];
 
-  /** Messages handled so far by type. */
+  /** Requests handled so far by type. */
   readonly messageCounts = new Map<string, number>();
 
+  /** Encoded bytes of these requests and their replies. */
+  transferredBytes = 0;
+
   timeMs = 0;
 
   /** @param random returns numbers from 0 up to, but excluding, 1. */
@@ -154,6 +152,13 @@
     this.messageCounts.set(type, (this.messageCounts.get(type) ?? 0) + 1);
   }
 
+  transfer(body: unknown): unknown {
+    const data = encodePeerFrame({ form: 'request', request: { type: 't', body } });
+    this.transferredBytes += data.length;
+    const frame = decodePeerFrame(data);
+    return frame.form === 'request' ? frame.request.body : undefined;
+  }
+
   /** Ends a node without a farewell, as a kill does. */
   async kill(vmId: string): Promise<void> {
     const stopped = this.nodes.get(vmId)?.dispose();
