--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -1,6 +1,6 @@
 /**
- * The task that keeps the deployment store current: it reads everything once, then watches for
- * changes by long polling.
+ * The task that keeps the deployment store of a reader current: it reads everything once, then watches
+ * for changes by long polling. On a node that follows readers it reads only while these fail.
  *
  * A watch that returns no changes proves that nothing changed while it waited, so it confirms the
  * store up to the end of the wait rather than its start.
