Let the loads of other nodes expire without an exchange

Cause: FleetLoads kept its sum until the next exchange arrived, and the age of the loads was checked only when the sum was made. Found by reading the change once more.

Ruled out: invalidating the sum from the task that chooses partners; a reader of loads would then depend on the interval of another task.

Test: eight nodes that are all cut off from each other see no load of others after 4 s; it failed before the change.

--- a/src/plugins/members/FleetLoads.ts
+++ b/src/plugins/members/FleetLoads.ts
@@ -29,6 +29,11 @@
   readonly parts: ReadonlyMap<VmId, ReadonlyArray<EndpointLoad>>;
 }
 
+interface OthersLoads {
+  readonly madeAtMs: number;
+  readonly sums: LoadSums;
+}
+
 interface ReceivedSums {
   readonly takenAtMs: number;
   readonly sums: LoadSums;
@@ -36,7 +41,7 @@
 
 /** @internal */
 export class FleetLoads {
-  private others: LoadSums | undefined;
+  private others: OthersLoads | undefined;
 
   private received: ReceivedSums = { takenAtMs: -Infinity, sums: new Map() };
 
@@ -52,8 +57,12 @@
   }
 
   getLoadOfOthers(endpointId: EndpointId, role: ExchangeRole): LoadSum {
-    this.others ??= this.computeOthers(role);
-    return this.others.get(endpointId) ?? NO_LOAD;
+    const nowMs = this.kernel.clock.nowMs();
+    // Added up again after a while even if no exchange arrives, so that old loads expire.
+    if (!this.others || nowMs - this.others.madeAtMs >= MEMBER_OPTIONS.summaryReuseMs) {
+      this.others = { madeAtMs: nowMs, sums: this.computeOthers(role) };
+    }
+    return this.others.sums.get(endpointId) ?? NO_LOAD;
   }
 
   getAgeMs(role: ExchangeRole): number {
--- a/src/plugins/members/members.test.ts
+++ b/src/plugins/members/members.test.ts
@@ -121,3 +121,13 @@
   const metMs = await fleet.runUntil(8_000, () => isAll(fleet.listLiveCounts(), 65));
   expect(metMs).toBeLessThan(8_000);
 });
+
+// Guards against placing by loads that are older than they may be: a node that hears nobody gets no
+// exchange that would make it add up the loads again.
+test('loads expire on a node that is cut off', async () => {
+  fleet = await MemberFleet.start(23, 8, 3);
+  await fleet.runUntil(6_000, () => isAll(fleet.listRequestsOfOthers(), 7));
+  fleet.network.setPartition(() => true);
+  await fleet.network.run(4_000);
+  expect(fleet.listRequestsOfOthers()).toEqual(fleet.nodes.map(() => 0));
+});
