Log which requests a crash of an engine ended, and the parts of their prompts

Cause: after a crash the logs show broken streams one by one. Change: the shared parts of the prompt are read from the request. A broken attempt of a generation is followed by a probe of the address (one for all requests of a crash); if nothing listens there, a line "endpoint crashed" names request, customer, route, parts and how far the answer was, and a counter counts it. No decision changes.

--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -49,6 +49,13 @@
   .brand<'CallerRequestId'>();
 export type CallerRequestId = z.infer<typeof callerRequestIdSchema>;
 
+/** One part of a prompt that requests may share, such as a system prompt. @public */
+export const promptPartIdSchema = z
+  .string()
+  .regex(/^[\x21-\x7e]{1,64}$/)
+  .brand<'PromptPartId'>();
+export type PromptPartId = z.infer<typeof promptPartIdSchema>;
+
 /** One run of a model on an engine; chosen by the node that starts it. @public */
 export const generationIdSchema = z
   .string()
--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -2,7 +2,13 @@
  * Encodes and decodes requests and responses in the platform's headers.
  */
 import * as z from 'zod';
-import { callerRequestIdSchema, ServingError, type CallerRequestId } from '../core';
+import {
+  callerRequestIdSchema,
+  promptPartIdSchema,
+  ServingError,
+  type CallerRequestId,
+  type PromptPartId,
+} from '../core';
 import {
   RequestDialect,
   type AnswerHead,
@@ -76,6 +82,21 @@
   };
 }
 
+/** Bounds the work and memory that one request can cause. */
+const MAX_PROMPT_PARTS = 64;
+
+/** Reads `id:tokens,id:tokens`, without the last part, which belongs to the request alone. */
+function readSharedParts(headers: Headers): ReadonlyArray<PromptPartId> {
+  const text = headers.get(HEADER_NAMES.promptParts) ?? '';
+  return text
+    .split(',', MAX_PROMPT_PARTS + 1)
+    .slice(0, -1)
+    .flatMap((part) => {
+      const id = promptPartIdSchema.safeParse(part.split(':', 1)[0]?.trim().toLowerCase());
+      return id.success ? [id.data] : [];
+    });
+}
+
 function readApiKey(headers: Headers): string | undefined {
   const [scheme, key] = (headers.get(HEADER_NAMES.authorization) ?? '').trim().split(/\s+/);
   return scheme?.toLowerCase() === KEY_SCHEME.toLowerCase() ? key : undefined;
@@ -115,6 +136,7 @@
       apiKey: readApiKey(headers),
       callerTimeoutMs: headers.getNumber(HEADER_NAMES.remainingMs),
       prompt: readPrompt(headers),
+      sharedPromptParts: readSharedParts(headers),
       lastEventId: headers.get(HEADER_NAMES.lastEventId),
       headers: headers.getEndToEnd().filter(([name]) => {
         const lower = name.toLowerCase();
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -7,6 +7,8 @@
   remainingMs: 'X-Bramleyvane-Deadline-Ms',
   tokenCounts: 'X-Bramleyvane-Token-Usage',
   expectedOutput: 'X-Bramleyvane-Length-Hint',
+  /** `id:tokens` of each part of the prompt, in order; the last belongs to the request alone. */
+  promptParts: 'X-Bramleyvane-Prompt-Prefix',
   lastEventId: 'Last-Event-Id',
   signature: 'X-Bramleyvane-Server-Seal',
   customer: 'X-Bramleyvane-Tenant',
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -8,6 +8,7 @@
 import { EndpointPlacer } from './EndpointPlacer';
 import { EndpointSender } from './EndpointSender';
 import { CallerListener } from './CallerListener';
+import { CrashReporter } from './CrashReporter';
 import { FORWARDING_OPTIONS } from './options';
 import { OutputEstimator } from './OutputEstimator';
 import { LocalLoad } from './LocalLoad';
@@ -73,6 +74,7 @@
         retries,
         migrator,
         estimator: this.estimator,
+        crashes: new CrashReporter(kernel),
       }),
       retries,
       estimator: this.estimator,
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -9,6 +9,7 @@
 import type { Kernel } from '../../kernel';
 import { ServingMetrics, type AnswerHead } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { CrashReporter } from './CrashReporter';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
 import { EventSplitter } from './EventSplitter';
@@ -20,7 +21,12 @@
 
 type SegmentEnd =
   | { readonly end: 'complete'; readonly rest: Uint8Array }
-  | { readonly end: 'broken'; readonly reason: string };
+  | {
+      readonly end: 'broken';
+      readonly reason: string;
+      /** Monotonic time of the first output of the segment; undefined if there was none. */
+      readonly outputSinceMs: number | undefined;
+    };
 
 /** Part of a stream that has been forwarded to the caller. */
 class StreamProgress {
@@ -44,6 +50,7 @@
   readonly retries: RetryPolicy;
   readonly migrator: RunMigrator;
   readonly estimator: OutputEstimator;
+  readonly crashes: CrashReporter;
 }
 
 /** @internal */
@@ -69,6 +76,13 @@
       }
       if (admitted.signal.aborted) void segment.abandonMigration();
       admitted.signal.throwIfAborted();
+      const { backEnd } = segment.placed;
+      const reported = this.parts.crashes.reportLoss(admitted, backEnd, {
+        hadHead: true,
+        ...ended,
+      });
+      // A stream with output goes on without waiting for the report.
+      if (ended.outputSinceMs === undefined) await reported;
       segment = await this.continueStream(admitted, segment, progress, ended.reason);
     }
   }
@@ -157,6 +171,10 @@
     if (sent.outcome === 'not-run' && !sent.wasSent) {
       target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
     }
+    if (sent.outcome === 'lost' && !admitted.signal.aborted) {
+      const progress = { hadHead: false, outputSinceMs: undefined };
+      await this.parts.crashes.reportLoss(admitted, placed.backEnd, progress);
+    }
     return sent;
   }
 
@@ -170,11 +188,13 @@
     const splitter = new EventSplitter();
     this.parts.migrator.track({ admitted, segment, getOutputTokens: () => state.outputTokens });
     const { endpointId } = segment.placed.backEnd;
+    let outputSinceMs: number | undefined;
     try {
       for await (const chunk of segment.response.read()) {
         const events = splitter.push(chunk);
         if (!events) continue;
         this.writeHead(admitted, state);
+        outputSinceMs ??= this.kernel.clock.nowMs();
         state.lastEventId = events.lastEventId ?? state.lastEventId;
         state.events += events.count;
         segment.recordTokens(state.outputTokens);
@@ -184,7 +204,7 @@
       this.parts.placer.recordOutcome(endpointId, 'answered');
       return { end: 'complete', rest: splitter.rest };
     } catch (thrown) {
-      return { end: 'broken', reason: ServingError.from(thrown).detail };
+      return { end: 'broken', reason: ServingError.from(thrown).detail, outputSinceMs };
     } finally {
       segment.end();
     }
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -2,6 +2,10 @@
 export const FORWARDING_OPTIONS = {
   /** Timeout for opening a connection to an endpoint; a lost first packet costs a second. */
   connectTimeoutMs: 500,
+  /** Time in which an endpoint whose connection broke has to accept another one. */
+  probeTimeoutMs: 300,
+  /** How long the outcome of such a probe is used for other requests of the endpoint. */
+  probeReuseMs: 400,
   /**
    * Idle time after a response before its connection is reused. A stray second response to the same
    * request arrives within it and closes the connection, instead of answering the next request.
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -103,6 +103,12 @@
     ['outcome'],
   );
 
+  private readonly crashLosses = this.createCounter(
+    'crash_losses',
+    'Requests that a crash of their endpoint ended, by whether their answer had a head.',
+    ['service', 'had_head'],
+  );
+
   private readonly sourceCalls = this.createCounter(
     'source_calls',
     'Calls of the configuration source, by outcome.',
@@ -153,6 +159,10 @@
     this.continuations.inc({ outcome });
   }
 
+  countCrashLoss(service: string, hadHead: boolean): void {
+    this.crashLosses.inc({ service, had_head: String(hadHead) });
+  }
+
   countSourceCall(outcome: SourceCallOutcome): void {
     this.sourceCalls.inc({ outcome });
   }
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -45,6 +45,9 @@
   /** Counts one stream whose engine was lost or left. */
   abstract countContinuation(outcome: ContinuationOutcome): void;
 
+  /** Counts one request that a crash of its endpoint ended, by whether its answer had a head. */
+  abstract countCrashLoss(service: string, hadHead: boolean): void;
+
   /** Counts one call of the source of the configuration. */
   abstract countSourceCall(outcome: SourceCallOutcome): void;
 
