Reproduce engines that crash one after the other, failing on purpose

What callers saw: reports cut, engines away for seconds, in turn. The crash lines show that at each crash one request was beginning to answer, and that all of these share one part of their prompts. Change: a stand-in engine that crashes under a part, and three tests, two of a part that comes again and again and one of a single request that goes on from copies.

--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -25,6 +25,16 @@
   readonly eventIntervalMs?: number;
   /** Duration of a call. */
   readonly callMs?: number;
+  /** Part of a prompt under which the engine crashes when it begins to write the answer. */
+  readonly deadlyPart?: string;
+}
+
+/** Time between the head of an answer and the crash that its request causes. */
+const CRASH_DELAY_MS = 50;
+
+function hasPart(headers: Readonly<Record<string, string>>, part: string | undefined): boolean {
+  const parts = headers['x-bramleyvane-prompt-prefix']?.split(',') ?? [];
+  return part !== undefined && parts.some((each) => each.split(':')[0] === part);
 }
 
 const SEAL_HEADER = 'X-Bramleyvane-Server-Seal';
@@ -55,6 +65,12 @@
   /** Handles of the KV cache copies that other engines sent here. */
   readonly copies = new Set<string>();
 
+  /** Ids of the requests with the deadly part that were executed. */
+  deadlyRequestIds: ReadonlyArray<string> = [];
+
+  /** Called when the engine crashes because of a request. */
+  onCrash: () => void = () => {};
+
   /** Number of copy requests that are still to be refused. */
   copiesToRefuse = 0;
 
@@ -166,6 +182,14 @@
     if (backupAddress !== undefined) void sendCopy(backupAddress, requestId);
     const body = new ReadableStream<Uint8Array>({
       start: async (controller) => {
+        if (hasPart(headers, this.options.deadlyPart)) {
+          this.deadlyRequestIds = [...this.deadlyRequestIds, requestId];
+          await new Promise((resolve) => {
+            setTimeout(resolve, CRASH_DELAY_MS);
+          });
+          await this.stop();
+          this.onCrash();
+        }
         while (run.producedEvents < events && !run.isStopped && !incoming.socket.destroyed) {
           await new Promise((resolve) => {
             setTimeout(resolve, eventIntervalMs);
--- /dev/null
+++ b/tests/queryOfDeath.test.ts
@@ -0,0 +1,101 @@
+import {
+  callFront,
+  createStoreConfiguration,
+  FrontFixture,
+  GENERATION_HEADERS,
+  type FrontNode,
+  type FrontResponse,
+} from './FrontFixture';
+
+const ENGINES = 8;
+const DEADLY_PART = 'dead';
+
+/** The system may need some crashes to tell the part from those that sound requests share. */
+const MAX_CRASHES = 4;
+
+/** Crashes that are closer together could have one cause, such as a rack. */
+const PAUSE_MS = 700;
+
+let fixture: FrontFixture;
+
+beforeEach(async () => {
+  fixture = await FrontFixture.start();
+});
+
+afterEach(async () => {
+  await fixture.stop();
+});
+
+async function startFleet(engineOptions = {}): Promise<ReadonlyArray<FrontNode>> {
+  const services = [
+    { name: 'desk', maxConnections: 40 },
+    {
+      name: 'writers',
+      maxConnections: 40,
+      engine: { kvCapacity: 30_000, stride: 4, moves: true, backups: true },
+    },
+  ];
+  fixture.store.put('op/config', createStoreConfiguration({ services }));
+  for (let index = 0; index < ENGINES; index++) {
+    const instanceId = `i-writer-${index}`;
+    const options = { instanceId, events: 3, deadlyPart: DEADLY_PART, ...engineOptions };
+    const engine = await fixture.addEngine('writers', options);
+    engine.onCrash = () => fixture.store.remove(`servers/${instanceId}`);
+  }
+  const nodes = [await fixture.addReadyNode(ENGINES), await fixture.addReadyNode(ENGINES)];
+  await fixture.waitForMembers();
+  return nodes;
+}
+
+async function callWithParts(
+  node: FrontNode,
+  target: string,
+  parts: string,
+): Promise<Pick<FrontResponse, 'status' | 'headers' | 'text'> | undefined> {
+  const headers = { ...GENERATION_HEADERS, 'x-bramleyvane-prompt-prefix': parts };
+  // A crash cuts the answer.
+  return callFront(node, target, { method: 'POST', headers }).catch(() => undefined);
+}
+
+const countCrashes = (): number =>
+  fixture.engines.filter(({ deadlyRequestIds }) => deadlyRequestIds.length > 0).length;
+
+const pause = async (): Promise<void> =>
+  new Promise((resolve) => {
+    setTimeout(resolve, PAUSE_MS);
+  });
+
+// Guards against requests of one kind that crash engines one after the other: whatever else is in
+// the prompt, whichever node they come to, and while sound requests share their first parts.
+test.each(['/report/a', '/label/a'])(
+  'a part that crashes engines at %s is refused',
+  async (target) => {
+    const nodes = await startFleet();
+    const [first, second] = nodes as readonly [FrontNode, FrontNode];
+    let last: Awaited<ReturnType<typeof callWithParts>>;
+    for (let round = 0; round < 7; round++) {
+      const node = round % 2 === 0 ? first : second;
+      const parts = `a${round % 2}:40,${DEADLY_PART}:30,own${round}:300`;
+      last = await callWithParts(node, target, parts);
+      if (countCrashes() === ENGINES) break;
+      await callWithParts(second, target, `a${round % 2}:40,b${round}:30,sound${round}:300`);
+      await pause();
+    }
+    expect(countCrashes()).toBeLessThanOrEqual(MAX_CRASHES);
+    expect(last?.status).toBe(503);
+    expect(last?.headers['retry-after']).toBeDefined();
+    expect(JSON.parse(last?.text ?? '{}')).toMatchObject({
+      error: { kind: 'prompt-quarantined', run: 'not-run' },
+    });
+    const sound = await callWithParts(first, target, 'a0:40,b7:30,sound:300');
+    expect(sound?.status).toBe(200);
+  },
+);
+
+// Guards against one request that crashes engine after engine because its run is continued from
+// copies of its KV cache.
+test('a run that crashes engines is not continued from engine to engine', async () => {
+  const [node] = (await startFleet()) as readonly [FrontNode, FrontNode];
+  await callWithParts(node, '/report/a', `a0:40,${DEADLY_PART}:30,own:300`);
+  expect(countCrashes()).toBeLessThanOrEqual(2);
+});
