Take no answer for whole, or for not run, that an engine didn't give so

Refusals without an id now count on fresh connections only. - a stream breaks off and the next engine answers 200 with a text: the text was forwarded as the rest of the last event, and the stream ended as complete. - a stream without a length that ends inside an event ended as complete, and one whose engine crashed at its end, and such an answer of a call. The end counts only if something still listens at the address. - a lost attempt, then a refusal or no engine left: 503 "not run". It is 502. - of two hedged attempts, the refused one hid the one that may have run. Change of a test: EventSplitter has no `rest` any more, as an incomplete event is never forwarded; its test checks that the end is refused there, and that the event is complete with its missing bytes.

--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -171,6 +171,7 @@
       // A refusal may omit the request ID; every other response must repeat it.
       isForRequest:
         echoedId === requestId || (echoedId === undefined && (isNotRun || isOtherEndpoint)),
+      namesNoRequest: echoedId === undefined,
       isNotRun,
       isOtherEndpoint,
       isSigned: headers.get(HEADER_NAMES.signature) !== undefined,
--- a/src/plugins/forwarding/EndpointConnection.ts
+++ b/src/plugins/forwarding/EndpointConnection.ts
@@ -6,6 +6,7 @@
 import type { HeaderList } from '../../services';
 import { ConnectionUsedError, pairHeaders, SingleConnection } from '../../wire';
 import { FORWARDING_OPTIONS } from './options';
+import { probeEndpoint } from './probeEndpoint';
 
 /** @internal */
 export interface EndpointMessage {
@@ -19,6 +20,8 @@
 export interface RawResponse {
   readonly status: number;
   readonly headers: HeaderList;
+  /** Whether the connection has carried another request before. */
+  readonly isOnUsedConnection: boolean;
   /** Throws if it ends before the response is complete. */
   readonly body: AsyncIterable<Uint8Array>;
 }
@@ -40,9 +43,11 @@
 
   private isClosed = false;
 
+  private requestCount = 0;
+
   private idleTimeoutMs: number = FORWARDING_OPTIONS.defaultIdleTimeoutMs;
 
-  constructor(address: string) {
+  constructor(private readonly address: string) {
     this.client = new Client(`http://${address}`, {
       pipelining: 1,
       connect: this.single.connect,
@@ -77,6 +82,8 @@
    * @throws ServingError `endpoint-unreachable` if nothing was written, otherwise `outcome-unknown`.
    */
   async send(message: EndpointMessage, signal: AbortSignal): Promise<RawResponse> {
+    this.requestCount += 1;
+    const isOnUsedConnection = this.requestCount > 1;
     try {
       const response = await this.client.request({
         method: message.method,
@@ -88,7 +95,7 @@
       });
       const headers = pairHeaders(response.headers as unknown as ReadonlyArray<string>);
       this.updateIdleTimeout(headers);
-      return { status: response.statusCode, headers, body: response.body };
+      return { status: response.statusCode, headers, isOnUsedConnection, body: response.body };
     } catch (thrown) {
       const isUnsent = !this.single.wasOpened || thrown instanceof ConnectionUsedError;
       throw new ServingError(isUnsent ? 'endpoint-unreachable' : 'outcome-unknown', {
@@ -98,6 +105,11 @@
     }
   }
 
+  /** Whether nothing listens at the endpoint's address any more. */
+  async isEndpointGone(): Promise<boolean> {
+    return (await probeEndpoint(this.address)) === 'refused';
+  }
+
   /** Closes the connection; a request in flight fails. */
   async close(): Promise<void> {
     this.isClosed = true;
--- a/src/plugins/forwarding/EndpointResponse.ts
+++ b/src/plugins/forwarding/EndpointResponse.ts
@@ -1,6 +1,7 @@
 /**
  * Response of an endpoint. Its connection is released once the body has been read to the end.
  */
+import { ServingError } from '../../core';
 import type { HeaderList } from '../../services';
 import type { EndpointConnection, RawResponse } from './EndpointConnection';
 
@@ -16,6 +17,8 @@
 
   readonly headers: HeaderList;
 
+  readonly isOnUsedConnection: boolean;
+
   private readonly body: AsyncIterable<Uint8Array>;
 
   private isReleased = false;
@@ -23,25 +26,45 @@
   constructor(
     private readonly connection: EndpointConnection,
     private readonly pool: ConnectionPool,
-    { status, headers, body }: RawResponse,
+    { status, headers, isOnUsedConnection, body }: RawResponse,
   ) {
     this.status = status;
     this.headers = headers;
+    this.isOnUsedConnection = isOnUsedConnection;
     this.body = body;
   }
 
+  /** Whether a length or chunks show the end of the body; otherwise only the connection's end. */
+  private get isFramed(): boolean {
+    return this.headers.some(([name]) =>
+      ['content-length', 'transfer-encoding'].includes(name.toLowerCase()),
+    );
+  }
+
   /** Yields the body; throws if it ends before it is complete. */
   async *read(): AsyncGenerator<Uint8Array> {
     let isComplete = false;
     try {
       for await (const chunk of this.body) yield chunk;
       if (this.connection.failure) throw this.connection.failure;
+      await this.checkEnd();
       isComplete = true;
     } finally {
       this.release(isComplete);
     }
   }
 
+  /**
+   * A body without a length ends with its connection, and so does one whose endpoint crashes.
+   * @throws ServingError `endpoint-failed` if nothing listens at the endpoint any more.
+   */
+  private async checkEnd(): Promise<void> {
+    if (this.isFramed || !(await this.connection.isEndpointGone())) return;
+    throw new ServingError('endpoint-failed', {
+      detail: 'The endpoint was gone when its response, which has no length, ended.',
+    });
+  }
+
   /** Closes the connection, which makes the endpoint stop working on the request. */
   abort(): void {
     this.release(false);
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -112,7 +112,8 @@
     const head = this.kernel
       .get(RequestDialect)
       .readAnswer(admitted.request, answer.status, answer.headers);
-    if (!head.isForRequest) {
+    // An earlier refusal can arrive once more where the answer to this request is due.
+    if (!head.isForRequest || (head.namesNoRequest && answer.isOnUsedConnection)) {
       answer.abort();
       return { outcome: 'lost', reason: 'the response belongs to another request' };
     }
--- a/src/plugins/forwarding/EventSplitter.test.ts
+++ b/src/plugins/forwarding/EventSplitter.test.ts
@@ -31,7 +31,10 @@
 test('keeps the bytes of an incomplete event', () => {
   const splitter = new EventSplitter();
   expect(splitter.push(Buffer.from('id: 1\nda'))).toBeUndefined();
-  expect(Buffer.from(splitter.rest).toString()).toBe('id: 1\nda');
+  expect(() => splitter.checkEnd()).toThrow('ended inside an event');
+  const rest = splitter.push(Buffer.from('ta: x\n\n'));
+  expect(Buffer.from(rest!.bytes).toString()).toBe('id: 1\ndata: x\n\n');
+  expect(() => splitter.checkEnd()).not.toThrow();
 });
 
 // Guards against an event without end that fills the memory of the node.
--- a/src/plugins/forwarding/EventSplitter.ts
+++ b/src/plugins/forwarding/EventSplitter.ts
@@ -34,9 +34,10 @@
 export class EventSplitter {
   private pending = Buffer.alloc(0);
 
-  /** Bytes of the last, incomplete event. */
-  get rest(): Uint8Array {
-    return this.pending;
+  /** @throws ServingError `endpoint-failed` when the stream has ended inside an event. */
+  checkEnd(): void {
+    if (this.pending.length === 0) return;
+    throw new ServingError('endpoint-failed', { detail: 'The stream ended inside an event.' });
   }
 
   /** @throws ServingError `endpoint-failed` when an event is longer than an event may be. */
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -20,7 +20,7 @@
 import { StreamSegment, type NextSegment } from './StreamSegment';
 
 type SegmentEnd =
-  | { readonly end: 'complete'; readonly rest: Uint8Array }
+  | { readonly end: 'complete' }
   | {
       readonly end: 'broken';
       readonly reason: string;
@@ -70,7 +70,7 @@
       if (ended.end === 'complete') {
         void segment.abandonMigration();
         this.writeHead(admitted, progress);
-        exchange.end(ended.rest.length > 0 ? ended.rest : undefined);
+        exchange.end();
         this.parts.estimator.observe(work, progress.outputTokens);
         return;
       }
@@ -93,25 +93,46 @@
     progress: StreamProgress,
   ): Promise<StreamSegment | undefined> {
     let excluded: ReadonlyArray<EndpointId> = [];
+    let lostReason: string | undefined;
     for (let isFirst = true; ; isFirst = false) {
-      const placed = isFirst
-        ? await this.placeFirst(admitted)
-        : this.parts.placer.place(admitted.work, excluded, 'retry');
+      let placed: RequestReservation;
+      try {
+        placed = isFirst
+          ? await this.placeFirst(admitted)
+          : this.parts.placer.place(admitted.work, excluded, 'retry');
+      } catch (thrown) {
+        throw this.explainUnsent(admitted, thrown, lostReason);
+      }
       const sent = await this.sendTo(admitted, placed, undefined);
       if (sent instanceof StreamSegment) return this.begin(admitted, sent, progress);
       admitted.signal.throwIfAborted();
+      if (sent.outcome === 'lost') lostReason = sent.reason;
       excluded = [...excluded, placed.backEnd.endpointId];
       const isUnsent = sent.outcome === 'not-run' && !sent.wasSent;
       const mayRetry = isUnsent || sent.outcome === 'not-run' || admitted.route.isResumable;
       if (mayRetry && (isUnsent || this.parts.retries.takeRetry(admitted))) continue;
-      throw new ServingError(sent.outcome === 'lost' ? 'answer-lost' : 'overloaded', {
-        detail: sent.reason,
-        clause: admitted.clause,
-        retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
-      });
+      throw this.explainUnsent(
+        admitted,
+        new ServingError('overloaded', {
+          detail: sent.reason,
+          clause: admitted.clause,
+          retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
+        }),
+        lostReason,
+      );
     }
   }
 
+  /** A refusal of one attempt says nothing of an earlier one that was lost and may have run. */
+  private explainUnsent(
+    { clause }: AdmittedRequest,
+    thrown: unknown,
+    lostReason: string | undefined,
+  ): unknown {
+    if (lostReason === undefined) return thrown;
+    return new ServingError('answer-lost', { detail: lostReason, clause, cause: thrown });
+  }
+
   /** Waits up to a share of the latency goal while no engine has capacity. */
   private async placeFirst({
     work,
@@ -201,8 +222,9 @@
         await admitted.exchange.write(events.bytes);
         segment.markReadStart();
       }
+      splitter.checkEnd();
       this.parts.placer.recordOutcome(endpointId, 'answered');
-      return { end: 'complete', rest: splitter.rest };
+      return { end: 'complete' };
     } catch (thrown) {
       return { end: 'broken', reason: ServingError.from(thrown).detail, outputSinceMs };
     } finally {
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -128,8 +128,9 @@
       attempts.filter((running) => running !== winner.running).forEach(({ cancel }) => cancel());
       return winner.attempt;
     } catch {
-      const [first] = attempts as readonly [RunningAttempt];
-      return first.completion;
+      const failed = await Promise.all(attempts.map(async ({ completion }) => completion));
+      // Only if neither may have run, the request has not run.
+      return failed.find(({ result }) => result !== 'not-run') ?? (failed[0] as AttemptResult);
     }
   }
 
--- a/src/plugins/forwarding/probeEndpoint.ts
+++ b/src/plugins/forwarding/probeEndpoint.ts
@@ -4,8 +4,11 @@
 import { connect } from 'node:net';
 import { FORWARDING_OPTIONS } from './options';
 
-/** `silent`: neither accepted nor refused in time, as by a machine without power. @internal */
-export type ProbeOutcome = 'accepted' | 'refused' | 'silent';
+/**
+ * `refused`: nothing listens there. `unclear`: any other error, such as a reset by an endpoint that
+ * has too many connections, or no reply in time. @internal
+ */
+export type ProbeOutcome = 'accepted' | 'refused' | 'unclear';
 
 /** @param address `ip:port`. @internal */
 export async function probeEndpoint(address: string): Promise<ProbeOutcome> {
@@ -13,8 +16,10 @@
   const socket = connect({ host: hostname, port: Number(port) });
   const outcome = await new Promise<ProbeOutcome>((resolve) => {
     socket.once('connect', () => resolve('accepted'));
-    socket.once('error', () => resolve('refused'));
-    socket.setTimeout(FORWARDING_OPTIONS.probeTimeoutMs, () => resolve('silent'));
+    socket.once('error', (error: NodeJS.ErrnoException) =>
+      resolve(error.code === 'ECONNREFUSED' ? 'refused' : 'unclear'),
+    );
+    socket.setTimeout(FORWARDING_OPTIONS.probeTimeoutMs, () => resolve('unclear'));
   });
   socket.destroy();
   return outcome;
--- a/src/services/ServingRequest.ts
+++ b/src/services/ServingRequest.ts
@@ -62,6 +62,8 @@
   readonly headers: HeaderList;
   /** False for an answer that belongs to another request. */
   readonly isForRequest: boolean;
+  /** Whether the answer names no request, so that only its connection tells which one it is for. */
+  readonly namesNoRequest: boolean;
   /** Whether the endpoint states that it has not run the request and will not. */
   readonly isNotRun: boolean;
   /** Whether another endpoint now uses the address. */
