--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -128,6 +128,13 @@
     mayRepeat: true,
     reason: 'No endpoint for this work is known to be in service.',
   },
+  'prompt-quarantined': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason:
+      'Engines crashed under a part of this prompt; such requests are refused until one that is tried succeeds.',
+  },
   draining: {
     status: 503,
     run: 'not-run',
--- a/src/decisions/EndpointHealth.ts
+++ b/src/decisions/EndpointHealth.ts
@@ -98,6 +98,13 @@
     });
   }
 
+  /** Ejects an endpoint that has crashed, until it is known to have started again. */
+  recordCrash(endpointId: EndpointId, nowMs: number): void {
+    const before = this.records.get(endpointId) ?? NO_FAILURES;
+    const ejectedUntilMs = nowMs + HEALTH_OPTIONS.maxEjectionMs;
+    this.records.set(endpointId, { ...before, updatedAtMs: nowMs, ejectedUntilMs });
+  }
+
   /** Decayed moving average of failures, from 0 to 1. */
   getFailureShare(endpointId: EndpointId, nowMs: number): number {
     const { failureShare, updatedAtMs } = this.records.get(endpointId) ?? NO_FAILURES;
--- /dev/null
+++ b/src/decisions/findHarmfulParts.test.ts
@@ -0,0 +1,199 @@
+import fc from 'fast-check';
+import { CrashingFleet, FLEET_TIMES } from '../../tests/CrashingFleet';
+import type { PromptPartId } from '../core';
+import {
+  addCrash,
+  addSound,
+  CRASH_EVIDENCE_OPTIONS,
+  expireEvidence,
+  mergeEvidence,
+  NO_EVIDENCE,
+  type CrashEvidence,
+  type EndpointCrash,
+} from './crashEvidence';
+import { findHarmfulParts, HARM_OPTIONS } from './findHarmfulParts';
+
+const SEED = 20261204;
+
+const part = (id: string): PromptPartId => id as PromptPartId;
+
+function crash(atMs: number, ...suspects: ReadonlyArray<string>): EndpointCrash {
+  return {
+    crashId: `engine@${atMs}`,
+    atMs,
+    suspects: suspects.map((text) => ({
+      parts: text.replace('!', '').split(' ').map(part),
+      hadHead: text.endsWith('!'),
+    })),
+  };
+}
+
+function collect(crashes: ReadonlyArray<EndpointCrash>, sound: ReadonlyArray<string> = []) {
+  const evidence = crashes.reduce(addCrash, NO_EVIDENCE);
+  return sound.reduce((before, text) => {
+    const [id, atMs] = text.split(' ');
+    return addSound(before, part(id ?? ''), Number(atMs));
+  }, evidence);
+}
+
+const findParts = (evidence: CrashEvidence): ReadonlyArray<string> =>
+  [...findHarmfulParts(evidence).keys()].sort();
+
+// Guards against a part that is found late, and against refusing the parts, callers or routes that
+// sound requests share. A `!` marks a request whose answer had just begun.
+test.each([
+  ['one crash', [crash(0, 'a x')], [], []],
+  ['two crashes', [crash(0, 'a x'), crash(2_000, 'b x')], [], ['x']],
+  ['two engines at once', [crash(0, 'a x'), crash(100, 'b x')], [], []],
+  ['a known part beside it', [crash(0, 'a x'), crash(2_000, 'a x')], ['a -5'], ['x']],
+  ['parts that always come together', [crash(0, 'a x'), crash(2_000, 'a x')], [], ['x']],
+  ['a known part', [crash(0, 'a'), crash(2_000, 'a')], ['a -5'], []],
+  ['a known part, again', [crash(0, 'a'), crash(2e3, 'a'), crash(4e3, 'a')], ['a -5'], ['a']],
+  ['sound since', [crash(0, 'x'), crash(2_000, 'x')], ['x 2500'], []],
+  ['sound between', [crash(0, 'x'), crash(2_000, 'x'), crash(4e3, 'y')], ['x 1000'], []],
+  ['bystanders', [crash(0, 'a x', 'b c'), crash(2e3, 'a x', 'b d')], ['a -5', 'b -5'], ['x']],
+  ['a retried bystander', [crash(0, 'x!', 'y'), crash(2_000, 'x!', 'y')], [], ['x']],
+  ['different requests', [crash(0, 'x', 'y'), crash(2_000, 'x', 'y')], [], []],
+  [
+    'different requests, then one alone',
+    [crash(0, 'x', 'y'), crash(2_000, 'x', 'y'), crash(4_000, 'x')],
+    [],
+    ['x'],
+  ],
+  [
+    'two parts by turns',
+    [crash(0, 'a x'), crash(2e3, 'b z'), crash(4e3, 'c x'), crash(6e3, 'd z')],
+    [],
+    ['x', 'z'],
+  ],
+  [
+    'a first part, later ones differ',
+    [crash(0, 'x b'), crash(2_000, 'x c'), crash(4_000, 'x d')],
+    ['x -5'],
+    ['x'],
+  ],
+] as const)('finds the part: %s', (_name, crashes, sound, expected) => {
+  expect(findParts(collect(crashes, sound))).toEqual(expected);
+});
+
+// Guards against a part that is never tried again, or so often that engines crash on and on.
+test('holds a part longer after each failed trial, up to a bound', () => {
+  const { baseHoldMs, maxHoldMs } = HARM_OPTIONS;
+  let atMs = 2_000;
+  let evidence = collect([crash(0, 'x'), crash(atMs, 'x')]);
+  const holdsMs: number[] = [];
+  for (let trial = 0; trial < 6; trial++) {
+    const { retryAtMs } = findHarmfulParts(evidence).get(part('x'))!;
+    holdsMs.push(retryAtMs - atMs);
+    atMs = retryAtMs;
+    evidence = addCrash(evidence, crash(atMs, 'x'));
+  }
+  expect(holdsMs).toEqual([1, 2, 4, 8, 8, 8].map((factor) => factor * baseHoldMs));
+  expect(holdsMs.at(-1)).toBe(maxHoldMs);
+});
+
+// Guards against evidence that grows with what callers invent, or that is kept for good.
+test('evidence is bounded and expires', () => {
+  let evidence = NO_EVIDENCE;
+  for (let index = 0; index < 500; index++) {
+    const suspects = Array.from({ length: 40 }, (_, number) => `a${index} b${number}`);
+    evidence = addCrash(evidence, crash(index * 10, ...suspects));
+    evidence = addSound(evidence, part(`a${index}`), index * 10 - 1);
+    evidence = addSound(evidence, part(`c${index}`), index * 10);
+  }
+  const { maxCrashes, maxSuspectsPerCrash, retentionMs } = CRASH_EVIDENCE_OPTIONS;
+  expect(evidence.crashes).toHaveLength(maxCrashes);
+  expect(Math.max(...evidence.crashes.map(({ suspects }) => suspects.length))).toBe(
+    maxSuspectsPerCrash,
+  );
+  expect(expireEvidence(evidence, 0).soundAtMs.size).toBeLessThanOrEqual(maxCrashes);
+  expect(expireEvidence(evidence, 5_000 + retentionMs)).toEqual(NO_EVIDENCE);
+});
+
+const crashArbitrary = fc.record({
+  crashId: fc.integer({ min: 0, max: 5 }).map(String),
+  atMs: fc.integer({ min: 0, max: 10_000 }),
+  suspects: fc.array(
+    fc.record({
+      parts: fc.array(fc.constantFrom('a', 'b', 'c', 'x').map(part), {
+        minLength: 1,
+        maxLength: 3,
+      }),
+      hadHead: fc.boolean(),
+    }),
+    { minLength: 1, maxLength: 3 },
+  ),
+});
+
+// Guards against nodes that quarantine different parts although they have heard the same, and
+// against evidence that nodes send each other for ever.
+test('merged evidence is the same in any order, and merging it again changes nothing', () => {
+  fc.assert(
+    fc.property(fc.array(crashArbitrary, { maxLength: 8 }), fc.boolean(), (reports, isReversed) => {
+      // A crash has the same time at all nodes here; their clocks are the next test's.
+      const crashes = reports.map((report) => ({ ...report, atMs: Number(report.crashId) * 700 }));
+      const forward = crashes.reduce(addCrash, NO_EVIDENCE);
+      const other = [...crashes].reverse().reduce(addCrash, NO_EVIDENCE);
+      const merged = isReversed ? mergeEvidence(other, forward) : mergeEvidence(forward, other);
+      expect(merged).toBe(isReversed ? other : forward);
+      expect(findParts(other)).toEqual(findParts(forward));
+    }),
+    { seed: SEED, numRuns: 500 },
+  );
+});
+
+const SIZES = [
+  { nodes: 8, engines: 6, requestsPerSecond: 4 },
+  { nodes: 59, engines: 31, requestsPerSecond: 37 },
+  { nodes: 195, engines: 41, requestsPerSecond: 38 },
+] as const;
+
+const FLEET_TIMEOUT_MS = 120_000;
+
+// Guards against engines that crash on and on, at any node, and against sound requests that are
+// refused for the parts or the caller that they share with those that crash engines.
+test.each(SIZES)(
+  '$nodes nodes stop the crashes and refuse few sound requests',
+  (size) => {
+    const check = (seed: number, deadlyShare: number, deadlyParts: ReadonlyArray<string>): void => {
+      const options = { ...size, seed, deadlyShare, deadlyParts, otherCrashShare: 0.05 };
+      const fleet = new CrashingFleet(options);
+      fleet.play();
+      // Some that tell the parts apart and a failed trial, besides those under way until all know.
+      const { exchangeMs, prefillMs } = FLEET_TIMES;
+      const deadlyPerMs = (size.requestsPerSecond * deadlyShare) / 1_000;
+      const underWay = Math.ceil(deadlyPerMs * (2 * exchangeMs + prefillMs) * 1.5);
+      fleet.deadlyCrashes.forEach((count) => {
+        expect(count).toBeLessThanOrEqual(6 + underWay);
+      });
+      expect(fleet.refusedSoundRequests / fleet.soundRequests).toBeLessThan(0.05);
+    };
+    fc.assert(
+      fc.property(
+        fc.integer({ min: 1, max: 1e6 }),
+        fc.constantFrom(0.05, 0.3),
+        fc.constantFrom(['x'], ['x', 'z']),
+        check,
+      ),
+      { seed: SEED, numRuns: 12 },
+    );
+  },
+  FLEET_TIMEOUT_MS,
+);
+
+// Guards against parts that are quarantined because engines crash for another reason.
+test.each(SIZES)(
+  '$nodes nodes blame no part for other crashes',
+  (size) => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 1e6 }), (seed) => {
+        const deadly = { deadlyShare: 0, deadlyParts: [] };
+        const fleet = new CrashingFleet({ ...size, ...deadly, seed, otherCrashShare: 0.3 });
+        fleet.play();
+        expect([...fleet.quarantinedParts]).toEqual([]);
+      }),
+      { seed: SEED, numRuns: 12 },
+    );
+  },
+  FLEET_TIMEOUT_MS,
+);
--- /dev/null
+++ b/src/decisions/findHarmfulParts.ts
@@ -0,0 +1,159 @@
+/**
+ * Finds the parts of prompts that crash endpoints ("queries of death") in the evidence of crashes,
+ * and decides when a request with such a part may be tried again.
+ *
+ * A part is blamed for a crash if a request with it was beginning there and none with it has begun
+ * well since. A crash has one cause: it counts for the part that explains most crashes, and no
+ * longer for the other parts of the requests that were lost with it. So parts that sound requests
+ * share, and those of bystanders, aren't blamed for what another part explains.
+ */
+import type { PromptPartId } from '../core';
+import type { CrashEvidence, CrashSuspect, EndpointCrash } from './crashEvidence';
+
+export const HARM_OPTIONS = {
+  /** Crashes closer together count once: one cause, such as a rack, can take several at once. */
+  minGapMs: 500,
+  /** Crashes for which a part is quarantined; a part that has ever been sound needs one more. */
+  minCrashes: 2,
+  /** Crashes for which parts are quarantined that nothing tells apart. */
+  minCrashesIfInseparable: 4,
+  /** Time after a crash until one request is tried; doubles with each failed trial. */
+  baseHoldMs: 15_000,
+  maxHoldMs: 120_000,
+} as const;
+
+/** A part that is quarantined. @public */
+export interface HarmfulPart {
+  readonly part: PromptPartId;
+  readonly crashes: number;
+  readonly lastCrashAtMs: number;
+  /** From when on one request with the part may be tried. */
+  readonly retryAtMs: number;
+}
+
+interface Candidate {
+  readonly part: PromptPartId;
+  /** Its position in the prompts; parts further on are shared by fewer requests. */
+  readonly depth: number;
+  readonly crashes: ReadonlyArray<EndpointCrash>;
+  /** Number of crashes with a gap between them, less one for a part that has been sound. */
+  readonly score: number;
+}
+
+/** If the endpoint was beginning to write answers, those requests; otherwise all that were lost. */
+function listLikelySuspects({ suspects }: EndpointCrash): ReadonlyArray<CrashSuspect> {
+  const beginning = suspects.filter(({ hadHead }) => hadHead);
+  return beginning.length > 0 ? beginning : suspects;
+}
+
+function countApart(crashes: ReadonlyArray<EndpointCrash>): number {
+  let count = 0;
+  let lastMs = -Infinity;
+  crashes.forEach(({ atMs }) => {
+    if (atMs - lastMs < HARM_OPTIONS.minGapMs) return;
+    count += 1;
+    lastMs = atMs;
+  });
+  return count;
+}
+
+function listCandidates({ crashes, soundAtMs }: CrashEvidence): ReadonlyArray<Candidate> {
+  const byPart = new Map<PromptPartId, ReadonlyArray<EndpointCrash>>();
+  const depths = new Map<PromptPartId, number>();
+  crashes.forEach((crash) => {
+    const suspects = listLikelySuspects(crash);
+    suspects.forEach(({ parts }) =>
+      parts.forEach((part, index) => depths.set(part, Math.max(index, depths.get(part) ?? 0))),
+    );
+    new Set(suspects.flatMap(({ parts }) => parts)).forEach((part) => {
+      if (crash.atMs <= (soundAtMs.get(part) ?? -Infinity)) return;
+      byPart.set(part, [...(byPart.get(part) ?? []), crash]);
+    });
+  });
+  return [...byPart].map(([part, blamed]) => ({
+    part,
+    depth: depths.get(part) ?? 0,
+    crashes: blamed,
+    score: countApart(blamed) - Number(soundAtMs.has(part)),
+  }));
+}
+
+function removeCrashes(
+  candidates: ReadonlyArray<Candidate>,
+  explained: ReadonlySet<EndpointCrash>,
+): ReadonlyArray<Candidate> {
+  return candidates.map((candidate) => {
+    const crashes = candidate.crashes.filter((crash) => !explained.has(crash));
+    if (crashes.length === candidate.crashes.length) return candidate;
+    const handicap = countApart(candidate.crashes) - candidate.score;
+    return { ...candidate, crashes, score: countApart(crashes) - handicap };
+  });
+}
+
+/** Whether one part came with another in each crash that counts for it. */
+function isAlwaysWith(one: Candidate, other: Candidate): boolean {
+  return one.crashes.every(
+    (crash) =>
+      other.crashes.includes(crash) &&
+      listLikelySuspects(crash).some(
+        ({ parts }) => parts.includes(one.part) && parts.includes(other.part),
+      ),
+  );
+}
+
+function sharesCrash(one: Candidate, other: Candidate): boolean {
+  return one.crashes.some((crash) => other.crashes.includes(crash));
+}
+
+/** The wait after the last crash; it doubles with each crash that came after a wait, so a trial. */
+function computeHoldMs(crashes: ReadonlyArray<EndpointCrash>): number {
+  const { baseHoldMs, maxHoldMs } = HARM_OPTIONS;
+  const failedTrials = crashes.filter(({ atMs }, index) => {
+    const before = crashes[index - 1];
+    return before !== undefined && atMs - before.atMs >= baseHoldMs;
+  }).length;
+  return Math.min(maxHoldMs, baseHoldMs * 2 ** failedTrials);
+}
+
+function describe({ part, crashes }: Candidate): HarmfulPart {
+  const lastCrashAtMs = crashes.at(-1)?.atMs ?? -Infinity;
+  const retryAtMs = lastCrashAtMs + computeHoldMs(crashes);
+  return { part, crashes: crashes.length, lastCrashAtMs, retryAtMs };
+}
+
+/** Returns the candidates that explain most crashes; of equal ones, those never known as sound. */
+function chooseBest(candidates: ReadonlyArray<Candidate>): ReadonlyArray<Candidate> {
+  const eligible = candidates.filter(({ score }) => score >= HARM_OPTIONS.minCrashes);
+  const maxScore = Math.max(...eligible.map(({ score }) => score));
+  const top = eligible.filter(({ score }) => score === maxScore);
+  const fewest = Math.min(...top.map(({ crashes }) => countApart(crashes)));
+  return top.filter(({ crashes }) => countApart(crashes) === fewest);
+}
+
+/**
+ * Of equal candidates, returns those to quarantine. Of parts that always come together it takes the
+ * last one of the prompt, as fewest requests have it: if that is wrong, the next crashes show it.
+ * For parts of different requests it waits for some more crashes, which may tell them apart.
+ */
+function chooseToQuarantine(best: ReadonlyArray<Candidate>): ReadonlyArray<Candidate> {
+  const deepest = best.filter(
+    (one) => !best.some((other) => other.depth > one.depth && isAlwaysWith(one, other)),
+  );
+  return deepest.filter(
+    (one) =>
+      one.score >= HARM_OPTIONS.minCrashesIfInseparable ||
+      deepest.every((other) => other === one || !sharesCrash(one, other)),
+  );
+}
+
+/** Returns the parts that are quarantined, by what is known now. */
+export function findHarmfulParts(evidence: CrashEvidence): ReadonlyMap<PromptPartId, HarmfulPart> {
+  const found = new Map<PromptPartId, HarmfulPart>();
+  let candidates = listCandidates(evidence);
+  for (let best = chooseBest(candidates); best.length > 0; best = chooseBest(candidates)) {
+    chooseToQuarantine(best).forEach((candidate) => found.set(candidate.part, describe(candidate)));
+    const others = candidates.filter((candidate) => !best.includes(candidate));
+    candidates = removeCrashes(others, new Set(best.flatMap(({ crashes }) => crashes)));
+  }
+  return found;
+}
--- a/src/frontPlugins.ts
+++ b/src/frontPlugins.ts
@@ -8,5 +8,6 @@
 import './platform';
 import './plugins/metrics';
 import './plugins/directory';
+import './plugins/quarantine';
 import './plugins/forwarding';
 import './plugins/frontHttp';
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -21,6 +21,9 @@
 
   attempts: ReadonlyArray<SentAttempt> = [];
 
+  /** Endpoints that crashed before this request had any output there. */
+  crashesAtStart = 0;
+
   constructor(
     readonly exchange: CallerExchange,
     readonly request: ServingRequest,
@@ -30,6 +33,8 @@
     /** Monotonic time at which the timeout of the caller or of the route expires. */
     readonly deadlineMs: number,
     private readonly deadline: Deadline,
+    /** Whether it is the trial of a quarantined part, which is sent to one endpoint only. */
+    readonly isTrial: boolean,
   ) {}
 
   /** Aborts at the deadline or when the caller disconnects. */
--- a/src/plugins/forwarding/CrashReporter.ts
+++ b/src/plugins/forwarding/CrashReporter.ts
@@ -5,8 +5,10 @@
  * A connection that breaks says little: the endpoint may reset one, or a link may be cut. After a
  * crash nothing listens at the address until the endpoint has started again.
  */
+import type { PromptPartId } from '../../core';
+import { CRASH_EVIDENCE_OPTIONS, type EndpointHealth } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Deployment, ServingMetrics, type KnownBackEnd } from '../../services';
+import { Deployment, Quarantine, ServingMetrics, type KnownBackEnd } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import { FORWARDING_OPTIONS } from './options';
 import { probeEndpoint } from './probeEndpoint';
@@ -28,11 +30,49 @@
   return `${endpointId}@${startedAtWallMs}`;
 }
 
+/** Output of one attempt; reports that its parts are sound once it has begun well. @internal */
+export class BeginningWatch {
+  private firstOutputAtMs: number | undefined;
+
+  private isReported = false;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly parts: ReadonlyArray<PromptPartId>,
+  ) {}
+
+  /** Monotonic time of the first output; undefined if there was none. */
+  get outputSinceMs(): number | undefined {
+    return this.firstOutputAtMs;
+  }
+
+  /** Records output. */
+  observe(): void {
+    const nowMs = this.kernel.clock.nowMs();
+    this.firstOutputAtMs ??= nowMs;
+    if (nowMs - this.firstOutputAtMs >= CRASH_EVIDENCE_OPTIONS.soundAfterMs) this.report();
+  }
+
+  /** Records that the answer is complete. */
+  complete(): void {
+    this.report();
+  }
+
+  private report(): void {
+    if (this.isReported || this.firstOutputAtMs === undefined) return;
+    this.isReported = true;
+    this.kernel.get(Quarantine).recordSound(this.parts, this.firstOutputAtMs);
+  }
+}
+
 /** @internal */
 export class CrashReporter {
   private readonly checks = new Map<string, CrashCheck>();
 
-  constructor(private readonly kernel: Kernel) {}
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly health: EndpointHealth,
+  ) {}
 
   /** Reports a request whose connection broke; returns whether its endpoint has crashed. */
   async reportLoss(
@@ -42,7 +82,13 @@
   ): Promise<boolean> {
     const lostAtMs = this.kernel.clock.nowMs();
     if (!(await this.hasCrashed(backEnd))) return false;
+    this.health.recordCrash(backEnd.endpointId, lostAtMs);
     const crashId = getCrashId(backEnd);
+    const outputForMs = outputSinceMs === undefined ? undefined : lostAtMs - outputSinceMs;
+    const parts = admitted.request.sharedPromptParts;
+    if ((outputForMs ?? 0) < CRASH_EVIDENCE_OPTIONS.soundAfterMs) {
+      this.kernel.get(Quarantine).recordCrash(crashId, { parts, hadHead });
+    }
     this.kernel.get(ServingMetrics).countCrashLoss(backEnd.service, hadHead);
     this.kernel.log.warn('endpoint crashed', {
       requestId: admitted.request.requestId,
@@ -50,13 +96,23 @@
       route: admitted.route.name,
       endpointId: backEnd.endpointId,
       crashId,
-      promptParts: admitted.request.sharedPromptParts,
+      promptParts: parts,
       hadHead,
-      outputForMs: outputSinceMs === undefined ? undefined : Math.round(lostAtMs - outputSinceMs),
+      outputForMs: outputForMs === undefined ? undefined : Math.round(outputForMs),
     });
     return true;
   }
 
+  /** Watches how one attempt of a request begins at its endpoint. */
+  watchBeginning({ request }: AdmittedRequest): BeginningWatch {
+    return new BeginningWatch(this.kernel, request.sharedPromptParts);
+  }
+
+  /** Records that a request whose answer is complete began well at a monotonic time. */
+  recordSound({ request }: AdmittedRequest, beganAtMs: number): void {
+    this.kernel.get(Quarantine).recordSound(request.sharedPromptParts, beganAtMs);
+  }
+
   /** One probe answers for all requests that a crash ended at about the same time. */
   private async hasCrashed(backEnd: KnownBackEnd): Promise<boolean> {
     const nowMs = this.kernel.clock.nowMs();
@@ -72,12 +128,16 @@
   }
 
   private async check(backEnd: KnownBackEnd): Promise<boolean> {
-    // An endpoint that was told to leave exits; that is no crash.
-    const find = (): KnownBackEnd | undefined =>
-      this.kernel.get(Deployment).find(backEnd.endpointId);
-    if (find()?.leavingSinceMs !== undefined) return false;
-    const outcome = await probeEndpoint(backEnd.address);
-    return outcome === 'refused' && find()?.leavingSinceMs === undefined;
+    if (this.isDeparting(backEnd)) return false;
+    return (await probeEndpoint(backEnd.address)) === 'refused' && !this.isDeparting(backEnd);
+  }
+
+  /** An endpoint that was told to leave exits after a while; that is no crash. */
+  private isDeparting({ endpointId }: KnownBackEnd): boolean {
+    const known = this.kernel.get(Deployment).find(endpointId);
+    if (!known) return true;
+    const leavingForMs = this.kernel.clock.nowMs() - (known.leavingSinceMs ?? Infinity);
+    return leavingForMs >= FORWARDING_OPTIONS.minDepartureMs;
   }
 
   private forgetOldChecks(nowMs: number): void {
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -66,15 +66,16 @@
     const migrator = new RunMigrator(kernel, placer, this.estimator);
     const sender = new EndpointSender(kernel, connections, placer);
     const retries = new RetryPolicy(kernel);
+    const crashes = new CrashReporter(kernel, this.health);
     this.forwarder = new RequestForwarder(kernel, {
-      whole: new WholeDelivery(kernel, placer, sender, retries),
+      whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
       stream: new StreamDelivery(kernel, {
         placer,
         sender,
         retries,
         migrator,
         estimator: this.estimator,
-        crashes: new CrashReporter(kernel),
+        crashes,
       }),
       retries,
       estimator: this.estimator,
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -15,6 +15,7 @@
 import type { CallerBody, CallerExchange } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
 import type { EstimateInput, OutputEstimator } from './OutputEstimator';
+import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
 import type { StreamDelivery } from './StreamDelivery';
 import type { WholeDelivery } from './WholeDelivery';
@@ -34,10 +35,14 @@
 export class RequestForwarder {
   private drainingSinceMs: number | undefined;
 
+  private readonly guard: QuarantineGuard;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly parts: ForwarderParts,
-  ) {}
+  ) {
+    this.guard = new QuarantineGuard(kernel);
+  }
 
   /** Starts to drain: only short requests are accepted, for a limited time. */
   startDrain(): void {
@@ -89,6 +94,8 @@
     const { prompt } = request;
     const input = { customer: holder?.customer, routeName: route.name, prompt };
     this.checkDrain(route, input);
+    this.checkJoined(request);
+    const isTrial = await this.guard.admit(request.sharedPromptParts, `routes.${route.name}`);
     this.parts.retries.recordRequest(service);
     const timeoutMs = Math.min(request.callerTimeoutMs ?? Infinity, route.answerWithinMs);
     const deadlineMs = exchange.arrivedAtMs + timeoutMs;
@@ -108,9 +115,19 @@
       body,
       deadlineMs,
       startDeadline(leftMs, exchange.disconnectSignal),
+      isTrial,
     );
   }
 
+  /** Refuses prompts on a new node until it knows which parts the others have quarantined. */
+  private checkJoined({ sharedPromptParts }: ServingRequest): void {
+    if (sharedPromptParts.length === 0 || this.kernel.get(Members).hasJoined()) return;
+    throw new ServingError('not-ready', {
+      detail: 'This node has not heard from the other nodes yet.',
+      retryAfterMs: FORWARDING_OPTIONS.otherNodeRetryAfterMs,
+    });
+  }
+
   private checkDrain(route: Route, input: EstimateInput): void {
     if (this.drainingSinceMs === undefined) return;
     const verdict = admitWhileDraining(
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -21,7 +21,8 @@
 import type { OutputEstimator } from './OutputEstimator';
 import type { NextSegment, StreamSegment } from './StreamSegment';
 
-interface RunningStream {
+/** @internal */
+export interface RunningStream {
   readonly admitted: AdmittedRequest;
   readonly segment: StreamSegment;
   readonly getOutputTokens: () => number;
@@ -119,7 +120,12 @@
 
   /** Whether the stream could continue on another engine if its engine were lost now. */
   canContinue({ admitted, segment }: RunningStream): boolean {
-    return admitted.route.isResumable || this.findBackupEngine(segment) !== undefined;
+    return admitted.route.isResumable || this.hasBackup(segment);
+  }
+
+  /** Whether another engine has a backup of the run. */
+  hasBackup(segment: StreamSegment): boolean {
+    return this.findBackupEngine(segment) !== undefined;
   }
 
   /** Returns the next segment of a run whose engine was lost, if another engine has a backup. */
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -7,7 +7,7 @@
  */
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import { ServingMetrics, type AnswerHead } from '../../services';
+import { ServingMetrics, type AnswerHead, type KnownBackEnd } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { CrashReporter } from './CrashReporter';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
@@ -15,8 +15,9 @@
 import { EventSplitter } from './EventSplitter';
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputEstimator } from './OutputEstimator';
+import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
-import type { RunMigrator } from './RunMigrator';
+import type { RunMigrator, RunningStream } from './RunMigrator';
 import { StreamSegment, type NextSegment } from './StreamSegment';
 
 type SegmentEnd =
@@ -55,10 +56,14 @@
 
 /** @internal */
 export class StreamDelivery {
+  private readonly guard: QuarantineGuard;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly parts: StreamParts,
-  ) {}
+  ) {
+    this.guard = new QuarantineGuard(kernel);
+  }
 
   async deliver(admitted: AdmittedRequest): Promise<void> {
     const { exchange, work } = admitted;
@@ -76,13 +81,7 @@
       }
       if (admitted.signal.aborted) void segment.abandonMigration();
       admitted.signal.throwIfAborted();
-      const { backEnd } = segment.placed;
-      const reported = this.parts.crashes.reportLoss(admitted, backEnd, {
-        hadHead: true,
-        ...ended,
-      });
-      // A stream with output goes on without waiting for the report.
-      if (ended.outputSinceMs === undefined) await reported;
+      await this.reportBroken(admitted, segment, ended.outputSinceMs);
       segment = await this.continueStream(admitted, segment, progress, ended.reason);
     }
   }
@@ -100,6 +99,7 @@
         placed = isFirst
           ? await this.placeFirst(admitted)
           : this.parts.placer.place(admitted.work, excluded, 'retry');
+        this.checkQuarantine(admitted, placed);
       } catch (thrown) {
         throw this.explainUnsent(admitted, thrown, lostReason);
       }
@@ -133,6 +133,13 @@
     return new ServingError('answer-lost', { detail: lostReason, clause, cause: thrown });
   }
 
+  private checkQuarantine(admitted: AdmittedRequest, placed: RequestReservation): void {
+    const refusal = this.guard.findRefusal(admitted);
+    if (!refusal) return;
+    placed.release();
+    throw refusal;
+  }
+
   /** Waits up to a share of the latency goal while no engine has capacity. */
   private async placeFirst({
     work,
@@ -181,7 +188,9 @@
     const target = admitted;
     const { endpointId } = placed.backEnd;
     target.sentTo = [...admitted.sentTo, endpointId];
-    const copy = this.parts.placer.placeBackup(admitted.work, placed.backEnd, producedTokens);
+    const copy = admitted.isTrial
+      ? undefined
+      : this.parts.placer.placeBackup(admitted.work, placed.backEnd, producedTokens);
     const sent = await this.parts.sender.send(admitted, placed.backEnd, admitted.signal, {
       continuation,
       backUpTo: copy?.backEnd.address,
@@ -193,12 +202,33 @@
       target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
     }
     if (sent.outcome === 'lost' && !admitted.signal.aborted) {
-      const progress = { hadHead: false, outputSinceMs: undefined };
-      await this.parts.crashes.reportLoss(admitted, placed.backEnd, progress);
+      await this.reportCrash(admitted, placed.backEnd, false, undefined);
     }
     return sent;
   }
 
+  private async reportBroken(
+    admitted: AdmittedRequest,
+    { placed }: StreamSegment,
+    outputSinceMs: number | undefined,
+  ): Promise<void> {
+    const reported = this.reportCrash(admitted, placed.backEnd, true, outputSinceMs);
+    // A stream with output goes on without waiting for the report.
+    if (outputSinceMs === undefined) await reported;
+  }
+
+  private async reportCrash(
+    admitted: AdmittedRequest,
+    backEnd: KnownBackEnd,
+    hadHead: boolean,
+    outputSinceMs: number | undefined,
+  ): Promise<void> {
+    const target = admitted;
+    const progress = { hadHead, outputSinceMs };
+    const hasCrashed = await this.parts.crashes.reportLoss(admitted, backEnd, progress);
+    if (hasCrashed && outputSinceMs === undefined) target.crashesAtStart += 1;
+  }
+
   /** Forwards the events of one segment to the caller. */
   private async relay(
     admitted: AdmittedRequest,
@@ -209,24 +239,26 @@
     const splitter = new EventSplitter();
     this.parts.migrator.track({ admitted, segment, getOutputTokens: () => state.outputTokens });
     const { endpointId } = segment.placed.backEnd;
-    let outputSinceMs: number | undefined;
+    const sound = this.parts.crashes.watchBeginning(admitted);
     try {
       for await (const chunk of segment.response.read()) {
         const events = splitter.push(chunk);
         if (!events) continue;
         this.writeHead(admitted, state);
-        outputSinceMs ??= this.kernel.clock.nowMs();
         state.lastEventId = events.lastEventId ?? state.lastEventId;
         state.events += events.count;
         segment.recordTokens(state.outputTokens);
+        sound.observe();
         await admitted.exchange.write(events.bytes);
         segment.markReadStart();
       }
       splitter.checkEnd();
+      sound.complete();
       this.parts.placer.recordOutcome(endpointId, 'answered');
       return { end: 'complete' };
     } catch (thrown) {
-      return { end: 'broken', reason: ServingError.from(thrown).detail, outputSinceMs };
+      const reason = ServingError.from(thrown).detail;
+      return { end: 'broken', reason, outputSinceMs: sound.outputSinceMs };
     } finally {
       segment.end();
     }
@@ -247,7 +279,8 @@
     const from = segment.placed.backEnd.endpointId;
     const { lastEventId } = progress;
     const stream = { admitted, segment, getOutputTokens: () => progress.outputTokens };
-    const next = (await segment.migration) ?? this.parts.migrator.recover(stream);
+    const refusal = this.guard.findRefusal(admitted);
+    const next = refusal ? undefined : await this.findNextSegment(stream);
     this.kernel.log.info('decision', {
       requestId: admitted.request.requestId,
       step: 'retry',
@@ -256,7 +289,7 @@
       reason,
       lastEventId,
       outputTokens: progress.outputTokens,
-      outcome: next ? 'goes on from copied memory' : 'no copy',
+      outcome: next ? 'goes on from copied memory' : (refusal?.detail ?? 'no copy'),
     });
     const metrics = this.kernel.get(ServingMetrics);
     if (next) {
@@ -267,7 +300,7 @@
       }
     }
     if (!next) this.parts.placer.recordOutcome(from, 'failed');
-    const resumed = await this.resume(admitted, from, lastEventId);
+    const resumed = refusal ? undefined : await this.resume(admitted, from, lastEventId);
     if (resumed) {
       metrics.countContinuation('new-run');
       return resumed;
@@ -279,6 +312,16 @@
     });
   }
 
+  /** A planned migration, or the backup of a run whose engine was lost, within the retry budget. */
+  private async findNextSegment(stream: RunningStream): Promise<NextSegment | undefined> {
+    const migrated = await stream.segment.migration;
+    if (migrated) return migrated;
+    const { migrator, retries } = this.parts;
+    const { work } = stream.admitted;
+    if (!migrator.hasBackup(stream.segment)) return undefined;
+    return retries.takeFromBudget(work.service) ? migrator.recover(stream) : undefined;
+  }
+
   private async openNextSegment(
     admitted: AdmittedRequest,
     { placed, continueFrom, laterCopy }: NextSegment,
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -6,12 +6,14 @@
  */
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import type { AnswerHead } from '../../services';
+import type { AnswerHead, KnownBackEnd } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { CrashReporter } from './CrashReporter';
 import type { EndpointResponse } from './EndpointResponse';
 import type { EndpointPlacer } from './EndpointPlacer';
 import type { EndpointSender } from './EndpointSender';
 import { FORWARDING_OPTIONS } from './options';
+import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
 
 type AttemptResult =
@@ -45,12 +47,17 @@
 
 /** @internal */
 export class WholeDelivery {
+  private readonly guard: QuarantineGuard;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly placer: EndpointPlacer,
     private readonly sender: EndpointSender,
     private readonly retries: RetryPolicy,
-  ) {}
+    private readonly crashes: CrashReporter,
+  ) {
+    this.guard = new QuarantineGuard(kernel);
+  }
 
   async deliver(admitted: AdmittedRequest): Promise<void> {
     let excluded: ReadonlyArray<EndpointId> = [];
@@ -68,6 +75,7 @@
       best = attempt.result === 'not-run' && best ? best : attempt;
       const isUnsent = attempt.result === 'not-run' && !attempt.wasSent;
       const mayRetry = isUnsent || attempt.result === 'not-run' || admitted.route.isRepeatable;
+      if (this.guard.findRefusal(admitted)) break;
       if (!mayRetry || (!isUnsent && !this.retries.takeRetry(admitted))) break;
     }
     await this.writeResult(admitted, best);
@@ -155,10 +163,14 @@
         if (!sent.wasSent) target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
         return { result: 'not-run', reason: sent.reason, wasSent: sent.wasSent };
       }
-      if (sent.outcome === 'lost') return { result: 'lost', reason: sent.reason };
+      if (sent.outcome === 'lost') {
+        if (!signal.aborted) await this.reportLoss(admitted, placed.backEnd);
+        return { result: 'lost', reason: sent.reason };
+      }
       const attempt = await this.readResponse(sent.head, sent.answer);
       if (attempt.result === 'complete' && isGood(attempt)) {
         this.placer.recordCallTime(endpointId, clock.nowMs() - sentAtMs);
+        this.crashes.recordSound(admitted, sentAtMs);
       }
       if (!signal.aborted) {
         this.placer.recordOutcome(endpointId, isGood(attempt) ? 'answered' : 'failed');
@@ -169,6 +181,13 @@
     }
   }
 
+  /** Calls without a prompt have no part that could be quarantined, and aren't delayed for it. */
+  private async reportLoss(admitted: AdmittedRequest, backEnd: KnownBackEnd): Promise<void> {
+    if (admitted.request.sharedPromptParts.length === 0) return;
+    const progress = { hadHead: false, outputSinceMs: undefined };
+    await this.crashes.reportLoss(admitted, backEnd, progress);
+  }
+
   private async readResponse(head: AnswerHead, response: EndpointResponse): Promise<AttemptResult> {
     const chunks: Uint8Array[] = [];
     let size = 0;
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -4,6 +4,8 @@
   connectTimeoutMs: 500,
   /** Time in which an endpoint whose connection broke has to accept another one. */
   probeTimeoutMs: 300,
+  /** Time that an endpoint goes on serving at least, from the notice that it leaves. */
+  minDepartureMs: 1_000,
   /** How long the outcome of such a probe is used for other requests of the endpoint. */
   probeReuseMs: 400,
   /**
@@ -47,6 +49,10 @@
   copyTimeoutMs: 2_500,
   /** Delay before a migration that every engine has refused is tried again. */
   migrationRetryMs: 60,
+  /** `Retry-After` while another request with a quarantined part is being tried. */
+  trialRetryAfterMs: 1_000,
+  /** Crashes at its beginning after which a request is not sent to another endpoint. */
+  maxCrashesAtStart: 2,
   /** `Retry-After` while no node accepts callers, for example when all of them restart. */
   noNodeRetryAfterMs: 1_000,
   /** Estimated output tokens up to which a draining node still accepts a generation. */
--- a/src/plugins/members/ExchangeMembers.ts
+++ b/src/plugins/members/ExchangeMembers.ts
@@ -4,7 +4,7 @@
 import type { EndpointId, VmId } from '../../core';
 import { chooseExchangePartners, type ExchangePartners, type LoadSum } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Members, type KnownMember } from '../../services';
+import { Members, SeedAddresses, type KnownMember } from '../../services';
 import type { FleetLoads } from './FleetLoads';
 import type { MemberTable } from './MemberTable';
 import { SharingNodes } from './SharingNodes';
@@ -98,6 +98,10 @@
     return this.partners.readers;
   }
 
+  hasJoined(): boolean {
+    return this.exchange.hasJoined || this.listOtherSeeds().length === 0;
+  }
+
   onUpdate(listener: () => void): void {
     this.updateListeners = [...this.updateListeners, listener];
   }
@@ -110,11 +114,18 @@
     if (this.partners.role === 'mesh') this.announceToPartners();
   }
 
-  /** Announces a change to all partners, whatever the role. */
   announceToPartners(): void {
     this.announceListeners.forEach((listener) => listener());
   }
 
+  /** Returns the seeds other than this node. */
+  listOtherSeeds(): ReadonlyArray<string> {
+    return this.kernel
+      .getAll(SeedAddresses)
+      .flatMap((seeds) => seeds.listAddresses())
+      .filter((address) => address !== this.kernel.settings.peerAddress);
+  }
+
   /** Calls the listener on each announcement until the signal aborts. */
   onAnnounce(listener: () => void, signal: AbortSignal): void {
     this.announceListeners.add(listener);
--- a/src/plugins/members/MembersPlugin.ts
+++ b/src/plugins/members/MembersPlugin.ts
@@ -7,15 +7,7 @@
  */
 import { ServingError, type VmId } from '../../core';
 import { Plugin, registerPlugin } from '../../kernel';
-import {
-  GaugeSource,
-  Members,
-  PeerDirectory,
-  PeerHandler,
-  Peers,
-  SeedAddresses,
-  type Peer,
-} from '../../services';
+import { GaugeSource, Members, PeerDirectory, PeerHandler, Peers, type Peer } from '../../services';
 import { ExchangeMembers } from './ExchangeMembers';
 import { FleetLoads } from './FleetLoads';
 import {
@@ -112,11 +104,7 @@
     const { role, partners } = this.members.partners;
     const addresses = partners.flatMap((vmId) => this.table.find(vmId)?.peerAddress ?? []);
     const needsSeeds = role !== 'member' || partners.length === 0;
-    return needsSeeds ? [...addresses, ...this.listSeeds()] : addresses;
-  }
-
-  private listSeeds(): ReadonlyArray<string> {
-    return this.kernel.getAll(SeedAddresses).flatMap((seeds) => seeds.listAddresses());
+    return needsSeeds ? [...addresses, ...this.members.listOtherSeeds()] : addresses;
   }
 
   private startTask(address: string): void {
@@ -180,7 +168,11 @@
     const { clock } = this.kernel;
     const sentAtMs = clock.nowMs();
     const { role, partners } = this.members.partners;
-    const request = this.exchange.createRequest(role, role === 'member' && vmId === partners[0]);
+    const request = this.exchange.createRequest(
+      vmId,
+      role,
+      role === 'member' && vmId === partners[0],
+    );
     const peers = this.kernel.get(Peers);
     const deadlineMs = sentAtMs + MEMBER_OPTIONS.callTimeoutMs;
     const answer = await peers.call(vmId, MESSAGE_TYPE, request, deadlineMs);
--- a/src/plugins/members/StateExchange.ts
+++ b/src/plugins/members/StateExchange.ts
@@ -25,6 +25,9 @@
   SummaryMessage,
 } from './memberMessages';
 import { MEMBER_OPTIONS } from './options';
+import { SharedStates } from './SharedStates';
+
+type CommonFields = Pick<ExchangeReply, keyof ExchangeReply & keyof ExchangeRequest>;
 
 /** @internal */
 export class StateExchange {
@@ -33,11 +36,27 @@
   /** When a node of the own data centre last asked this one as its aggregator. */
   private askedAtMs = -Infinity;
 
+  private readonly shared: SharedStates;
+
+  private readonly startedAtMs: number;
+
+  /** Whether a node that has what the fleet shares has answered this one. */
+  private hasLearned = false;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly table: MemberTable,
     private readonly loads: FleetLoads,
-  ) {}
+  ) {
+    this.shared = new SharedStates(kernel);
+    this.startedAtMs = kernel.clock.nowMs();
+  }
+
+  /** Whether this node has what the fleet shares, or no node answered in time. */
+  get hasJoined(): boolean {
+    const ageMs = this.kernel.clock.nowMs() - this.startedAtMs;
+    return this.hasLearned || ageMs >= MEMBER_OPTIONS.joinTimeoutMs;
+  }
 
   get isAsked(): boolean {
     return this.kernel.clock.nowMs() - this.askedAtMs < MEMBER_OPTIONS.askedWithinMs;
@@ -50,7 +69,7 @@
     return { vmId, incarnation, dataCentre, region, peerAddress, callerAddress, takesCallers };
   }
 
-  createRequest(role: ExchangeRole, wantsLoadSums: boolean): ExchangeRequest {
+  createRequest(to: VmId, role: ExchangeRole, wantsLoadSums: boolean): ExchangeRequest {
     const { clock } = this.kernel;
     const known = this.table.summaries.listFresh(clock.nowMs());
     const summaries = role === 'aggregator' ? [this.describeOwn(role, [])] : [];
@@ -58,6 +77,7 @@
       self: encodeIdentity(this.describeSelf()),
       loads: encodeLoads(this.loads.listOwn()),
       summaries,
+      ...this.describeShared(to),
       role,
       knownLists: [...new Set(known.map(({ membersHash }) => membersHash))],
       missing: this.table.listMissingIdentities(),
@@ -87,6 +107,7 @@
       self: encodeIdentity(this.describeSelf()),
       loads: request.role === 'member' ? [] : encodeLoads(this.loads.listOwn()),
       summaries: [...own, ...relayed],
+      ...this.describeShared(from.vmId),
       identities: this.listIdentities(request.missing),
       loadSums:
         request.wantsLoadSums && isNeighbour
@@ -103,9 +124,15 @@
     if (reply.loadSums) this.loads.receive(decodeLoadSums(reply.loadSums), sentAtMs);
   }
 
+  private describeShared(to: VmId): Pick<ExchangeReply, 'shared' | 'hasJoined'> {
+    const messages = this.shared.encodeFor(to);
+    const shared = messages.length === 0 ? undefined : messages;
+    return { shared, hasJoined: this.hasJoined };
+  }
+
   private applyState(
     from: Peer,
-    { self, loads, summaries }: Pick<ExchangeReply, 'self' | 'loads' | 'summaries'>,
+    { self, loads, summaries, shared = [], hasJoined }: CommonFields,
     receivedAtMs: number,
   ): void {
     const identity = decodeIdentity(self);
@@ -118,6 +145,8 @@
     }
     this.table.updateDirect(identity, decodeLoads(loads), this.kernel.clock.nowMs());
     summaries.forEach((summary) => this.applySummary(from.vmId, summary, receivedAtMs));
+    const isCurrent = this.shared.apply(from, shared, receivedAtMs);
+    this.hasLearned ||= hasJoined && isCurrent;
     this.loads.invalidate();
   }
 
--- a/src/plugins/members/memberMessages.ts
+++ b/src/plugins/members/memberMessages.ts
@@ -9,7 +9,13 @@
 import { endpointIdSchema, incarnationSchema, vmIdSchema } from '../../core';
 
 /** Bounds on the size of an exchange, several times those of the largest fleet in use. */
-const LIMITS = { nodes: 4_096, endpoints: 8_192, summaries: 256, textLength: 255 } as const;
+const LIMITS = {
+  nodes: 4_096,
+  endpoints: 8_192,
+  summaries: 256,
+  sharedStates: 16,
+  textLength: 255,
+} as const;
 
 const countSchema = z.number().min(0);
 const textSchema = z.string().max(LIMITS.textLength);
@@ -76,10 +82,22 @@
   .readonly();
 export type SummaryMessage = z.infer<typeof summarySchema>;
 
+/**
+ * Type of a state that nodes share; revision of the sender's content; revision of the receiver's
+ * content that the sender has; the content, unless the receiver has it.
+ */
+const sharedStateSchema = z
+  .tuple([textSchema, countSchema, countSchema, z.unknown().optional()])
+  .readonly();
+export type SharedStateMessage = z.infer<typeof sharedStateSchema>;
+
 const exchangeShape = {
   self: identitySchema,
   loads: loadsSchema,
   summaries: z.array(summarySchema).max(LIMITS.summaries).readonly(),
+  shared: z.array(sharedStateSchema).max(LIMITS.sharedStates).readonly().optional(),
+  /** Whether the sender has what the fleet shares; nodes of earlier versions share nothing. */
+  hasJoined: z.boolean().default(true),
 };
 
 /** @internal */
--- a/src/plugins/members/options.ts
+++ b/src/plugins/members/options.ts
@@ -32,6 +32,10 @@
   askedWithinMs: 2_000,
   /** Time since the start within which a node that knows no other one doesn't read the source. */
   discoveryMs: 100,
+  /** Time since the start after which a node that no other answers goes on by what it has. */
+  joinTimeoutMs: 1_000,
+  /** Nodes whose revisions of shared states are remembered; the content is sent again to others. */
+  maxSharingPeers: 4_096,
   /** Age at which a node is evicted; one at a seed address of the settings is contacted again. */
   evictAfterMs: 30_000,
   /** How long nodes that are gone still count where a budget is divided among the nodes. */
--- /dev/null
+++ b/src/plugins/quarantine/SharedCrashes.ts
@@ -0,0 +1,82 @@
+/**
+ * The evidence of crashes as nodes exchange it: with ages, as their clocks differ.
+ */
+import * as z from 'zod';
+import { promptPartIdSchema } from '../../core';
+import { CRASH_EVIDENCE_OPTIONS } from '../../decisions';
+import type { Clock } from '../../core';
+import { SharedState } from '../../services';
+import type { PromptQuarantine } from './PromptQuarantine';
+
+const { maxCrashes, maxSuspectsPerCrash } = CRASH_EVIDENCE_OPTIONS;
+
+const MAX_PARTS = 64;
+const MAX_ID_LENGTH = 255;
+const ageSchema = z.number().min(0);
+
+/** Whether the head of the answer had arrived; the parts of the prompt. */
+const suspectSchema = z.tuple([z.boolean(), z.array(promptPartIdSchema).max(MAX_PARTS)]).readonly();
+
+/** Id of the crash, its age in ms, suspects. */
+const crashSchema = z
+  .tuple([
+    z.string().max(MAX_ID_LENGTH),
+    ageSchema,
+    z.array(suspectSchema).max(maxSuspectsPerCrash),
+  ])
+  .readonly();
+
+/** A part of a prompt, and the time in ms since the newest sound request with it began. */
+const soundSchema = z.tuple([promptPartIdSchema, ageSchema]).readonly();
+
+const contentSchema = z
+  .object({
+    crashes: z.array(crashSchema).max(maxCrashes),
+    sound: z.array(soundSchema).max(maxCrashes * maxSuspectsPerCrash * MAX_PARTS),
+  })
+  .readonly();
+
+/** @internal */
+export class SharedCrashes extends SharedState<typeof contentSchema> {
+  readonly type = 'crashes';
+
+  readonly schema = contentSchema;
+
+  constructor(
+    private readonly quarantine: PromptQuarantine,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  override get revision(): number {
+    return this.quarantine.revision;
+  }
+
+  override encode(): z.infer<typeof contentSchema> {
+    const { crashes, soundAtMs } = this.quarantine.evidence;
+    return {
+      crashes: crashes.map(({ crashId, atMs, suspects }) => [
+        crashId,
+        this.getAgeMs(atMs),
+        suspects.map(({ hadHead, parts }) => [hadHead, [...parts]] as const),
+      ]),
+      sound: [...soundAtMs].map(([part, beganAtMs]) => [part, this.getAgeMs(beganAtMs)] as const),
+    };
+  }
+
+  override merge({ crashes, sound }: z.infer<typeof contentSchema>, takenAtMs: number): void {
+    this.quarantine.mergeFrom({
+      crashes: crashes.map(([crashId, ageMs, suspects]) => ({
+        crashId,
+        atMs: takenAtMs - ageMs,
+        suspects: suspects.map(([hadHead, parts]) => ({ hadHead, parts })),
+      })),
+      soundAtMs: new Map(sound.map(([part, ageMs]) => [part, takenAtMs - ageMs])),
+    });
+  }
+
+  private getAgeMs(atMs: number): number {
+    return Math.max(0, Math.round(this.clock.nowMs() - atMs));
+  }
+}
--- /dev/null
+++ b/src/plugins/quarantine/index.ts
@@ -0,0 +1,1 @@
+export { QuarantinePlugin } from './QuarantinePlugin';
--- a/src/services/Members.ts
+++ b/src/services/Members.ts
@@ -50,11 +50,20 @@
   /** Returns the nodes that this one follows instead of the source, best first; empty on a reader. */
   abstract listReaders(): ReadonlyArray<VmId>;
 
+  /**
+   * Whether this node has what the fleet shares: a node that had it has answered, or none could be
+   * reached within a time after the start.
+   */
+  abstract hasJoined(): boolean;
+
   /** Calls the listener whenever the load of other nodes was updated. */
   abstract onUpdate(listener: () => void): void;
 
   /** Sends a change of this node's load to the other nodes immediately, unless they are many. */
   abstract announce(): void;
+
+  /** Sends a rare change to all nodes that this one exchanges states with, however many there are. */
+  abstract announceToPartners(): void;
 }
 
 /** Lists the load of this node on each endpoint. @public */
--- a/tests/MemberFleet.ts
+++ b/tests/MemberFleet.ts
@@ -74,17 +74,20 @@
     readonly network: MemoryNetwork,
     private readonly dataCentres: number,
     private readonly endpoints: number,
+    private readonly plugins: ReadonlyArray<PluginClass>,
   ) {}
 
   /**
    * @param dataCentres over which the nodes are spread evenly.
    * @param endpoints on which each node reports a load.
+   * @param plugins of each node besides the membership.
    */
   static async start(
     seed: number,
     nodes: number,
     dataCentres: number,
     endpoints = 1,
+    plugins: ReadonlyArray<PluginClass> = [],
   ): Promise<MemberFleet> {
     let state = seed;
     const fleet = new MemberFleet(
@@ -94,6 +97,7 @@
       }),
       dataCentres,
       endpoints,
+      plugins,
     );
     for (let index = 0; index < nodes; index++) await fleet.startNode(index);
     return fleet;
@@ -115,7 +119,10 @@
         callerAddress: getAddress(index),
       },
       fleet: MembersPlugin,
-      plugins: [createStub([getAddress(0), getAddress(1), getAddress(2)], this.endpoints)],
+      plugins: [
+        createStub([getAddress(0), getAddress(1), getAddress(2)], this.endpoints),
+        ...this.plugins,
+      ],
     });
   }
 
--- a/tests/queryOfDeath.test.ts
+++ b/tests/queryOfDeath.test.ts
@@ -26,6 +26,13 @@
   await fixture.stop();
 });
 
+async function addEngine(index: number, changes: object): Promise<void> {
+  const instanceId = `i-writer-${index}`;
+  const options = { instanceId, events: 3, deadlyPart: DEADLY_PART, ...changes };
+  const engine = await fixture.addEngine('writers', options);
+  engine.onCrash = () => fixture.store.remove(`servers/${instanceId}`);
+}
+
 async function startFleet(engineOptions = {}): Promise<ReadonlyArray<FrontNode>> {
   const services = [
     { name: 'desk', maxConnections: 40 },
@@ -36,12 +43,7 @@
     },
   ];
   fixture.store.put('op/config', createStoreConfiguration({ services }));
-  for (let index = 0; index < ENGINES; index++) {
-    const instanceId = `i-writer-${index}`;
-    const options = { instanceId, events: 3, deadlyPart: DEADLY_PART, ...engineOptions };
-    const engine = await fixture.addEngine('writers', options);
-    engine.onCrash = () => fixture.store.remove(`servers/${instanceId}`);
-  }
+  for (let index = 0; index < ENGINES; index++) await addEngine(index, engineOptions);
   const nodes = [await fixture.addReadyNode(ENGINES), await fixture.addReadyNode(ENGINES)];
   await fixture.waitForMembers();
   return nodes;
