--- a/src/decisions/LogExplanation.test.ts
+++ b/src/decisions/LogExplanation.test.ts
@@ -45,3 +45,16 @@
   expect(explain([placed, end])).toHaveLength(2);
   expect(explain([])).toHaveLength(0);
 });
+
+// Guards against a cut stream whose explanation doesn't tell that its engine crashed, and how far the
+// answer was.
+test.each([
+  [{ hadHead: true, outputForMs: 1_200 }, 'while the answer had had output for 1200 ms'],
+  [{ hadHead: true }, 'while the answer had begun without output'],
+  [{ hadHead: false }, 'while the answer had not begun'],
+])('a crash of the engine is told: %j', (progress, expected) => {
+  const crash = { ...placed, event: 'endpoint crashed', promptParts: ['a', 'b'], ...progress };
+  const sentence = explain([placed, crash])[1];
+  expect(sentence).toContain(`i-1 crashed ${expected}`);
+  expect(sentence).toContain('shared parts of the prompt: a, b.');
+});
--- a/src/decisions/describeLogLine.ts
+++ b/src/decisions/describeLogLine.ts
@@ -5,6 +5,8 @@
 /** A parsed log line. @public */
 export type LogLine = Readonly<Record<string, unknown>>;
 
+const REQUEST_EVENTS: ReadonlySet<string> = new Set(['request', 'decision', 'endpoint crashed']);
+
 interface SentAttempt {
   readonly endpointId: string;
   readonly outcome: string;
@@ -49,8 +51,17 @@
   return `Ended as ${String(line.outcome)} after ${String(line.totalMs)} ms on route ${String(line.route ?? 'none')}. ${where}`;
 }
 
+function describeCrash(line: LogLine): string {
+  const parts = (line.promptParts ?? []) as ReadonlyArray<string>;
+  const began = line.hadHead ? 'had begun without output' : 'had not begun';
+  const progress =
+    line.outputForMs === undefined ? began : `had had output for ${String(line.outputForMs)} ms`;
+  return `${String(line.endpointId)} crashed while the answer ${progress}; shared parts of the prompt: ${parts.join(', ') || 'none'}.`;
+}
+
 function describe(line: LogLine): string {
   if (line.event === 'request') return describeEnd(line);
+  if (line.event === 'endpoint crashed') return describeCrash(line);
   if (line.step === 'refuse') return describeRefusal(line);
   if (line.outcome === 'refuse') {
     return `Found no place (${String(line.step)}): ${String(line.reason)} (clause ${String(line.clause)}).`;
@@ -62,7 +73,7 @@
 
 /** Describes a line with its time and node; undefined if it isn't about the request. */
 export function describeLogLine(line: LogLine, requestId: string): string | undefined {
-  const isAbout = line.event === 'request' || line.event === 'decision';
+  const isAbout = REQUEST_EVENTS.has(String(line.event));
   if (!isAbout || line.requestId !== requestId) return undefined;
   return `${String(line.time)} ${String(line.vmId)}: ${describe(line)}`;
 }
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -16,7 +16,7 @@
 
 /** @public */
 export type EngineBehaviour =
-  'answer' | 'shed' | 'fail' | 'reset' | 'silent' | 'crossed' | 'unsigned';
+  'answer' | 'shed' | 'fail' | 'reset' | 'silent' | 'crossed' | 'unsigned' | 'crash';
 
 /** @public */
 export interface PlatformEngineOptions {
@@ -142,8 +142,9 @@
     if (this.behaviour === 'shed') {
       return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
     }
+    if (this.behaviour === 'crash') void this.stop();
     if (this.behaviour === 'reset') resetConnection(context.env.incoming);
-    if (this.behaviour === 'reset' || this.behaviour === 'silent') return new Promise(() => {});
+    if (['reset', 'silent', 'crash'].includes(this.behaviour)) return new Promise(() => {});
     this.executedRequestIds = [...this.executedRequestIds, requestId];
     const responseRequestId = this.behaviour === 'crossed' ? 'another-request' : requestId;
     const head: Record<string, string> = { [REQUEST_ID_HEADER]: responseRequestId };
--- a/tests/queryOfDeath.test.ts
+++ b/tests/queryOfDeath.test.ts
@@ -69,30 +69,34 @@
 
 // Guards against requests of one kind that crash engines one after the other: whatever else is in
 // the prompt, whichever node they come to, and while sound requests share their first parts.
-test.each(['/report/a', '/label/a'])(
-  'a part that crashes engines at %s is refused',
-  async (target) => {
-    const nodes = await startFleet();
-    const [first, second] = nodes as readonly [FrontNode, FrontNode];
-    let last: Awaited<ReturnType<typeof callWithParts>>;
-    for (let round = 0; round < 7; round++) {
-      const node = round % 2 === 0 ? first : second;
-      const parts = `a${round % 2}:40,${DEADLY_PART}:30,own${round}:300`;
-      last = await callWithParts(node, target, parts);
-      if (countCrashes() === ENGINES) break;
-      await callWithParts(second, target, `a${round % 2}:40,b${round}:30,sound${round}:300`);
-      await pause();
-    }
-    expect(countCrashes()).toBeLessThanOrEqual(MAX_CRASHES);
-    expect(last?.status).toBe(503);
-    expect(last?.headers['retry-after']).toBeDefined();
-    expect(JSON.parse(last?.text ?? '{}')).toMatchObject({
-      error: { kind: 'prompt-quarantined', run: 'not-run' },
-    });
+test.each([
+  ['/report/a', ['/report/a']],
+  ['/label/a', ['/label/a']],
+  ['two routes', ['/report/a', '/label/a']],
+])('a part that crashes engines at %s is refused', async (_name, targets) => {
+  const nodes = await startFleet();
+  const [first, second] = nodes as readonly [FrontNode, FrontNode];
+  let last: Awaited<ReturnType<typeof callWithParts>>;
+  for (let round = 0; round < 7; round++) {
+    const node = round % 2 === 0 ? first : second;
+    const target = targets[round % targets.length] ?? '';
+    const parts = `a${round % 2}:40,${DEADLY_PART}:30,own${round}:300`;
+    last = await callWithParts(node, target, parts);
+    if (countCrashes() === ENGINES) break;
+    await callWithParts(second, target, `a${round % 2}:40,b${round}:30,sound${round}:300`);
+    await pause();
+  }
+  expect(countCrashes()).toBeLessThanOrEqual(MAX_CRASHES);
+  expect(last?.status).toBe(503);
+  expect(last?.headers['retry-after']).toBeDefined();
+  expect(JSON.parse(last?.text ?? '{}')).toMatchObject({
+    error: { kind: 'prompt-quarantined', run: 'not-run' },
+  });
+  for (const target of targets) {
     const sound = await callWithParts(first, target, 'a0:40,b7:30,sound:300');
     expect(sound?.status).toBe(200);
-  },
-);
+  }
+});
 
 // Guards against one request that crashes engine after engine because its run is continued from
 // copies of its KV cache.
@@ -101,3 +105,32 @@
   await callWithParts(node, '/report/a', `a0:40,${DEADLY_PART}:30,own:300`);
   expect(countCrashes()).toBeLessThanOrEqual(2);
 });
+
+// Guards against a call that crashes every endpoint of a plain service in turn.
+test.each([
+  ['/lookup/a', 2],
+  ['/credit/a', 1],
+])('a call that crashes services at %s is sent to %i at most', async (target, maxCrashes) => {
+  fixture.store.put('op/config', createStoreConfiguration());
+  for (let index = 0; index < 4; index++) {
+    const engine = await fixture.addEngine('desk', { instanceId: `i-desk-${index}` });
+    engine.behaviour = 'crash';
+  }
+  const node = await fixture.addReadyNode(4);
+  const response = await callFront(node, target);
+  expect(response.status).toBe(502);
+  const crashed = fixture.engines.filter(({ receivedRequests }) => receivedRequests.length > 0);
+  expect(crashed).toHaveLength(maxCrashes);
+});
+
+// Guards against a head that takes a node down or fills its memory.
+test.each([
+  ['no parts', ''],
+  ['commas only', ','.repeat(4_000)],
+  ['many parts', Array.from({ length: 1_500 }, (_, index) => `p${index}:1`).join(',')],
+  ['a long part', `${'x'.repeat(8_000)}:1,own:1`],
+  ['no numbers', 'a:b:c,:::,%zz,own'],
+])('a prompt header with %s is served', async (_name, parts) => {
+  const [node] = (await startFleet()) as readonly [FrontNode, FrontNode];
+  expect((await callWithParts(node, '/report/a', parts))?.status).toBe(200);
+});
