Report no begun stream as not run; move and hedge no request that is refused

A stream that began without output and broke off was answered 503 "not run" where no other engine was left. A run with a quarantined part was still copied to another engine when its own was leaving, stopped there, and then refused; its reservation was kept. A trial of a repeatable request could be hedged. Change: the refusal of a placement after a lost run is the loss of the run; runs with a refused part stay where they began; reservations are released; no hedge for what may not be sent again. Figures: tests/brokenAnswers.test.ts `a begun stream without another engine …` got 503 before, 502 now.

--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -19,6 +19,7 @@
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputEstimator } from './OutputEstimator';
+import { QuarantineGuard } from './QuarantineGuard';
 import type { NextSegment, StreamSegment } from './StreamSegment';
 
 /** @internal */
@@ -32,11 +33,15 @@
 export class RunMigrator {
   private readonly running = new Set<RunningStream>();
 
+  private readonly guard: QuarantineGuard;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly placer: EndpointPlacer,
     private readonly estimator: OutputEstimator,
-  ) {}
+  ) {
+    this.guard = new QuarantineGuard(kernel);
+  }
 
   /** Tracks a stream until its segment ends, and migrates it when its engine starts to leave. */
   track(stream: RunningStream): void {
@@ -101,6 +106,8 @@
     if (segment.migration || segment.done.aborted) return;
     const profile = admitted.work.configuration.services.get(admitted.work.service)?.engine;
     if (!profile?.canMigrate || !admitted.work.prompt) return;
+    // The other engine could crash; where the run is, it has begun well.
+    if (this.guard.findRefusal(admitted)) return;
     segment.migration = this.migrateIfNeeded(stream);
   }
 
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -280,6 +280,7 @@
     const { lastEventId } = progress;
     const stream = { admitted, segment, getOutputTokens: () => progress.outputTokens };
     const refusal = this.guard.findRefusal(admitted);
+    if (refusal) void segment.abandonMigration();
     const next = refusal ? undefined : await this.findNextSegment(stream);
     this.kernel.log.info('decision', {
       requestId: admitted.request.requestId,
@@ -347,7 +348,13 @@
     lastEventId: string | undefined,
   ): Promise<StreamSegment | undefined> {
     if (!admitted.route.isResumable || !this.parts.retries.takeRetry(admitted)) return undefined;
-    const placed = this.parts.placer.place(admitted.work, [from], 'retry');
+    let placed: RequestReservation;
+    try {
+      placed = this.parts.placer.place(admitted.work, [from], 'retry');
+    } catch {
+      // The placer has logged the reason; its refusal would deny the run that was lost.
+      return undefined;
+    }
     const sent = await this.sendTo(admitted, placed, { continueFrom: undefined, lastEventId });
     return sent instanceof StreamSegment ? this.checkContinued(admitted, sent) : undefined;
   }
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -96,7 +96,8 @@
     try {
       if (!admitted.route.isRepeatable) return await first.completion;
       const early = await Promise.race([first.completion, this.waitForHedge(admitted, first)]);
-      if (early || !this.retries.takeRetry(admitted)) return await first.completion;
+      const mayHedge = !early && !this.guard.findRefusal(admitted);
+      if (!mayHedge || !this.retries.takeRetry(admitted)) return await first.completion;
       const second = this.startAttempt(admitted, [...excluded, ...admitted.sentTo], 'retry');
       return await this.waitForFirstGood([first, second]);
     } catch (thrown) {
--- a/tests/brokenAnswers.test.ts
+++ b/tests/brokenAnswers.test.ts
@@ -202,3 +202,13 @@
   expect((await call(node, '/label/a')).status).toBe(502);
   expect(attempts).toBe(2);
 });
+
+// Guards against "not run" of a stream that began without output and broke off, with no engine left.
+test('a begun stream without another engine is not reported as not run', async () => {
+  await addRawEndpoint('writers', (socket, requestId) => {
+    socket.write(createHead(requestId, 'Transfer-Encoding: chunked\r\n\r\n'));
+    setTimeout(() => socket.destroy(), 50);
+  });
+  const node = await fixture.addReadyNode(1);
+  expect((await call(node, '/label/a')).status).toBe(502);
+});
