--- a/src/decisions/crashEvidence.ts
+++ b/src/decisions/crashEvidence.ts
@@ -13,8 +13,9 @@
   /** Age at which a crash is forgotten. */
   retentionMs: 600_000,
   /** Newest crashes that are kept. */
-  maxCrashes: 96,
+  maxCrashes: 64,
   maxSuspectsPerCrash: 16,
+  maxPartsPerSuspect: 32,
 } as const;
 
 /** A request that had not begun well when its endpoint crashed. @public */
--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -83,7 +83,7 @@
 }
 
 /** Bounds the work and memory that one request can cause. */
-const MAX_PROMPT_PARTS = 64;
+const MAX_PROMPT_PARTS = 32;
 
 /** Reads `id:tokens,id:tokens`, without the last part, which belongs to the request alone. */
 function readSharedParts(headers: Headers): ReadonlyArray<PromptPartId> {
--- a/src/plugins/quarantine/SharedCrashes.ts
+++ b/src/plugins/quarantine/SharedCrashes.ts
@@ -2,20 +2,20 @@
  * The evidence of crashes as nodes exchange it: with ages, as their clocks differ.
  */
 import * as z from 'zod';
-import { promptPartIdSchema } from '../../core';
+import { promptPartIdSchema, type Clock } from '../../core';
 import { CRASH_EVIDENCE_OPTIONS } from '../../decisions';
-import type { Clock } from '../../core';
 import { SharedState } from '../../services';
 import type { PromptQuarantine } from './PromptQuarantine';
 
-const { maxCrashes, maxSuspectsPerCrash } = CRASH_EVIDENCE_OPTIONS;
+const { maxCrashes, maxSuspectsPerCrash, maxPartsPerSuspect } = CRASH_EVIDENCE_OPTIONS;
 
-const MAX_PARTS = 64;
 const MAX_ID_LENGTH = 255;
 const ageSchema = z.number().min(0);
 
 /** Whether the head of the answer had arrived; the parts of the prompt. */
-const suspectSchema = z.tuple([z.boolean(), z.array(promptPartIdSchema).max(MAX_PARTS)]).readonly();
+const suspectSchema = z
+  .tuple([z.boolean(), z.array(promptPartIdSchema).max(maxPartsPerSuspect)])
+  .readonly();
 
 /** Id of the crash, its age in ms, suspects. */
 const crashSchema = z
@@ -32,7 +32,7 @@
 const contentSchema = z
   .object({
     crashes: z.array(crashSchema).max(maxCrashes),
-    sound: z.array(soundSchema).max(maxCrashes * maxSuspectsPerCrash * MAX_PARTS),
+    sound: z.array(soundSchema).max(maxCrashes * maxSuspectsPerCrash * maxPartsPerSuspect),
   })
   .readonly();
 
