Refuse at once a prompt that no engine can hold

Cause: found in the look for what one request can do to engines in turn: such a prompt was offered to engine after engine, each of which refuses it as full, and its caller was told to come back. Change: 413 from the size that the request states and the memory of the service's engines.

--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -1,7 +1,13 @@
 /**
  * Serves each caller's request in a task of its own, from its arrival to the end of the response.
  */
-import { ServingError, startDeadline, type ErrorKind, type Route } from '../../core';
+import {
+  ServingError,
+  startDeadline,
+  type EngineProfile,
+  type ErrorKind,
+  type Route,
+} from '../../core';
 import { admitToRoute, admitWhileDraining, chooseService } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
@@ -93,6 +99,7 @@
     }
     const { prompt } = request;
     const input = { customer: holder?.customer, routeName: route.name, prompt };
+    this.checkPromptSize(request, configuration.services.get(service)?.engine);
     this.checkDrain(route, input);
     this.checkJoined(request);
     const isTrial = await this.guard.admit(request.sharedPromptParts, `routes.${route.name}`);
@@ -119,6 +126,14 @@
     );
   }
 
+  /** Refuses a prompt that no engine can hold; each of them would refuse it as if it were full. */
+  private checkPromptSize({ prompt }: ServingRequest, engine: EngineProfile | undefined): void {
+    if (!prompt || !engine || prompt.promptTokens <= engine.memoryTokens) return;
+    throw new ServingError('request-too-large', {
+      detail: `The prompt has ${prompt.promptTokens} tokens; an engine holds ${engine.memoryTokens}.`,
+    });
+  }
+
   /** Refuses prompts on a new node until it knows which parts the others have quarantined. */
   private checkJoined({ sharedPromptParts }: ServingRequest): void {
     if (sharedPromptParts.length === 0 || this.kernel.get(Members).hasJoined()) return;
--- a/tests/queryOfDeath.test.ts
+++ b/tests/queryOfDeath.test.ts
@@ -134,3 +134,12 @@
   const [node] = (await startFleet()) as readonly [FrontNode, FrontNode];
   expect((await callWithParts(node, '/report/a', parts))?.status).toBe(200);
 });
+
+// Guards against a prompt that every engine in turn has to refuse, as none can hold it.
+test('a prompt larger than the memory of an engine is refused at once', async () => {
+  const [node] = (await startFleet()) as readonly [FrontNode, FrontNode];
+  const headers = { ...GENERATION_HEADERS, 'x-bramleyvane-token-usage': '30001,80' };
+  const response = await callFront(node, '/label/a', { method: 'POST', headers });
+  expect(response.status).toBe(413);
+  expect(fixture.engines.flatMap(({ receivedRequests }) => receivedRequests)).toEqual([]);
+});
