Decay the failures of a crashed endpoint as those of others; test its ejection

Cause: the record of a crash kept an old share of failures as if it were new. Change: the share decays until the crash; a test of the ejection; a comment says how far merged evidence agrees.

--- a/src/decisions/EndpointHealth.test.ts
+++ b/src/decisions/EndpointHealth.test.ts
@@ -47,3 +47,14 @@
   health.recordEnded(id);
   expect(health.isSilent(id, 60_000)).toBe(false);
 });
+
+// Guards against sending the streams of a crashed engine back to it before it has started again.
+test('ejects a crashed endpoint at once, until it has restarted', () => {
+  const health = new EndpointHealth();
+  health.recordCrash(id, 0);
+  expect(health.isEjected(id, HEALTH_OPTIONS.maxEjectionMs - 1)).toBe(true);
+  expect(health.isEjected(id, HEALTH_OPTIONS.maxEjectionMs)).toBe(false);
+  health.recordCrash(id, 0);
+  health.forget(id);
+  expect(health.isEjected(id, 1)).toBe(false);
+});
--- a/src/decisions/EndpointHealth.ts
+++ b/src/decisions/EndpointHealth.ts
@@ -102,7 +102,8 @@
   recordCrash(endpointId: EndpointId, nowMs: number): void {
     const before = this.records.get(endpointId) ?? NO_FAILURES;
     const ejectedUntilMs = nowMs + HEALTH_OPTIONS.maxEjectionMs;
-    this.records.set(endpointId, { ...before, updatedAtMs: nowMs, ejectedUntilMs });
+    const failureShare = this.getFailureShare(endpointId, nowMs);
+    this.records.set(endpointId, { ...before, failureShare, updatedAtMs: nowMs, ejectedUntilMs });
   }
 
   /** Decayed moving average of failures, from 0 to 1. */
--- a/src/decisions/crashEvidence.ts
+++ b/src/decisions/crashEvidence.ts
@@ -2,8 +2,9 @@
  * What is known of crashes of endpoints that a request may have caused: which requests had not
  * begun well when an endpoint crashed, and when requests with the same parts did begin well.
  *
- * Times are monotonic times of this node. All parts of the evidence only grow, so nodes that merge
- * each other's evidence in any order arrive at the same.
+ * Times are monotonic times of this node. Within its bounds the evidence only grows until it
+ * expires, so nodes that merge each other's in any order arrive at the same, but for the small
+ * errors of the ages in which they tell each other the times.
  */
 import type { PromptPartId } from '../core';
 
