Hold prompts on a new node instead of refusing them

Cause: until a new node had heard of quarantined parts, for up to a second, it refused prompts and told callers to use other nodes. After a loss of all nodes no one knows anything, so all did that for a second; callers come back once and were refused again.

--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -101,7 +101,7 @@
     const input = { customer: holder?.customer, routeName: route.name, prompt };
     this.checkPromptSize(request, configuration.services.get(service)?.engine);
     this.checkDrain(route, input);
-    this.checkJoined(request);
+    await this.waitUntilJoined(request);
     const isTrial = await this.guard.admit(request.sharedPromptParts, `routes.${route.name}`);
     this.parts.retries.recordRequest(service);
     const timeoutMs = Math.min(request.callerTimeoutMs ?? Infinity, route.answerWithinMs);
@@ -134,13 +134,15 @@
     });
   }
 
-  /** Refuses prompts on a new node until it knows which parts the others have quarantined. */
-  private checkJoined({ sharedPromptParts }: ServingRequest): void {
-    if (sharedPromptParts.length === 0 || this.kernel.get(Members).hasJoined()) return;
-    throw new ServingError('not-ready', {
-      detail: 'This node has not heard from the other nodes yet.',
-      retryAfterMs: FORWARDING_OPTIONS.otherNodeRetryAfterMs,
-    });
+  /**
+   * Holds prompts on a new node until it knows which parts the others have quarantined. They are not
+   * refused, as most callers would have to come back before that.
+   */
+  private async waitUntilJoined({ sharedPromptParts }: ServingRequest): Promise<void> {
+    if (sharedPromptParts.length === 0) return;
+    const members = this.kernel.get(Members);
+    while (!members.hasJoined())
+      await this.kernel.clock.sleep(FORWARDING_OPTIONS.joinCheckIntervalMs);
   }
 
   private checkDrain(route: Route, input: EstimateInput): void {
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -53,6 +53,8 @@
   trialRetryAfterMs: 1_000,
   /** Crashes at its beginning after which a request is not sent to another endpoint. */
   maxCrashesAtStart: 2,
+  /** Interval at which a held prompt checks whether a new node has heard from another one. */
+  joinCheckIntervalMs: 20,
   /** `Retry-After` while no node accepts callers, for example when all of them restart. */
   noNodeRetryAfterMs: 1_000,
   /** Estimated output tokens up to which a draining node still accepts a generation. */
--- a/src/plugins/quarantine/QuarantinePlugin.ts
+++ b/src/plugins/quarantine/QuarantinePlugin.ts
@@ -4,9 +4,7 @@
  */
 import { Plugin, registerPlugin } from '../../kernel';
 import {
-  CallerAdmission,
   GaugeSource,
-  Members,
   PeerHandler,
   Quarantine,
   SharedState,
@@ -17,17 +15,6 @@
 import { SharedCrashes } from './SharedCrashes';
 import { TrialGrants, TrialHandler } from './TrialGrants';
 
-/** Keeps callers away from a new node until it knows what the others have learned. */
-class JoinedAdmission extends CallerAdmission {
-  constructor(private readonly members: () => Members) {
-    super();
-  }
-
-  takesCallers(): boolean {
-    return this.members().hasJoined();
-  }
-}
-
 class QuarantineGauges extends GaugeSource {
   constructor(private readonly quarantine: PromptQuarantine) {
     super();
@@ -63,7 +50,6 @@
     kernel.provide(SharedState, new SharedCrashes(quarantine, kernel.clock));
     kernel.provide(PeerHandler, new TrialHandler(this.trials));
     kernel.provide(GaugeSource, new QuarantineGauges(quarantine));
-    kernel.provide(CallerAdmission, new JoinedAdmission(() => kernel.get(Members)));
   }
 
   override async start(): Promise<void> {
