--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -141,8 +141,9 @@
   private async waitUntilJoined({ sharedPromptParts }: ServingRequest): Promise<void> {
     if (sharedPromptParts.length === 0) return;
     const members = this.kernel.get(Members);
-    while (!members.hasJoined())
+    while (!members.hasJoined()) {
       await this.kernel.clock.sleep(FORWARDING_OPTIONS.joinCheckIntervalMs);
+    }
   }
 
   private checkDrain(route: Route, input: EstimateInput): void {
