Wait for other nodes at a start as long as they take to try again

With all seeds down, a new node must be found by the others; they try again after 500 ms, with 700 ms for a call, but it went on alone after 1 s and could have repeated the fault. Change: 1.5 s.

--- a/src/plugins/members/options.ts
+++ b/src/plugins/members/options.ts
@@ -32,8 +32,11 @@
   askedWithinMs: 2_000,
   /** Time since the start within which a node that knows no other one doesn't read the source. */
   discoveryMs: 100,
-  /** Time since the start after which a node that no other answers goes on by what it has. */
-  joinTimeoutMs: 1_000,
+  /**
+   * Time since the start after which a node that no other answers goes on by what it has. Nodes that
+   * knew its process before try it again within the retry interval and the timeout of one call.
+   */
+  joinTimeoutMs: 1_500,
   /** Nodes whose revisions of shared states are remembered; the content is sent again to others. */
   maxSharingPeers: 4_096,
   /** Age at which a node is evicted; one at a seed address of the settings is contacted again. */
