Reuse CrashSuspect and the kernel's tasks; drop a wrapper and an unread field

`LostRequest` had the shape of `CrashSuspect`; `listSuspectParts` only wrapped another function; nothing read `lastCrashAtMs`. The report of a crash that a stream doesn't wait for was a bare promise, whose failure nobody would have handled. Change: one type, one function, no field; the report is a task of the kernel, which logs a failure. Otherwise behaviour is as before.

--- a/src/decisions/crashEvidence.ts
+++ b/src/decisions/crashEvidence.ts
@@ -61,7 +61,8 @@
     .slice(0, CRASH_EVIDENCE_OPTIONS.maxSuspectsPerCrash);
 }
 
-function listParts(crashes: ReadonlyArray<EndpointCrash>): ReadonlySet<PromptPartId> {
+/** Returns the parts of the suspects of all crashes. */
+export function listSuspectParts(crashes: ReadonlyArray<EndpointCrash>): ReadonlySet<PromptPartId> {
   return new Set(crashes.flatMap(({ suspects }) => suspects.flatMap(({ parts }) => parts)));
 }
 
@@ -102,18 +103,13 @@
 export function expireEvidence(evidence: CrashEvidence, nowMs: number): CrashEvidence {
   const sinceMs = nowMs - CRASH_EVIDENCE_OPTIONS.retentionMs;
   const crashes = evidence.crashes.filter(({ atMs }) => atMs > sinceMs);
-  const parts = listParts(crashes);
+  const parts = listSuspectParts(crashes);
   const soundAtMs = new Map([...evidence.soundAtMs].filter(([part]) => parts.has(part)));
   const isSame =
     crashes.length === evidence.crashes.length && soundAtMs.size === evidence.soundAtMs.size;
   return isSame ? evidence : { crashes, soundAtMs };
 }
 
-/** Parts of the suspects of all crashes. */
-export function listSuspectParts({ crashes }: CrashEvidence): ReadonlySet<PromptPartId> {
-  return listParts(crashes);
-}
-
 /** Merges the evidence of another node; returns the same object if nothing is new. */
 export function mergeEvidence(evidence: CrashEvidence, other: CrashEvidence): CrashEvidence {
   const withCrashes = other.crashes.reduce(addCrash, evidence);
--- a/src/decisions/findHarmfulParts.ts
+++ b/src/decisions/findHarmfulParts.ts
@@ -26,7 +26,6 @@
 export interface HarmfulPart {
   readonly part: PromptPartId;
   readonly crashes: number;
-  readonly lastCrashAtMs: number;
   /** From when on one request with the part may be tried. */
   readonly retryAtMs: number;
 }
@@ -118,7 +117,7 @@
 function describe({ part, crashes }: Candidate): HarmfulPart {
   const lastCrashAtMs = crashes.at(-1)?.atMs ?? -Infinity;
   const retryAtMs = lastCrashAtMs + computeHoldMs(crashes);
-  return { part, crashes: crashes.length, lastCrashAtMs, retryAtMs };
+  return { part, crashes: crashes.length, retryAtMs };
 }
 
 /** Returns the candidates that explain most crashes; of equal ones, those never known as sound. */
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -212,9 +212,11 @@
     { placed }: StreamSegment,
     outputSinceMs: number | undefined,
   ): Promise<void> {
-    const reported = this.reportCrash(admitted, placed.backEnd, true, outputSinceMs);
+    const report = async (): Promise<void> =>
+      this.reportCrash(admitted, placed.backEnd, true, outputSinceMs);
     // A stream with output goes on without waiting for the report.
-    if (outputSinceMs === undefined) await reported;
+    if (outputSinceMs === undefined) await report();
+    else this.kernel.runTask('report crash', report);
   }
 
   private async reportCrash(
--- a/src/plugins/quarantine/PromptQuarantine.ts
+++ b/src/plugins/quarantine/PromptQuarantine.ts
@@ -11,10 +11,11 @@
   mergeEvidence,
   NO_EVIDENCE,
   type CrashEvidence,
+  type CrashSuspect,
   type HarmfulPart,
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Members, Quarantine, type LostRequest, type QuarantineVerdict } from '../../services';
+import { Members, Quarantine, type QuarantineVerdict } from '../../services';
 import { SoundParts } from './SoundParts';
 import type { TrialGrants } from './TrialGrants';
 
@@ -75,7 +76,7 @@
     return isGranted;
   }
 
-  override recordCrash(crashId: string, lost: LostRequest): void {
+  override recordCrash(crashId: string, lost: CrashSuspect): void {
     if (lost.parts.length === 0) return;
     const atMs = this.kernel.clock.nowMs();
     const changed = this.apply(addCrash(this.known, { crashId, atMs, suspects: [lost] }), 'own');
@@ -101,7 +102,7 @@
   /** Takes over changed evidence, together with what this node knows of the parts in it. */
   private apply(evidence: CrashEvidence, source: string): boolean {
     if (evidence === this.known) return false;
-    this.suspects = listSuspectParts(evidence);
+    this.suspects = listSuspectParts(evidence.crashes);
     this.known = [...this.suspects].reduce((before, part) => {
       const beganAtMs = this.sound.find(part);
       return beganAtMs === undefined ? before : addSound(before, part, beganAtMs);
--- a/src/services/Quarantine.ts
+++ b/src/services/Quarantine.ts
@@ -2,6 +2,7 @@
  * Quarantine of parts of prompts that crash endpoints.
  */
 import type { PromptPartId } from '../core';
+import type { CrashSuspect } from '../decisions';
 
 /** @public */
 export type QuarantineVerdict =
@@ -15,13 +16,6 @@
       readonly retryAfterMs: number;
     };
 
-/** A request that had not begun well when its endpoint crashed. @public */
-export interface LostRequest {
-  readonly parts: ReadonlyArray<PromptPartId>;
-  /** Whether the head of the answer had arrived. */
-  readonly hadHead: boolean;
-}
-
 /** @public */
 export abstract class Quarantine {
   /** Decides by the shared parts of a request's prompt; parts of sound requests are admitted. */
@@ -34,7 +28,7 @@
    * Records a request that a crash ended at its beginning.
    * @param crashId the endpoint and its start, the same at every node.
    */
-  abstract recordCrash(crashId: string, lost: LostRequest): void;
+  abstract recordCrash(crashId: string, lost: CrashSuspect): void;
 
   /** Records that a request began well, at a monotonic time. */
   abstract recordSound(parts: ReadonlyArray<PromptPartId>, beganAtMs: number): void;
