Continue a stream without framing whose run was stopped to migrate it

Callers of a stream that had neither a length nor chunks got it truncated and framed as whole when its engine left.

Cause: to migrate a run, the node copies its KV cache and orders the engine to stop it. The engine then closes the stream without its end. With chunks that is an error; without them the end of the connection looks like the end of a complete stream, so StreamDelivery ended the response and abandoned the copy.

Ruled out: the probe of the endpoint (checkEnd) doesn't help, as an engine that leaves still listens.

Change: the segment keeps the answer to the order that stops its run. A stream without framing that ends after such an order is complete only if the engine no longer knew the run; otherwise it goes on from the copy.

Class: an end that isn't told from another end.

--- a/src/plugins/forwarding/EndpointResponse.ts
+++ b/src/plugins/forwarding/EndpointResponse.ts
@@ -35,7 +35,7 @@
   }
 
   /** Whether a length or chunks show the end of the body; otherwise only the connection's end. */
-  private get isFramed(): boolean {
+  get isFramed(): boolean {
     return this.headers.some(([name]) =>
       ['content-length', 'transfer-encoding'].includes(name.toLowerCase()),
     );
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -185,7 +185,8 @@
 
   private async stop(stream: RunningStream, to: KnownBackEnd): Promise<KvCacheCopy | undefined> {
     const { segment } = stream;
-    const last = await this.copy(stream, to, true);
+    segment.stopOrder = this.copy(stream, to, true);
+    const last = await segment.stopOrder;
     // Unless the engine confirms that it stopped the run, closing the stream makes it stop.
     if (last.outcome !== 'copied') segment.response.abort();
     const handle = 'handle' in last ? last.handle : undefined;
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -255,6 +255,9 @@
         segment.markReadStart();
       }
       splitter.checkEnd();
+      if (await segment.mayBeStopped()) {
+        throw new ServingError('endpoint-failed', { detail: 'The run was stopped to migrate it.' });
+      }
       sound.complete();
       this.parts.placer.recordOutcome(endpointId, 'answered');
       return { end: 'complete' };
--- a/src/plugins/forwarding/StreamSegment.ts
+++ b/src/plugins/forwarding/StreamSegment.ts
@@ -1,7 +1,7 @@
 /**
  * Segment of a stream: the part that one engine produces.
  */
-import type { AnswerHead, KvCacheCopy } from '../../services';
+import type { AnswerHead, CopyOutcome, KvCacheCopy } from '../../services';
 import type { EndpointResponse } from './EndpointResponse';
 import type { RequestReservation, EndpointReservation } from './EndpointPlacer';
 
@@ -19,6 +19,9 @@
   /** Set while the run is being migrated to another engine. */
   migration: Promise<NextSegment | undefined> | undefined;
 
+  /** Answer to the order that stops the run on this engine; set once the order is sent. */
+  stopOrder: Promise<CopyOutcome> | undefined;
+
   private readonly doneController = new AbortController();
 
   constructor(
@@ -40,6 +43,15 @@
     this.backup?.release();
   }
 
+  /**
+   * Whether the response may have ended because its run was stopped. A response without a length or
+   * chunks ends in the same way when its run is complete; the engine then no longer knows the run.
+   */
+  async mayBeStopped(): Promise<boolean> {
+    if (this.response.isFramed || !this.stopOrder) return false;
+    return (await this.stopOrder).outcome !== 'no-such-run';
+  }
+
   recordTokens(outputTokens: number): void {
     this.placed.recordTokens(outputTokens);
     this.backup?.recordTokens(outputTokens);
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -27,6 +27,8 @@
   readonly callMs?: number;
   /** Part of a prompt under which the engine crashes when it begins to write the answer. */
   readonly deadlyPart?: string;
+  /** Whether streams have neither a length nor chunks, and end with their connection. */
+  readonly isUnframed?: boolean;
 }
 
 /** Time between the head of an answer and the crash that its request causes. */
@@ -203,10 +205,15 @@
           );
         }
         this.running.delete(requestId);
-        if (run.producedEvents >= events) controller.close();
+        // The end of a stream without framing is the same whether its run is complete or stopped.
+        if (run.producedEvents >= events || this.options.isUnframed) controller.close();
         else run.abort();
       },
     });
+    if (this.options.isUnframed) {
+      context.env.outgoing.useChunkedEncodingByDefault = false;
+      context.env.outgoing.shouldKeepAlive = false;
+    }
     return context.body(body, 200, { ...head, 'Content-Type': 'text/event-stream' });
   }
 
