Decode the items of the store's answers one by one

An item whose key, value or revision had another type made the schema of the whole answer fail: readAll and readChanges threw, the node logged 'source lost' and followed the list no more while the item was there.

Evidence: tests/oddEntries.test.ts, 'reads on past an item with ...'.

Each item is now decoded by itself in storeItems.ts, and one that fails becomes an 'unreadable' change; revisions are safe integers, also the store's own. Pages go on after the last key that can be sent back, and a page without one fails the read instead of repeating it or ending it early, which would have counted the entries after it as removed.

Ruled out: deep nesting. 200,000 levels under an entry, closed or not, are decoded or refused with one reason; JSON.parse of this engine isn't recursive, and zod doesn't descend into fields that it doesn't name.

--- a/src/platform/StoreSource.ts
+++ b/src/platform/StoreSource.ts
@@ -10,73 +10,23 @@
   type PublishedChanges,
   type PublishedValue,
 } from '../services';
-import { decodeConfiguration, decodeEndpoint, decodeEndpointId } from './storeValues';
+import { decodeItem, decodeValue, getNextPageKey } from './storeItems';
 import { PATHS, STORE_KEYS } from './wireNames';
 
 const OK = 200;
 const GONE = 410;
 
-const itemSchema = z.object({ key: z.string(), value: z.string(), revision: z.number() });
-
-const removalSchema = z.object({ key: z.string(), revision: z.number(), deleted: z.unknown() });
-
 const rangeSchema = z.object({
-  items: z.array(itemSchema),
+  items: z.array(z.unknown()),
   hasMore: z.boolean().default(false),
-  storeRevision: z.number(),
+  storeRevision: z.int().nonnegative(),
 });
 
 const watchSchema = z.object({
-  events: z.array(z.union([itemSchema, removalSchema])),
-  storeRevision: z.number(),
+  events: z.array(z.unknown()),
+  storeRevision: z.int().nonnegative(),
 });
 
-type StoreEvent = z.infer<typeof watchSchema>['events'][number];
-
-function decodeValue(value: PublishedValue): PublishedChange | undefined {
-  const { key, text } = value;
-  const { configuration, endpointPrefix } = STORE_KEYS;
-  if (key === configuration) {
-    return { kind: 'configuration', configuration: decodeConfiguration(text), value };
-  }
-  if (!key.startsWith(endpointPrefix)) return undefined;
-  return {
-    kind: 'endpoint',
-    backEnd: decodeEndpoint(key.slice(endpointPrefix.length), text),
-    value,
-  };
-}
-
-function decodeRemoval(key: string, revision: number): PublishedChange | undefined {
-  const { endpointPrefix } = STORE_KEYS;
-  if (!key.startsWith(endpointPrefix)) return undefined;
-  const endpointId = decodeEndpointId(key.slice(endpointPrefix.length));
-  return { kind: 'endpoint-removed', endpointId, revision };
-}
-
-/** Returns an `unreadable` change with the reason when decoding fails. */
-function decodeSafely(
-  key: string,
-  decode: () => PublishedChange | undefined,
-): PublishedChange | undefined {
-  try {
-    return decode();
-  } catch (thrown) {
-    const reason = thrown instanceof Error ? thrown.message : String(thrown);
-    return { kind: 'unreadable', key, reason };
-  }
-}
-
-function decodeEvent(event: StoreEvent): ReadonlyArray<PublishedChange> {
-  const { key, revision } = event;
-  const change = decodeSafely(key, () =>
-    'value' in event
-      ? decodeValue({ key, text: Buffer.from(event.value, 'base64').toString('utf8'), revision })
-      : decodeRemoval(key, revision),
-  );
-  return change ? [change] : [];
-}
-
 /** @internal */
 export class StoreSource extends DeploymentSource {
   private agent = new Agent({ pipelining: 1 });
@@ -86,7 +36,7 @@
   }
 
   decode(value: PublishedValue): PublishedChange | undefined {
-    return decodeSafely(value.key, () => decodeValue(value));
+    return decodeValue(value);
   }
 
   async readAll(signal: AbortSignal): Promise<PublishedChanges> {
@@ -99,10 +49,10 @@
       for (let hasMore = true; hasMore;) {
         const query = { prefix, ...(after === undefined ? {} : { after }) };
         const page = rangeSchema.parse(await this.call(PATHS.storeRange, query, signal));
-        changes.push(...page.items.flatMap(decodeEvent));
+        changes.push(...page.items.flatMap(decodeItem));
         position ??= page.storeRevision;
-        after = page.items.at(-1)?.key;
-        hasMore = page.hasMore && after !== undefined;
+        hasMore = page.hasMore && page.items.length > 0;
+        if (hasMore) after = getNextPageKey(page.items, after);
       }
     }
     return { changes, position: position ?? 0 };
@@ -117,7 +67,7 @@
     const body = await this.call(PATHS.storeWatch, query, signal);
     if (body === undefined) return undefined;
     const { events, storeRevision } = watchSchema.parse(body);
-    return { changes: events.flatMap(decodeEvent), position: storeRevision };
+    return { changes: events.flatMap(decodeItem), position: storeRevision };
   }
 
   /** Returns the response body; undefined when that part of the history is no longer available. */
--- /dev/null
+++ b/src/platform/storeItems.ts
@@ -0,0 +1,120 @@
+/**
+ * Decodes single items of the store's answers.
+ *
+ * Other writers may leave anything under a key, so each item is decoded by itself: one that can't be
+ * read becomes an `unreadable` change and leaves the items before and after it as they are.
+ */
+import * as z from 'zod';
+import type { PublishedChange, PublishedValue } from '../services';
+import { decodeConfiguration, decodeEndpoint, decodeEndpointId, isEndpointId } from './storeValues';
+import { STORE_KEYS } from './wireNames';
+
+/** Longest part of a key or of a reason that is kept for the log. */
+const MAX_LOGGED_CHARS = 200;
+
+const UNKNOWN_KEY = '(unknown key)';
+
+const revisionSchema = z.int().nonnegative();
+
+const itemSchema = z.object({ key: z.string(), value: z.string(), revision: revisionSchema });
+
+const removalSchema = z.object({
+  key: z.string(),
+  revision: revisionSchema,
+  deleted: z.unknown().refine(Boolean, 'has neither a value nor a mark of its deletion'),
+});
+
+const keySchema = z.object({ key: z.string() });
+
+const revisionOnlySchema = z.object({ revision: revisionSchema });
+
+function decodeText(value: string): string {
+  return Buffer.from(value, 'base64').toString('utf8');
+}
+
+function describeFault(thrown: unknown): string {
+  const [issue] = thrown instanceof z.ZodError ? thrown.issues : [];
+  if (issue) return `${issue.path.join('.')}: ${issue.message}`;
+  return thrown instanceof Error ? thrown.message : String(thrown);
+}
+
+function createUnreadable(raw: unknown, thrown: unknown): PublishedChange {
+  const key = keySchema.safeParse(raw).data?.key ?? UNKNOWN_KEY;
+  const { endpointPrefix } = STORE_KEYS;
+  const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
+  return {
+    kind: 'unreadable',
+    key: key.slice(0, MAX_LOGGED_CHARS),
+    reason: describeFault(thrown).slice(0, MAX_LOGGED_CHARS),
+    revision: revisionOnlySchema.safeParse(raw).data?.revision,
+    endpointId: isEndpointId(id) ? id : undefined,
+  };
+}
+
+function decodeWritten(value: PublishedValue): PublishedChange | undefined {
+  const { key, text } = value;
+  const { configuration, endpointPrefix } = STORE_KEYS;
+  if (key === configuration) {
+    return { kind: 'configuration', configuration: decodeConfiguration(text), value };
+  }
+  if (!key.startsWith(endpointPrefix)) return undefined;
+  return {
+    kind: 'endpoint',
+    backEnd: decodeEndpoint(key.slice(endpointPrefix.length), text),
+    value,
+  };
+}
+
+function decodeRemoval(key: string, revision: number): PublishedChange | undefined {
+  const { endpointPrefix } = STORE_KEYS;
+  if (!key.startsWith(endpointPrefix)) return undefined;
+  const endpointId = decodeEndpointId(key.slice(endpointPrefix.length));
+  return { kind: 'endpoint-removed', endpointId, revision };
+}
+
+/** Returns an `unreadable` change with the reason when decoding fails. */
+function decodeSafely(
+  raw: unknown,
+  decode: () => PublishedChange | undefined,
+): PublishedChange | undefined {
+  try {
+    return decode();
+  } catch (thrown) {
+    return createUnreadable(raw, thrown);
+  }
+}
+
+/** Decodes a value that another node has relayed; undefined for a key that is not used. @internal */
+export function decodeValue(value: PublishedValue): PublishedChange | undefined {
+  return decodeSafely(value, () => decodeWritten(value));
+}
+
+/** Decodes an item of a range or an event of a watch; empty for a key that is not used. @internal */
+export function decodeItem(raw: unknown): ReadonlyArray<PublishedChange> {
+  const change = decodeSafely(raw, () => {
+    const item = itemSchema.safeParse(raw);
+    if (item.success) {
+      const { key, value, revision } = item.data;
+      if (key !== STORE_KEYS.configuration && !key.startsWith(STORE_KEYS.endpointPrefix)) {
+        return undefined;
+      }
+      return decodeWritten({ key, text: decodeText(value), revision });
+    }
+    if (typeof raw === 'object' && raw !== null && 'value' in raw) throw item.error;
+    const { key, revision } = removalSchema.parse(raw);
+    return decodeRemoval(key, revision);
+  });
+  return change ? [change] : [];
+}
+
+/**
+ * Returns the key after which the next page begins.
+ * @throws Error when no key of the page can be sent back as it is, so that the pages would repeat.
+ */
+export function getNextPageKey(items: ReadonlyArray<unknown>, after: string | undefined): string {
+  const key = items
+    .flatMap((item) => keySchema.safeParse(item).data?.key ?? [])
+    .findLast((candidate) => Buffer.from(candidate).toString() === candidate);
+  if (key === undefined || key === after) throw new Error('a page of the store has no next key');
+  return key;
+}
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -130,6 +130,10 @@
   return endpointIdSchema.parse(id);
 }
 
+export function isEndpointId(id: string): id is EndpointId {
+  return endpointIdSchema.safeParse(id).success;
+}
+
 /** @throws ZodError, SyntaxError. */
 export function decodeEndpoint(id: string, text: string): BackEnd {
   const decoded = endpointSchema.parse(JSON.parse(text));
--- a/src/services/DeploymentSource.ts
+++ b/src/services/DeploymentSource.ts
@@ -24,8 +24,16 @@
       readonly endpointId: EndpointId;
       readonly revision: number;
     }
-  /** A value that cannot be parsed and is ignored. */
-  | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
+  /** A value that cannot be parsed. */
+  | {
+      readonly kind: 'unreadable';
+      readonly key: string;
+      readonly reason: string;
+      /** Undefined when the revision can't be read either. */
+      readonly revision: number | undefined;
+      /** The endpoint that the key names, if any. */
+      readonly endpointId: EndpointId | undefined;
+    };
 
 /** @public */
 export interface PublishedChanges {
--- a/stand-ins/MetadataStore.ts
+++ b/stand-ins/MetadataStore.ts
@@ -18,6 +18,14 @@
 
 const PAGE_SIZE = 3;
 
+/** Revision of the first change. */
+const FIRST_REVISION = 2;
+
+/** An item whose key is no string is listed among the entries. */
+function hasPrefix(key: unknown, prefix: string): boolean {
+  return (typeof key === 'string' ? key : 'servers/').startsWith(prefix);
+}
+
 /** @public */
 export class MetadataStore extends StandIn {
   static override readonly type = 'metadata-store';
@@ -28,7 +36,7 @@
 
   private history: ReadonlyArray<StoreEvent> = [];
 
-  private revision = 1;
+  private revision = FIRST_REVISION - 1;
 
   private compactedRevision = 0;
 
@@ -45,6 +53,11 @@
     this.append({ key, value: Buffer.from(text).toString('base64') });
   }
 
+  /** Adds an item as another writer or a faulty store may leave it; its fields may be of any type. */
+  putItem(item: Readonly<Record<string, unknown>>): void {
+    this.append(item as unknown as StoreEvent);
+  }
+
   remove(key: string): void {
     this.append({ key, deleted: true });
   }
@@ -61,9 +74,9 @@
     );
   }
 
-  private append(event: Omit<StoreEvent, 'revision'>): void {
+  private append(event: Omit<StoreEvent, 'revision'> & Partial<StoreEvent>): void {
     this.revision += 1;
-    this.history = [...this.history, { ...event, revision: this.revision }];
+    this.history = [...this.history, { revision: this.revision, ...event }];
     this.changed.notify();
   }
 
@@ -82,7 +95,7 @@
     const { prefix = '', after = '' } = context.req.query();
     const newest = new Map(this.history.map((event) => [event.key, event]));
     const matching = [...newest.values()]
-      .filter(({ key, deleted }) => !deleted && key.startsWith(prefix) && key > after)
+      .filter(({ key, deleted }) => !deleted && hasPrefix(key, prefix) && key > after)
       .sort((a, b) => (a.key < b.key ? -1 : 1));
     const items = matching.slice(0, PAGE_SIZE);
     const hasMore = matching.length > items.length;
@@ -95,7 +108,7 @@
     for (;;) {
       if (Number(after) < this.compactedRevision) return context.json({ error: 'compacted' }, 410);
       const events = this.history.filter(
-        ({ key, revision }) => revision > Number(after) && key.startsWith(prefix),
+        ({ key }, index) => index + FIRST_REVISION > Number(after) && hasPrefix(key, prefix),
       );
       const remainingMs = deadlineMs - performance.now();
       if (events.length > 0 || remainingMs <= 0) {
--- /dev/null
+++ b/tests/oddEntries.test.ts
@@ -0,0 +1,107 @@
+import { StoreSource } from '../src/platform/StoreSource';
+import type { PublishedChange } from '../src/services';
+import { MetadataStore } from '../stand-ins/MetadataStore';
+
+const { signal } = new AbortController();
+
+/** More levels than a recursive decoder's stack holds. */
+const NESTING_LEVELS = 200_000;
+
+const ENTRY = {
+  service: 'desk',
+  address: '127.0.0.1:8080',
+  zone: 'brisbane',
+  slots: 4,
+  state: 'ready',
+  coldRemainingMs: 0,
+  born: 1,
+};
+
+const nested = '['.repeat(NESTING_LEVELS) + ']'.repeat(NESTING_LEVELS);
+
+function encode(text: string | Uint8Array): string {
+  return Buffer.from(text).toString('base64');
+}
+
+function entryText(changes: Readonly<Record<string, unknown>>): string {
+  return JSON.stringify({ ...ENTRY, ...changes });
+}
+
+function withNumber(field: string, literal: string): string {
+  return entryText({ [field]: '@' }).replace('"@"', literal);
+}
+
+let store: MetadataStore;
+
+afterEach(async () => store.stop());
+
+/** Puts an odd item between two good ones and reads all, in full and as a watch. */
+async function readBetweenGood(
+  item: Readonly<Record<string, unknown>>,
+): Promise<ReadonlyArray<ReadonlyArray<PublishedChange>>> {
+  store = await MetadataStore.start();
+  store.put('servers/i-1', ENTRY);
+  store.putItem(item);
+  store.put('servers/i-3', ENTRY);
+  const source = new StoreSource(store.url);
+  const full = await source.readAll(signal);
+  const watched = await source.readChanges(1, 0, signal);
+  return [full.changes, watched?.changes ?? []];
+}
+
+function listEndpoints(changes: ReadonlyArray<PublishedChange>): ReadonlyArray<string> {
+  return changes.flatMap((change) => (change.kind === 'endpoint' ? change.backEnd.endpointId : []));
+}
+
+const ODD_VALUES: ReadonlyArray<readonly [string, string | Uint8Array]> = [
+  ['nested arrays', nested],
+  ['a nested field', withNumber('slots', nested)],
+  ['an unclosed nesting', '{"a":'.repeat(NESTING_LEVELS)],
+  ['no JSON', 'odd'],
+  ['nothing', ''],
+  ['a list', '[]'],
+  ['null', 'null'],
+  ['slots beyond a double', withNumber('slots', '1e400')],
+  ['negative slots', entryText({ slots: -1 })],
+  ['a start beyond a double', withNumber('born', '1e400')],
+  ['another state', entryText({ state: 'odd' })],
+];
+
+// Guards against an entry of another writer that stops the reading of the list, or that is used as an
+// engine.
+test.each(ODD_VALUES)('reads on past %s', async (_name, value) => {
+  const reads = await readBetweenGood({ key: 'servers/i-2', value: encode(value) });
+  reads.forEach((changes) => {
+    expect(listEndpoints(changes)).toEqual(['i-1', 'i-3']);
+    const [odd, ...others] = changes.filter(({ kind }) => kind === 'unreadable');
+    expect(others).toEqual([]);
+    expect(odd).toMatchObject({ kind: 'unreadable', key: 'servers/i-2' });
+    expect(JSON.stringify(odd).length).toBeLessThan(2_000);
+  });
+});
+
+const ODD_ITEMS: ReadonlyArray<readonly [string, Readonly<Record<string, unknown>>]> = [
+  ['a value of another type', { key: 'servers/i-2', value: 7 }],
+  ['no value', { key: 'servers/i-2' }],
+  ['a revision of another type', { value: encode(entryText({})), revision: 'x' }],
+  ['a revision that is no integer', { value: encode(entryText({})), revision: 1e308 }],
+  ['a key of another type', { key: 7, value: encode(entryText({})) }],
+  ['an id with a line break', { key: 'servers/i\n2', value: encode(entryText({})) }],
+  ['an id with a NUL', { key: 'servers/i\u00002', value: encode(entryText({})) }],
+  ['an empty id', { key: 'servers/', value: encode(entryText({})) }],
+  ['an id of a prototype', { key: 'servers/__proto__', value: encode(entryText({})) }],
+  ['a lone surrogate', { key: 'servers/i-2\ud800', value: encode(entryText({})) }],
+  ['a huge key', { key: `servers/${'k'.repeat(100_000)}`, value: encode(entryText({})) }],
+];
+
+// Guards against one odd item that makes the whole answer unreadable, so that the list is followed
+// no more.
+test.each(ODD_ITEMS)('reads on past an item with %s', async (_name, item) => {
+  const reads = await readBetweenGood({ key: 'servers/i-2', ...item });
+  reads.forEach((changes) => {
+    expect(listEndpoints(changes)).toEqual(['i-1', 'i-3']);
+    const odd = changes.filter(({ kind }) => kind === 'unreadable');
+    expect(odd).toHaveLength(1);
+    expect(JSON.stringify(odd).length).toBeLessThan(2_000);
+  });
+});
