Use no entry whose address or numbers are out of range

Callers of a service got 502 when another writer had left an entry with a port of 70000 or an octet of 256: the pattern of an address took ports up to 99999 and octets up to 999, the placement chose the entry like any engine, and opening the connection threw.

An entry now needs an IPv4 address without leading zeros (a URL reads 010 as 8), a port from 1 to 65535, 1 to 65535 slots, a warm-up that a timer holds, a start that is a whole Unix time, and short names. A warm-up below 0 counts as 0.

--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -1,6 +1,7 @@
 /**
  * Decodes values of the platform's metadata store into the system's types.
  */
+import { isIPv4 } from 'node:net';
 import * as z from 'zod';
 import {
   customerIdSchema,
@@ -63,15 +64,37 @@
     .optional(),
 });
 
+const MAX_PORT = 65_535;
+
+/** One node can't open more connections than this to one address. */
+const MAX_SLOTS = 65_535;
+
+/** Longest delay that a timer holds. */
+const MAX_DELAY_MS = 2 ** 31 - 1;
+
+/** Latest time that a `Date` holds. */
+const MAX_UNIX_MS = 8_640_000_000_000_000;
+
+/** Names come into log lines and into what nodes relay. */
+const MAX_NAME_CHARS = 200;
+
+const nameSchema = z.string().max(MAX_NAME_CHARS);
+
+/** Takes no leading zeros, with which a URL reads a number as octal. */
+function isAddress(address: string): boolean {
+  const [host = '', port = '', ...rest] = address.split(':');
+  return isIPv4(host) && /^[1-9]\d{0,4}$/.test(port) && Number(port) <= MAX_PORT && !rest.length;
+}
+
 const endpointSchema = z.object({
-  service: z.string(),
-  address: z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/),
-  zone: z.string(),
-  slots: z.number().positive(),
+  service: nameSchema,
+  address: z.string().refine(isAddress, 'is not an IPv4 address with a port'),
+  zone: nameSchema,
+  slots: z.number().min(1).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining']),
-  coldRemainingMs: z.number().default(0),
+  coldRemainingMs: z.number().max(MAX_DELAY_MS).default(0),
   /** Unix time at which the endpoint started. */
-  born: z.number().default(0),
+  born: z.int().min(0).max(MAX_UNIX_MS).default(0),
 });
 
 function toRoute(route: z.infer<typeof routeSchema>): Route {
@@ -144,7 +167,7 @@
     dataCentre: decoded.zone,
     slots: decoded.slots,
     isLeaving: decoded.state === 'draining',
-    warmUpMs: decoded.coldRemainingMs,
+    warmUpMs: Math.max(0, decoded.coldRemainingMs),
     startedAtWallMs: decoded.born,
   };
 }
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -1,6 +1,7 @@
 import { StoreSource } from '../src/platform/StoreSource';
 import type { PublishedChange } from '../src/services';
 import { MetadataStore } from '../stand-ins/MetadataStore';
+import { callFront, createStoreConfiguration, FrontFixture } from './FrontFixture';
 
 const { signal } = new AbortController();
 
@@ -31,9 +32,15 @@
   return entryText({ [field]: '@' }).replace('"@"', literal);
 }
 
-let store: MetadataStore;
+let store: MetadataStore | undefined;
+let fixture: FrontFixture | undefined;
 
-afterEach(async () => store.stop());
+afterEach(async () => {
+  await store?.stop();
+  await fixture?.stop();
+  store = undefined;
+  fixture = undefined;
+});
 
 /** Puts an odd item between two good ones and reads all, in full and as a watch. */
 async function readBetweenGood(
@@ -61,9 +68,19 @@
   ['nothing', ''],
   ['a list', '[]'],
   ['null', 'null'],
+  ['port 0', entryText({ address: '127.0.0.1:0' })],
+  ['a port above 65535', entryText({ address: '127.0.0.1:65536' })],
+  ['an octet above 255', entryText({ address: '127.0.0.256:80' })],
+  ['an octal octet', entryText({ address: '010.0.0.1:80' })],
   ['slots beyond a double', withNumber('slots', '1e400')],
+  ['too many slots', withNumber('slots', '1e308')],
   ['negative slots', entryText({ slots: -1 })],
+  ['almost no slots', withNumber('slots', '5e-324')],
+  ['an endless warm-up', withNumber('coldRemainingMs', '1e308')],
   ['a start beyond a double', withNumber('born', '1e400')],
+  ['a start beyond all dates', withNumber('born', '9007199254740991')],
+  ['a fractional start', withNumber('born', '1.5')],
+  ['a huge zone', entryText({ zone: 'z'.repeat(1_000_000) })],
   ['another state', entryText({ state: 'odd' })],
 ];
 
@@ -105,3 +122,22 @@
     expect(JSON.stringify(odd).length).toBeLessThan(2_000);
   });
 });
+
+const CALLS = 40;
+
+// Guards against requests that fail because an odd entry is used as an engine.
+test.each(['127.0.0.1:70000', '127.0.0.1:0', '127.0.0.256:80'])(
+  'calls no engine at %s',
+  async (address) => {
+    fixture = await FrontFixture.start();
+    fixture.store.put('op/config', createStoreConfiguration());
+    fixture.store.put('servers/i-0', { ...ENTRY, address });
+    await fixture.addEngine('desk', { instanceId: 'i-1' });
+    const node = await fixture.addReadyNode(1);
+    const statuses = [];
+    for (let call = 0; call < CALLS; call++) {
+      statuses.push((await callFront(node, '/credit/a', { method: 'POST', body: '1' })).status);
+    }
+    expect(statuses).toEqual(Array.from({ length: CALLS }, () => 200));
+  },
+);
