Take values that are not base64 of UTF-8 text for unreadable

Such an entry was decoded leniently: characters outside the alphabet were skipped and bytes that are no UTF-8 replaced, so an engine was used under a zone that nobody had written, and was relayed so.

Evidence: two rows in tests/oddEntries.test.ts failed before: 'bytes that are not UTF-8' and 'a value that is not base64'.

--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -28,8 +28,13 @@
 
 const revisionOnlySchema = z.object({ revision: revisionSchema });
 
+const utf8 = new TextDecoder('utf-8', { fatal: true });
+
+/** @throws TypeError when the value isn't base64 of UTF-8 text. */
 function decodeText(value: string): string {
-  return Buffer.from(value, 'base64').toString('utf8');
+  const bytes = Buffer.from(value, 'base64');
+  if (bytes.toString('base64') !== value) throw new TypeError('the value is not standard base64');
+  return utf8.decode(bytes);
 }
 
 function describeFault(thrown: unknown): string {
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -82,6 +82,7 @@
   ['a fractional start', withNumber('born', '1.5')],
   ['a huge zone', entryText({ zone: 'z'.repeat(1_000_000) })],
   ['another state', entryText({ state: 'odd' })],
+  ['bytes that are not UTF-8', Buffer.from(entryText({ zone: '\u00ff' }), 'latin1')],
 ];
 
 // Guards against an entry of another writer that stops the reading of the list, or that is used as an
@@ -103,6 +104,7 @@
   ['a revision of another type', { value: encode(entryText({})), revision: 'x' }],
   ['a revision that is no integer', { value: encode(entryText({})), revision: 1e308 }],
   ['a key of another type', { key: 7, value: encode(entryText({})) }],
+  ['a value that is not base64', { key: 'servers/i-2', value: `${encode(entryText({}))}!` }],
   ['an id with a line break', { key: 'servers/i\n2', value: encode(entryText({})) }],
   ['an id with a NUL', { key: 'servers/i\u00002', value: encode(entryText({})) }],
   ['an empty id', { key: 'servers/', value: encode(entryText({})) }],
