Count no connection that could not be opened

A connection whose address can't be used throws when it is made, after the pool had counted it as busy and outside the block that releases it: the count of that endpoint stayed one too high for ever, and the request ended with an internal error instead of a retry elsewhere, although nothing had been sent.

The pool counts a connection after it was made, and reports the failure as endpoint-unreachable.

--- a/src/plugins/forwarding/EndpointConnections.test.ts
+++ b/src/plugins/forwarding/EndpointConnections.test.ts
@@ -140,3 +140,15 @@
   await expect(send(connections, closed)).rejects.toMatchObject({ kind: 'endpoint-unreachable' });
   expect(connections.countBusy(closed)).toBe(0);
 });
+
+// Guards against an endpoint whose address can't be used and that then counts as busy for ever, and
+// against a request that fails as an internal error although nothing was sent.
+test.each(['127.0.0.1:70000', '127.0.0.256:80'])(
+  'an unusable address %s is unreachable and keeps no place',
+  async (address) => {
+    const connections = new EndpointConnections(clock);
+    const odd = { endpointId: 'i-1', address, startedAtWallMs: 1 } as KnownBackEnd;
+    await expect(send(connections, odd)).rejects.toMatchObject({ kind: 'endpoint-unreachable' });
+    expect(connections.countBusy(odd)).toBe(0);
+  },
+);
--- a/src/plugins/forwarding/EndpointConnections.ts
+++ b/src/plugins/forwarding/EndpointConnections.ts
@@ -1,7 +1,7 @@
 /**
  * Keep-alive connections of this node to endpoints, in one pool per endpoint.
  */
-import type { Clock } from '../../core';
+import { ServingError, type Clock } from '../../core';
 import type { KnownBackEnd } from '../../services';
 import { ConnectionPool, EndpointResponse } from './EndpointResponse';
 import { EndpointConnection, type EndpointMessage } from './EndpointConnection';
@@ -33,15 +33,17 @@
     return this.busyCount;
   }
 
+  /** @throws ServingError `endpoint-unreachable` when the address can't be used. */
   acquire(): EndpointConnection {
-    this.busyCount += 1;
     // The one that has been idle longest, so that a stray second response has had time to arrive.
     const reusableSinceMs = this.clock.nowMs() - FORWARDING_OPTIONS.reuseDelayMs;
     const found = this.idle.find(
       (idle) => idle.idleSinceMs <= reusableSinceMs && this.isUsable(idle),
     );
     this.idle = this.idle.filter((idle) => idle !== found);
-    return found?.connection ?? new EndpointConnection(this.address);
+    const connection = found?.connection ?? this.open();
+    this.busyCount += 1;
+    return connection;
   }
 
   override release(connection: EndpointConnection, isReusable: boolean): void {
@@ -58,6 +60,14 @@
     expired.forEach(({ connection }) => void connection.close());
   }
 
+  private open(): EndpointConnection {
+    try {
+      return new EndpointConnection(this.address);
+    } catch (thrown) {
+      throw ServingError.from(thrown, 'endpoint-unreachable');
+    }
+  }
+
   private isUsable({ connection, idleSinceMs }: IdleConnection): boolean {
     return connection.isOpen && this.clock.nowMs() - idleSinceMs < connection.maxIdleMs;
   }
