Give an endpoint whose entry became unreadable no new work

When another writer overwrote the entry of a known engine, a watch logged the value and left the engine in use; only a full read, in which it was missing, made it leave. Two nodes so disagreed for as long as nobody read anew.

An unreadable value now carries the endpoint that its key names and its revision, and counts as a removal at that revision. One without a revision can't be ordered, and one at the revision of the known state is a damaged copy of it: both change nothing.

--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import type { BackEnd, EndpointId, ServingBounds } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
+import type { PublishedChange } from '../../services';
 import { DeploymentStore } from './DeploymentStore';
 
 const bounds = { revocationWithinMs: 4_000 } as ServingBounds;
@@ -17,6 +18,16 @@
   startedAtWallMs: 1,
 };
 
+function createUnreadable(revision: number | undefined): PublishedChange {
+  return {
+    kind: 'unreadable',
+    key: 'servers/i-1',
+    reason: 'odd',
+    revision,
+    endpointId: engine.endpointId,
+  };
+}
+
 function createStore(): { readonly kernel: TestKernel; readonly store: DeploymentStore } {
   const kernel = new TestKernel([]);
   return { kernel, store: new DeploymentStore(kernel, bounds, new Map()) };
@@ -103,7 +114,31 @@
   expect(store.listAll()).toHaveLength(0);
 });
 
-type EndpointState = 'ready' | 'leaving' | 'removed' | 'departed';
+// Guards against new work for an endpoint whose entry another writer has overwritten, and against
+// losing it for good.
+test('an entry that became unreadable gets no new work until it is written again', () => {
+  const { store } = createStore();
+  const left: BackEnd[] = [];
+  store.onLeaving((backEnd) => left.push(backEnd));
+  store.applyEndpoint(engine, value);
+  store.applyChange(createUnreadable(8), false);
+  store.applyChange(createUnreadable(8), true);
+  expect(store.listAssignable('writers')).toHaveLength(0);
+  expect(left).toHaveLength(1);
+  store.applyEndpoint(engine, { ...value, revision: 9 });
+  expect(store.listAssignable('writers')).toHaveLength(1);
+});
+
+// Guards against an endpoint that is given up for a copy of its entry that was damaged on the way, or
+// whose order can't be told.
+test.each([7, 6, undefined])('an unreadable copy of revision %s changes nothing', (revision) => {
+  const { store } = createStore();
+  store.applyEndpoint(engine, value);
+  store.applyChange(createUnreadable(revision), false);
+  expect(store.listAssignable('writers')).toHaveLength(1);
+});
+
+type EndpointState = 'ready' | 'leaving' | 'removed' | 'departed' | 'unreadable';
 
 function deliver(store: DeploymentStore, state: EndpointState, revision: number): void {
   const isLeaving = state === 'leaving';
@@ -112,13 +147,14 @@
   }
   if (state === 'removed') store.removeEndpoint(engine.endpointId, revision);
   if (state === 'departed') store.applyDeparture(engine.endpointId, revision);
+  if (state === 'unreadable') store.applyChange(createUnreadable(revision), false);
 }
 
 // Guards against a state that depends on the order in which the source, stale reads and other nodes
 // deliver it: a node would send work to an engine that is gone, or none to one that is live.
 test('the newest state wins in any order of delivery', () => {
   const history = fc.array(
-    fc.constantFrom<EndpointState>('ready', 'leaving', 'removed', 'departed'),
+    fc.constantFrom<EndpointState>('ready', 'leaving', 'removed', 'departed', 'unreadable'),
     {
       minLength: 1,
       maxLength: 8,
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -139,8 +139,9 @@
     if (change.kind === 'endpoint') this.applyEndpoint(change.backEnd, change.value);
     if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.revision);
     if (change.kind === 'unreadable') {
-      const { key, reason } = change;
-      this.kernel.log.warn('published value ignored', { key, reason, isComplete });
+      const { key, reason, revision, endpointId } = change;
+      this.kernel.log.warn('published value ignored', { key, revision, reason, isComplete });
+      if (endpointId !== undefined) this.applyUnreadable(endpointId, revision);
     }
   }
 
@@ -209,13 +210,17 @@
   }
 
   /** Applies the report of another node that the endpoint is leaving or gone. */
-  applyDeparture(endpointId: EndpointId, revision: number): void {
+  applyDeparture(
+    endpointId: EndpointId,
+    revision: number,
+    reason = 'reported as leaving by another node',
+  ): void {
     const known = this.endpoints.get(endpointId);
     if (!known || revision < this.getRevision(endpointId)) return;
     this.revisions.set(endpointId, revision);
     if (known.leavingSinceMs !== undefined) return;
     this.expiredEntries.delete(endpointId);
-    this.markLeaving(known, 'reported as leaving by another node');
+    this.markLeaving(known, reason);
   }
 
   /** Applies a confirmation from another node; the source may still be unavailable to this one. */
@@ -303,6 +308,15 @@
       });
   }
 
+  /**
+   * An entry that can't be read names no endpoint to use, so it counts as removed. At the revision of
+   * the known state it is a damaged copy of that state.
+   */
+  private applyUnreadable(endpointId: EndpointId, revision = 0): void {
+    if (revision <= this.getRevision(endpointId)) return;
+    this.applyDeparture(endpointId, revision, 'entry unreadable');
+  }
+
   private markLeaving(known: KnownBackEnd, reason: string): void {
     const leaving = { ...known, leavingSinceMs: this.kernel.clock.nowMs() };
     this.endpoints.set(known.endpointId, leaving);
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -1,7 +1,8 @@
 import { StoreSource } from '../src/platform/StoreSource';
-import type { PublishedChange } from '../src/services';
 import { MetadataStore } from '../stand-ins/MetadataStore';
+import { Deployment, type PublishedChange } from '../src/services';
 import { callFront, createStoreConfiguration, FrontFixture } from './FrontFixture';
+import { waitUntil } from './waitUntil';
 
 const { signal } = new AbortController();
 
@@ -143,3 +144,21 @@
     expect(statuses).toEqual(Array.from({ length: CALLS }, () => 200));
   },
 );
+
+// Guards against requests to an engine whose entry another writer has overwritten: until the next full
+// read the watch left the engine in use.
+test('an entry that is overwritten in the watch gets no new work', async () => {
+  fixture = await FrontFixture.start();
+  fixture.store.put('op/config', createStoreConfiguration());
+  const engine = await fixture.addEngine('desk', { instanceId: 'i-1' });
+  await fixture.addEngine('desk', { instanceId: 'i-2' });
+  const { kernel } = await fixture.addReadyNode(2);
+  const deployment = kernel.get(Deployment);
+  const listIds = (): ReadonlyArray<string> =>
+    deployment.listAssignable('desk').map(({ endpointId }) => endpointId);
+  fixture.store.put('servers/i-1', engine.createEntry('desk', { address: '127.0.0.1:70000' }));
+  await waitUntil('the departure', () => listIds().length === 1);
+  expect(listIds()).toEqual(['i-2']);
+  fixture.store.put('servers/i-1', engine.createEntry('desk'));
+  await waitUntil('the return', () => listIds().length === 2);
+});
