Log an unreadable value once for each revision

An odd entry was logged at every full read, in every stale answer and at each relay of it, and again when it was removed: six reads of two revisions of one value gave six lines.

--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -6,7 +6,7 @@
  */
 import * as z from 'zod';
 import type { PublishedChange, PublishedValue } from '../services';
-import { decodeConfiguration, decodeEndpoint, decodeEndpointId, isEndpointId } from './storeValues';
+import { decodeConfiguration, decodeEndpoint, isEndpointId } from './storeValues';
 import { STORE_KEYS } from './wireNames';
 
 /** Longest part of a key or of a reason that is kept for the log. */
@@ -70,11 +70,11 @@
   };
 }
 
+/** Returns undefined for a key that names no endpoint. */
 function decodeRemoval(key: string, revision: number): PublishedChange | undefined {
   const { endpointPrefix } = STORE_KEYS;
-  if (!key.startsWith(endpointPrefix)) return undefined;
-  const endpointId = decodeEndpointId(key.slice(endpointPrefix.length));
-  return { kind: 'endpoint-removed', endpointId, revision };
+  const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
+  return isEndpointId(id) ? { kind: 'endpoint-removed', endpointId: id, revision } : undefined;
 }
 
 /** Returns an `unreadable` change with the reason when decoding fails. */
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -148,11 +148,6 @@
   };
 }
 
-/** @throws ZodError. */
-export function decodeEndpointId(id: string): EndpointId {
-  return endpointIdSchema.parse(id);
-}
-
 export function isEndpointId(id: string): id is EndpointId {
   return endpointIdSchema.safeParse(id).success;
 }
@@ -161,7 +156,7 @@
 export function decodeEndpoint(id: string, text: string): BackEnd {
   const decoded = endpointSchema.parse(JSON.parse(text));
   return {
-    endpointId: decodeEndpointId(id),
+    endpointId: endpointIdSchema.parse(id),
     service: decoded.service,
     address: decoded.address,
     dataCentre: decoded.zone,
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -138,6 +138,16 @@
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
+// Guards against a log that fills because an odd entry is read again and again.
+test('an unreadable value costs one log line for each revision', () => {
+  const { kernel, store } = createStore();
+  [8, 8, 9, 8, undefined, undefined].forEach((revision, index) =>
+    store.applyChange(createUnreadable(revision), index % 2 === 0),
+  );
+  const lines = kernel.logLines.filter(({ event }) => event === 'published value ignored');
+  expect(lines.map(({ revision }) => revision)).toEqual([8, 9, undefined]);
+});
+
 type EndpointState = 'ready' | 'leaving' | 'removed' | 'departed' | 'unreadable';
 
 function deliver(store: DeploymentStore, state: EndpointState, revision: number): void {
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -21,6 +21,7 @@
   type PublishedValue,
 } from '../../services';
 import { DEPLOYMENT_OPTIONS } from './options';
+import { ReportedValues } from './ReportedValues';
 
 type LeavingListener = (backEnd: KnownBackEnd) => void;
 type ConfigurationListener = (configuration: ServingConfiguration) => void;
@@ -42,6 +43,8 @@
   /** Revision of the newest known change of each endpoint, including its removal. */
   private readonly revisions = new Map<EndpointId, number>();
 
+  private readonly reportedValues = new ReportedValues();
+
   private latestCompleteRevision = 0;
 
   private confirmation: Confirmation | undefined;
@@ -140,7 +143,9 @@
     if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.revision);
     if (change.kind === 'unreadable') {
       const { key, reason, revision, endpointId } = change;
-      this.kernel.log.warn('published value ignored', { key, revision, reason, isComplete });
+      if (this.reportedValues.add(change)) {
+        this.kernel.log.warn('published value ignored', { key, revision, reason, isComplete });
+      }
       if (endpointId !== undefined) this.applyUnreadable(endpointId, revision);
     }
   }
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -126,6 +126,15 @@
   });
 });
 
+// Guards against a second line for an odd entry when it is removed.
+test.each(['servers/', 'servers/UPPER', 'servers/i\n2'])(
+  'a removal of %j says nothing',
+  async (key) => {
+    const reads = await readBetweenGood({ key, deleted: true });
+    reads.forEach((changes) => expect(changes).toHaveLength(2));
+  },
+);
+
 const CALLS = 40;
 
 // Guards against requests that fail because an odd entry is used as an engine.
