Read the values of a relayed reply one by one

One odd endpoint in another node's reply made the schema reject the whole reply: the follower got neither the other endpoints nor the configuration nor a confirmation, as long as the item was there. An odd configuration kept the endpoints of its reply out as well, and a position of 1e308 made every later answer look stale.

Items are read one by one. One that can't be read costs a line, leaves the position where it was, and keeps the known endpoint that it names. A configuration that can't be read voids the confirmation, as before, because the confirmation covers it.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -12,6 +12,7 @@
 export * from './ServingError';
 export * from './Settings';
 export * from './Vm';
+export * from './describeFault';
 export * from './errorKinds';
 export * from './ids';
 export * from './signedToken';
--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -5,12 +5,13 @@
  * read becomes an `unreadable` change and leaves the items before and after it as they are.
  */
 import * as z from 'zod';
+import { describeFault } from '../core';
 import type { PublishedChange, PublishedValue } from '../services';
 import { decodeConfiguration, decodeEndpoint, isEndpointId } from './storeValues';
 import { STORE_KEYS } from './wireNames';
 
-/** Longest part of a key or of a reason that is kept for the log. */
-const MAX_LOGGED_CHARS = 200;
+/** Longest part of a key that is kept for the log. */
+const MAX_KEY_CHARS = 200;
 
 const UNKNOWN_KEY = '(unknown key)';
 
@@ -37,20 +38,14 @@
   return utf8.decode(bytes);
 }
 
-function describeFault(thrown: unknown): string {
-  const [issue] = thrown instanceof z.ZodError ? thrown.issues : [];
-  if (issue) return `${issue.path.join('.')}: ${issue.message}`;
-  return thrown instanceof Error ? thrown.message : String(thrown);
-}
-
 function createUnreadable(raw: unknown, thrown: unknown): PublishedChange {
   const key = keySchema.safeParse(raw).data?.key ?? UNKNOWN_KEY;
   const { endpointPrefix } = STORE_KEYS;
   const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
   return {
     kind: 'unreadable',
-    key: key.slice(0, MAX_LOGGED_CHARS),
-    reason: describeFault(thrown).slice(0, MAX_LOGGED_CHARS),
+    key: key.slice(0, MAX_KEY_CHARS),
+    reason: describeFault(thrown),
     revision: revisionOnlySchema.safeParse(raw).data?.revision,
     endpointId: isEndpointId(id) ? id : undefined,
   };
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -6,24 +6,31 @@
  * later than the request. Its data is therefore complete up to the time of the request minus that
  * age.
  */
-import type { VmId } from '../../core';
+import { describeFault, type VmId } from '../../core';
 import { computeFreshnessThresholds, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import {
-  DeploymentSource,
-  Members,
-  Peers,
-  type KnownMember,
-  type PublishedChange,
-  type PublishedValue,
-} from '../../services';
+import { DeploymentSource, Members, Peers, type KnownMember } from '../../services';
 import type { DeploymentStore } from './DeploymentStore';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { digestEndpoints, RELAY_MESSAGE_TYPE } from './RelayHandler';
-import { relayReplySchema, type RelayReply, type RelayRequest } from './relayMessages';
+import {
+  relayedEndpointIdSchema,
+  relayedEndpointSchema,
+  relayedValueSchema,
+  receivedReplySchema,
+  type ReceivedReply,
+  type RelayRequest,
+} from './relayMessages';
+
+/** Keys under which unreadable parts of a reply are logged. */
+const RELAYED_CONFIGURATION = '(relayed configuration)';
+const RELAYED_ENDPOINT = '(relayed endpoint)';
+
+const NOT_OF_ITS_KEY = 'is not the value of its key';
 
 /** Whether an entry expired while the source was unavailable, and may still be renewed. */
-function isExpired({ value, revision }: NonNullable<RelayReply['endpoints']>[number]): boolean {
+function isExpired(item: unknown): boolean {
+  const { value, revision = 0 } = relayedEndpointSchema.safeParse(item).data ?? {};
   return value !== undefined && value.revision < revision;
 }
 
@@ -33,6 +40,9 @@
 
   private isRelaying = false;
 
+  /** Whether all parts of the last reply could be read. */
+  private isReplyReadable = true;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly store: DeploymentStore,
@@ -63,10 +73,9 @@
       await this.requestFrom(reader, 0);
     }
     const isStarting = !this.store.configuration;
-    await this.kernel.clock.sleep(
-      isFresh() || isStarting ? readerPauseMs : relayIntervalMs,
-      signal,
-    );
+    // A reader has news at once for a node that can't read what it sends.
+    const isPauseShort = this.isReplyReadable && (isFresh() || isStarting);
+    await this.kernel.clock.sleep(isPauseShort ? readerPauseMs : relayIntervalMs, signal);
   }
 
   /** Asks any node if this one can't reach the source. */
@@ -122,7 +131,7 @@
       const answer = await this.kernel
         .get(Peers)
         .call(vmId, RELAY_MESSAGE_TYPE, request, deadlineMs);
-      return this.applyReply(relayReplySchema.parse(answer), sentAt);
+      return this.applyReply(receivedReplySchema.parse(answer), sentAt);
     } catch (thrown) {
       log.debug('reading from another node failed', { member: vmId, cause: thrown });
       return false;
@@ -133,34 +142,69 @@
    * Applies whatever is newer than the local state, after which this node knows at least as much as
    * the answering node. Returns whether the answering node confirmed its data.
    */
-  private applyReply(reply: RelayReply, sentAt: ClockReading): boolean {
+  private applyReply(reply: ReceivedReply, sentAt: ClockReading): boolean {
     const { store } = this;
     const { configuration, confirmedAgeMs, endpoints, completeToRevision } = reply;
+    this.isReplyReadable = true;
     if (confirmedAgeMs === undefined) return false;
+    const hasConfiguration = configuration === undefined || this.applyConfiguration(configuration);
+    const isComplete = !endpoints || this.applyEndpoints(endpoints, completeToRevision);
+    this.isReplyReadable = hasConfiguration && isComplete;
     // The confirmation covers the other node's configuration, so it is void if that can't be decoded.
-    if (configuration && this.applyValue(configuration)?.kind !== 'configuration') return false;
-    if (endpoints) this.applyEndpoints(endpoints, completeToRevision);
-    if (!endpoints?.some(isExpired)) store.markCompleteTo(completeToRevision);
+    if (!hasConfiguration) return false;
+    if (isComplete && !endpoints?.some(isExpired)) store.markCompleteTo(completeToRevision);
     store.confirmRelayed(sentAt.nowMs - confirmedAgeMs, sentAt);
     return true;
   }
 
-  private applyEndpoints(
-    endpoints: NonNullable<RelayReply['endpoints']>,
-    completeToRevision: number,
-  ): void {
-    endpoints.forEach(({ endpointId, revision, value }) => {
-      if (value) this.applyValue(value);
-      else this.store.applyDeparture(endpointId, revision);
-    });
+  /** Returns whether the value is a configuration. */
+  private applyConfiguration(raw: unknown): boolean {
+    const { data: value, error } = relayedValueSchema.safeParse(raw);
+    const change = value && this.kernel.get(DeploymentSource).decode(value);
+    const isRead = change?.kind === 'configuration';
+    if (isRead || change?.kind === 'unreadable') this.store.applyChange(change, false);
+    else this.reportUnreadable(RELAYED_CONFIGURATION, error ?? NOT_OF_ITS_KEY);
+    return isRead;
+  }
+
+  /** Returns whether all items could be read; the others are applied in any case. */
+  private applyEndpoints(items: ReadonlyArray<unknown>, completeToRevision: number): boolean {
+    const results = items.map((item) => this.applyEndpoint(item));
+    const listed = items.flatMap(
+      (item) => relayedEndpointIdSchema.safeParse(item).data?.endpointId ?? [],
+    );
     this.store
-      .listMissingFrom(endpoints.map(({ endpointId }) => endpointId))
+      .listMissingFrom(listed)
       .forEach((endpointId) => this.store.applyDeparture(endpointId, completeToRevision));
+    return results.every(Boolean);
   }
 
-  private applyValue(value: PublishedValue): PublishedChange | undefined {
+  private applyEndpoint(item: unknown): boolean {
+    const { data: relayed, error } = relayedEndpointSchema.safeParse(item);
+    if (!relayed) {
+      const id = relayedEndpointIdSchema.safeParse(item).data?.endpointId ?? '';
+      this.reportUnreadable(`${RELAYED_ENDPOINT} ${id}`, error);
+      return false;
+    }
+    const { endpointId, revision, value } = relayed;
+    if (!value) {
+      this.store.applyDeparture(endpointId, revision);
+      return true;
+    }
     const change = this.kernel.get(DeploymentSource).decode(value);
-    if (change) this.store.applyChange(change, false);
-    return change;
+    const named = change?.kind === 'endpoint' ? change.backEnd.endpointId : endpointId;
+    if (!change || named !== endpointId) {
+      this.reportUnreadable(`${RELAYED_ENDPOINT} ${endpointId}`, NOT_OF_ITS_KEY);
+      return false;
+    }
+    this.store.applyChange(change, false);
+    return true;
+  }
+
+  /** Such a part has no revision that could be trusted, so it changes nothing. */
+  private reportUnreadable(key: string, fault: unknown): void {
+    const reason = describeFault(fault);
+    const change = { key, reason, revision: undefined, endpointId: undefined };
+    this.store.applyChange({ kind: 'unreadable', ...change }, false);
   }
 }
