Go on after a listener of the deployment that throws

An error in a listener of one configuration or departure went up through the answer that was being applied: the values after it were left out, the node logged 'source lost', or dropped the relayed reply in a debug line.

Evidence: 'a listener that throws stops neither the others nor later values' threw before. Each listener is called by itself; an error is logged as 'listener failed' with its cause. No listener of the program is known to throw.

--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -1,5 +1,5 @@
 import fc from 'fast-check';
-import type { BackEnd, EndpointId, ServingBounds } from '../../core';
+import type { BackEnd, EndpointId, ServingBounds, ServingConfiguration } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
 import type { PublishedChange } from '../../services';
 import { DeploymentStore } from './DeploymentStore';
@@ -148,6 +148,25 @@
   expect(lines.map(({ revision }) => revision)).toEqual([8, 9, undefined]);
 });
 
+// Guards against values that are lost because a listener throws for the one before them: the error
+// ended the reading of the whole answer.
+test('a listener that throws stops neither the others nor later values', () => {
+  const { kernel, store } = createStore();
+  const heard: string[] = [];
+  const fail = (): void => {
+    throw new Error('odd');
+  };
+  store.onConfiguration(fail);
+  store.onConfiguration(({ version }) => heard.push(`configuration ${version}`));
+  store.onLeaving(fail);
+  store.onLeaving(({ endpointId }) => heard.push(endpointId));
+  store.setConfiguration({ version: 1, routes: [] } as unknown as ServingConfiguration, value);
+  store.applyEndpoint(engine, value);
+  store.applyDeparture(engine.endpointId, 8);
+  expect(heard).toEqual(['configuration 1', 'i-1']);
+  expect(kernel.logLines.filter(({ event }) => event === 'listener failed')).toHaveLength(2);
+});
+
 type EndpointState = 'ready' | 'leaving' | 'removed' | 'departed' | 'unreadable';
 
 function deliver(store: DeploymentStore, state: EndpointState, revision: number): void {
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -166,7 +166,7 @@
     });
     this.current = configuration;
     this.publishedConfiguration = value;
-    this.configurationListeners.forEach((listener) => listener(configuration));
+    this.notifyListeners(this.configurationListeners, configuration);
     this.notifyChange();
   }
 
@@ -330,7 +330,18 @@
   }
 
   private notifyLeaving(backEnd: KnownBackEnd): void {
-    this.leavingListeners.forEach((listener) => listener(backEnd));
+    this.notifyListeners(this.leavingListeners, backEnd);
+  }
+
+  /** A listener that throws must not keep later values from being applied. */
+  private notifyListeners<T>(listeners: ReadonlyArray<(value: T) => void>, value: T): void {
+    listeners.forEach((listener) => {
+      try {
+        listener(value);
+      } catch (thrown) {
+        this.kernel.log.error('listener failed', { cause: thrown });
+      }
+    });
   }
 
   private notifyChange(): void {
