Take no time from a configuration that a timer can't hold

A route with a time-out of 2^32 ms or more answered 504 at once: a timer beyond 2^31 - 1 ms fires after 1 ms. A latency goal of that size sent the second copy of a request at once, and an idle limit of that size was cut with a warning.

Evidence: 'serves under a large time-out' and '... endless time-out' in tests/oddEntries.test.ts got 504 before; the runs printed four TimeoutOverflowWarnings, and none now. The rows for weights, priorities, attempts, limits and an unknown field of 200,000 levels passed before.

Times are cut at 2^30 ms when they are decoded. The configuration itself is taken, because the store accepts only valid ones.

--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -14,13 +14,21 @@
   type ServingConfiguration,
 } from '../core';
 
+/**
+ * Longest time that is taken from a configuration; longer ones count as this. A timer holds twice as
+ * much, which leaves room for the factors that are applied to these times.
+ */
+const MAX_CONFIGURED_MS = 2 ** 30;
+
+const durationSchema = z.number().transform((ms) => Math.min(ms, MAX_CONFIGURED_MS));
+
 const routeSchema = z.object({
   name: z.string(),
   host: z.string(),
   prefix: z.string(),
   kind: z.enum(['safe', 'unsafe', 'streaming']),
-  timeoutMs: z.number(),
-  latencyGoalMs: z.number().default(0),
+  timeoutMs: durationSchema,
+  latencyGoalMs: durationSchema.default(0),
   priority: z.number().default(0),
   service: z.string().optional(),
   weightedServices: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
@@ -50,8 +58,8 @@
   limits: z.object({
     maxHeaderBytes: z.number(),
     maxBodyBytes: z.number(),
-    headerTimeoutMs: z.number(),
-    idleTimeoutMs: z.number(),
+    headerTimeoutMs: durationSchema,
+    idleTimeoutMs: durationSchema,
   }),
   tenants: z
     .array(
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -171,3 +171,41 @@
   fixture.store.put('servers/i-1', engine.createEntry('desk'));
   await waitUntil('the return', () => listIds().length === 2);
 });
+
+const ROUTE = createStoreConfiguration().routes as ReadonlyArray<Readonly<Record<string, unknown>>>;
+const LIMITS = createStoreConfiguration().limits as Readonly<Record<string, number>>;
+
+function withRoute(changes: Readonly<Record<string, unknown>>): Readonly<Record<string, unknown>> {
+  return createStoreConfiguration({ routes: ROUTE.map((route) => ({ ...route, ...changes })) });
+}
+
+/** Longer than a timer holds. */
+const LONG_MS = 2 ** 32;
+
+const LARGE_CONFIGURATIONS = [
+  ['time-out', withRoute({ timeoutMs: LONG_MS })],
+  ['endless time-out', withRoute({ timeoutMs: 1e308 })],
+  ['latency goal', withRoute({ latencyGoalMs: 1e308 })],
+  ['weight', withRoute({ weightedServices: [{ service: 'desk', weight: 1e308 }] })],
+  ['priority', withRoute({ priority: 1e308 })],
+  ['number of attempts', withRoute({ maxAttempts: 1e308 })],
+  [
+    'limit',
+    createStoreConfiguration({
+      limits: { ...LIMITS, headerTimeoutMs: 1e308, idleTimeoutMs: 1e308, maxBodyBytes: 1e308 },
+    }),
+  ],
+  ['unknown field', JSON.stringify(createStoreConfiguration()).replace('{', `{"odd":${nested},`)],
+] as const;
+
+// Guards against a valid configuration that is refused for a large number, and against a timer beyond
+// its range, which fires at once and fails the request.
+test.each(LARGE_CONFIGURATIONS)('serves under a large %s', async (_name, configuration) => {
+  fixture = await FrontFixture.start();
+  fixture.store.put('op/config', configuration);
+  await fixture.addEngine('desk', { instanceId: 'i-1' });
+  const node = await fixture.addReadyNode(1);
+  const headers = { 'x-bramleyvane-deadline-ms': String(LONG_MS + 1) };
+  const { status } = await callFront(node, '/lookup/a', { headers });
+  expect(status).toBe(200);
+});
