Keep a silent engine's stream until another engine has taken the run over

What callers saw: an accepted stream was cut while its sound engine had been silent for a second. Cause: the node closed the connection to an engine without a byte for 1 s, which makes it drop the run, and only then looked for a continuation. A backup that was refused (503), an empty retry budget, a route without a further endpoint or no second engine then ended the stream. Evidence: tests/silentEngines.test.ts. Its first six cases (backup refused, no budget in three forms, one endpoint allowed, one engine) failed on the code before with "other side closed". Change: SilenceWatch opens the next segment first (Takeover, SegmentOpener, split out of StreamDelivery and RunMigrator). Only its success closes the old connection; an event of the old engine withdraws the attempt. As two engines may not work on one run for long, an attempt without an answer ends after 300 ms: a new run, whose first answer waits for the prefill, is then taken as accepted if the engine accepts connections; a copy if its engine sent to other requests meanwhile; otherwise the stream stays. Failed attempts are repeated with pauses of 1 to 8 s. A refused continuation doesn't use up the route's number of endpoints. Time that the caller takes to read isn't silence. Observability: one line an attempt, outcome `stayed` in the continuations. Stand-in: silence for a time, refused copies, slow continuations; a refused copy no longer counts as executed, a closed connection ends a run.

--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -15,6 +15,8 @@
 import { RetryPolicy } from './RetryPolicy';
 import { RequestForwarder } from './RequestForwarder';
 import { RunMigrator } from './RunMigrator';
+import { SegmentOpener } from './SegmentOpener';
+import { SilenceWatch } from './SilenceWatch';
 import { StreamDelivery } from './StreamDelivery';
 import { WholeDelivery } from './WholeDelivery';
 
@@ -67,13 +69,15 @@
     const sender = new EndpointSender(kernel, connections, placer);
     const retries = new RetryPolicy(kernel);
     const crashes = new CrashReporter(kernel, this.health);
+    const opener = new SegmentOpener(placer, sender, crashes);
     this.forwarder = new RequestForwarder(kernel, {
       whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
       stream: new StreamDelivery(kernel, {
         placer,
-        sender,
+        opener,
         retries,
         migrator,
+        silence: new SilenceWatch(kernel, placer, retries, migrator, opener),
         estimator: this.estimator,
         crashes,
       }),
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -21,13 +21,7 @@
 import type { OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { NextSegment, StreamSegment } from './StreamSegment';
-
-/** @internal */
-export interface RunningStream {
-  readonly admitted: AdmittedRequest;
-  readonly segment: StreamSegment;
-  readonly getOutputTokens: () => number;
-}
+import type { RunningStream } from './Takeover';
 
 /** @internal */
 export class RunMigrator {
@@ -46,7 +40,6 @@
   /** Tracks a stream until its segment ends, and migrates it when its engine starts to leave. */
   track(stream: RunningStream): void {
     this.running.add(stream);
-    this.kernel.runTask('watch engine of stream', async () => this.watchSilence(stream));
     stream.segment.done.addEventListener('abort', () => this.running.delete(stream), {
       once: true,
     });
@@ -55,27 +48,6 @@
     if (known?.leavingSinceMs !== undefined) this.start(stream);
   }
 
-  /** Aborts the segment when its engine becomes unresponsive and the run can continue elsewhere. */
-  private async watchSilence(stream: RunningStream): Promise<void> {
-    const { clock, log } = this.kernel;
-    const { segment, admitted } = stream;
-    const { endpointId } = segment.placed.backEnd;
-    while (!segment.done.aborted) {
-      await clock.sleep(FORWARDING_OPTIONS.silenceCheckIntervalMs, segment.done);
-      if (segment.done.aborted || !this.placer.health.isSilent(endpointId, clock.nowMs())) continue;
-      if (!this.canContinue(stream)) continue;
-      log.warn('decision', {
-        requestId: admitted.request.requestId,
-        step: 'retry',
-        what: 'engine silent',
-        from: endpointId,
-        outputTokens: stream.getOutputTokens(),
-      });
-      segment.response.abort();
-      return;
-    }
-  }
-
   /**
    * Starts to migrate every stream on an engine. The smallest KV caches go first, so that as many
    * streams as possible are migrated in time.
@@ -93,12 +65,12 @@
       });
   }
 
-  private countHeldTokens({ admitted, getOutputTokens }: RunningStream): number {
-    return (admitted.work.prompt?.promptTokens ?? 0) + getOutputTokens();
+  private countHeldTokens({ admitted, progress }: RunningStream): number {
+    return (admitted.work.prompt?.promptTokens ?? 0) + progress.outputTokens;
   }
 
-  private estimateRemaining({ admitted, getOutputTokens }: RunningStream): number {
-    return this.estimator.getRemaining(admitted.work, getOutputTokens());
+  private estimateRemaining({ admitted, progress }: RunningStream): number {
+    return this.estimator.getRemaining(admitted.work, progress.outputTokens);
   }
 
   private start(stream: RunningStream): void {
@@ -125,21 +97,16 @@
     return this.migrate(stream);
   }
 
-  /** Whether the stream could continue on another engine if its engine were lost now. */
-  canContinue({ admitted, segment }: RunningStream): boolean {
-    return admitted.route.isResumable || this.hasBackup(segment);
-  }
-
   /** Whether another engine has a backup of the run. */
   hasBackup(segment: StreamSegment): boolean {
     return this.findBackupEngine(segment) !== undefined;
   }
 
   /** Returns the next segment of a run whose engine was lost, if another engine has a backup. */
-  recover({ admitted, segment, getOutputTokens }: RunningStream): NextSegment | undefined {
+  recover({ admitted, segment, progress }: RunningStream): NextSegment | undefined {
     const engine = this.findBackupEngine(segment);
     if (!engine) return undefined;
-    const placed = this.placer.placeAtBackup(admitted.work, engine, getOutputTokens());
+    const placed = this.placer.placeAtBackup(admitted.work, engine, progress.outputTokens);
     const handle = this.kernel.get(RequestDialect).getBackupHandle(admitted.request.requestId);
     return { placed, continueFrom: { address: engine.address, handle }, laterCopy: undefined };
   }
@@ -194,12 +161,12 @@
   }
 
   private placeOnOtherEngine(
-    { admitted, segment, getOutputTokens }: RunningStream,
+    { admitted, segment, progress }: RunningStream,
     excluded: ReadonlyArray<EndpointId>,
   ): RequestReservation | undefined {
     const from = segment.placed.backEnd;
     try {
-      return this.placer.place(admitted.work, excluded, 'place', getOutputTokens(), from);
+      return this.placer.place(admitted.work, excluded, 'place', progress.outputTokens, from);
     } catch {
       // The placer has logged the reason.
       return undefined;
@@ -231,7 +198,7 @@
       outcome: reason === undefined ? outcome.outcome : 'failed',
       reason,
       tookMs: Math.round(clock.nowMs() - startedAtMs),
-      outputTokens: stream.getOutputTokens(),
+      outputTokens: stream.progress.outputTokens,
     });
     return outcome;
   }
--- /dev/null
+++ b/src/plugins/forwarding/SegmentOpener.ts
@@ -0,0 +1,127 @@
+/**
+ * Opens segments of streams: runs from the beginning, runs that continue from a copy of their KV
+ * cache, and new runs that resume after an event.
+ */
+import type { EndpointId } from '../../core';
+import type { KnownBackEnd } from '../../services';
+import type { AdmittedRequest } from './AdmittedRequest';
+import type { CrashReporter } from './CrashReporter';
+import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
+import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
+import { StreamSegment, type NextSegment } from './StreamSegment';
+import type { StreamPosition } from './StreamProgress';
+
+/** @internal */
+export type UnansweredOutcome = Exclude<
+  Awaited<ReturnType<EndpointSender['send']>>,
+  { readonly outcome: 'answered' }
+>;
+
+interface OpenOptions {
+  readonly continuation?: RunContinuation;
+  readonly producedTokens?: number;
+  readonly signal?: AbortSignal;
+}
+
+/** @internal */
+export class SegmentOpener {
+  constructor(
+    private readonly placer: EndpointPlacer,
+    private readonly sender: EndpointSender,
+    private readonly crashes: CrashReporter,
+  ) {}
+
+  /** Sends the request to the endpoint where it was placed; releases that place without an answer. */
+  async open(
+    admitted: AdmittedRequest,
+    placed: RequestReservation,
+    { continuation, producedTokens = 0, signal = admitted.signal }: OpenOptions = {},
+  ): Promise<StreamSegment | UnansweredOutcome> {
+    const target = admitted;
+    const sentToBefore = admitted.sentTo;
+    target.sentTo = [...sentToBefore, placed.backEnd.endpointId];
+    const copy = admitted.isTrial
+      ? undefined
+      : this.placer.placeBackup(admitted.work, placed.backEnd, producedTokens);
+    const sent = await this.sender.send(admitted, placed.backEnd, signal, {
+      continuation,
+      backUpTo: copy?.backEnd.address,
+    });
+    if (sent.outcome === 'answered') return new StreamSegment(placed, sent.head, sent.answer, copy);
+    placed.release();
+    copy?.release();
+    // A continuation that was refused is no run, and leaves the route its number of endpoints.
+    if (sent.outcome === 'not-run' && (!sent.wasSent || continuation)) target.sentTo = sentToBefore;
+    if (sent.outcome === 'lost' && !signal.aborted) {
+      await this.reportCrash(admitted, placed.backEnd, false, undefined);
+    }
+    return sent;
+  }
+
+  /** Continues a run from a copy of its KV cache; undefined if the engine refuses or fails. */
+  async openFromCopy(
+    admitted: AdmittedRequest,
+    { placed, continueFrom, laterCopy }: NextSegment,
+    { lastEventId, outputTokens }: StreamPosition,
+    signal = admitted.signal,
+  ): Promise<StreamSegment | undefined> {
+    const options = { producedTokens: outputTokens, signal };
+    const sent = await this.open(admitted, placed, {
+      ...options,
+      continuation: { continueFrom, lastEventId },
+    });
+    if (sent instanceof StreamSegment) return this.checkContinued(sent, signal);
+    const later = await laterCopy;
+    if (!later || sent.outcome === 'lost') return undefined;
+    const again = await this.open(admitted, placed, {
+      ...options,
+      continuation: { continueFrom: later, lastEventId },
+    });
+    return again instanceof StreamSegment ? this.checkContinued(again, signal) : undefined;
+  }
+
+  /** Chooses an endpoint for a new run, other than the one that runs or has lost it. */
+  placeNewRun(admitted: AdmittedRequest, from: EndpointId): RequestReservation | undefined {
+    try {
+      return this.placer.place(admitted.work, [from], 'retry');
+    } catch {
+      // The placer has logged the reason; its refusal would deny the run that was lost.
+      return undefined;
+    }
+  }
+
+  /** Starts a new run that resumes after the last event; undefined if the engine doesn't take it. */
+  async openNewRun(
+    admitted: AdmittedRequest,
+    placed: RequestReservation,
+    { lastEventId }: StreamPosition,
+    signal = admitted.signal,
+  ): Promise<StreamSegment | undefined> {
+    const continuation = { continueFrom: undefined, lastEventId };
+    const sent = await this.open(admitted, placed, { continuation, signal });
+    return sent instanceof StreamSegment ? this.checkContinued(sent, signal) : undefined;
+  }
+
+  /** Whether an endpoint has sent anything to this node since a monotonic time. */
+  hasReceivedSince(endpointId: EndpointId, sinceMs: number): boolean {
+    return this.placer.health.hasReceivedSince(endpointId, sinceMs);
+  }
+
+  async reportCrash(
+    admitted: AdmittedRequest,
+    backEnd: KnownBackEnd,
+    hadHead: boolean,
+    outputSinceMs: number | undefined,
+  ): Promise<void> {
+    const target = admitted;
+    const progress = { hadHead, outputSinceMs };
+    const hasCrashed = await this.crashes.reportLoss(admitted, backEnd, progress);
+    if (hasCrashed && outputSinceMs === undefined) target.crashesAtStart += 1;
+  }
+
+  private checkContinued(segment: StreamSegment, signal: AbortSignal): StreamSegment | undefined {
+    if (isSuccess(segment.head) && !signal.aborted) return segment;
+    segment.discard();
+    return undefined;
+  }
+}
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -7,21 +7,26 @@
  */
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import { ServingMetrics, type AnswerHead, type KnownBackEnd } from '../../services';
+import { ServingMetrics } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { CrashReporter } from './CrashReporter';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
-import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
+import { isSuccess } from './EndpointSender';
 import { EventSplitter } from './EventSplitter';
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
-import type { RunMigrator, RunningStream } from './RunMigrator';
+import type { RunMigrator } from './RunMigrator';
+import type { SegmentOpener } from './SegmentOpener';
+import type { SilenceWatch } from './SilenceWatch';
+import { StreamProgress } from './StreamProgress';
 import { StreamSegment, type NextSegment } from './StreamSegment';
+import type { RunningStream } from './Takeover';
 
 type SegmentEnd =
   | { readonly end: 'complete' }
+  | { readonly end: 'taken-over' }
   | {
       readonly end: 'broken';
       readonly reason: string;
@@ -29,27 +34,13 @@
       readonly outputSinceMs: number | undefined;
     };
 
-/** Part of a stream that has been forwarded to the caller. */
-class StreamProgress {
-  head: AnswerHead | undefined;
-
-  lastEventId: string | undefined;
-
-  events = 0;
-
-  constructor(private readonly tokensPerEvent: number) {}
-
-  get outputTokens(): number {
-    return this.events * this.tokensPerEvent;
-  }
-}
-
 /** @internal */
 export interface StreamParts {
   readonly placer: EndpointPlacer;
-  readonly sender: EndpointSender;
+  readonly opener: SegmentOpener;
   readonly retries: RetryPolicy;
   readonly migrator: RunMigrator;
+  readonly silence: SilenceWatch;
   readonly estimator: OutputEstimator;
   readonly crashes: CrashReporter;
 }
@@ -72,18 +63,42 @@
     let segment = await this.open(admitted, progress);
     while (segment) {
       const ended = await this.relay(admitted, segment, progress);
+      if (ended.end === 'complete' || admitted.signal.aborted) this.abandonNext(segment);
       if (ended.end === 'complete') {
-        void segment.abandonMigration();
         this.writeHead(admitted, progress);
         exchange.end();
         this.parts.estimator.observe(work, progress.outputTokens);
         return;
       }
-      if (admitted.signal.aborted) void segment.abandonMigration();
       admitted.signal.throwIfAborted();
-      await this.reportBroken(admitted, segment, ended.outputSinceMs);
-      segment = await this.continueStream(admitted, segment, progress, ended.reason);
+      segment = await this.openNext(admitted, segment, progress, ended);
+    }
+  }
+
+  /** Releases what was prepared for the next segment of a stream that has ended. */
+  private abandonNext(segment: StreamSegment): void {
+    void segment.abandonMigration();
+    void segment.takeover?.discard();
+  }
+
+  /** Returns the segment that has taken over, or opens one after an engine has broken off a run. */
+  private async openNext(
+    admitted: AdmittedRequest,
+    segment: StreamSegment,
+    progress: StreamProgress,
+    ended: Exclude<SegmentEnd, { readonly end: 'complete' }>,
+  ): Promise<StreamSegment> {
+    // The engine is lost, so an attempt that is still open is the best continuation.
+    segment.takeover?.commit();
+    if (ended.end === 'broken') await this.reportBroken(admitted, segment, ended.outputSinceMs);
+    const successor = await segment.takeover?.successor;
+    if (successor) {
+      void segment.abandonMigration();
+      this.kernel.get(ServingMetrics).countContinuation(segment.takeover?.kind ?? 'from-copy');
+      return successor;
     }
+    const reason = ended.end === 'broken' ? ended.reason : 'The run was taken over and lost.';
+    return this.continueStream(admitted, segment, progress, reason);
   }
 
   /** Sends the request until an engine answers it; forwards an error response as it is. */
@@ -103,7 +118,7 @@
       } catch (thrown) {
         throw this.explainUnsent(admitted, thrown, lostReason);
       }
-      const sent = await this.sendTo(admitted, placed, undefined);
+      const sent = await this.parts.opener.open(admitted, placed);
       if (sent instanceof StreamSegment) return this.begin(admitted, sent, progress);
       admitted.signal.throwIfAborted();
       if (sent.outcome === 'lost') lostReason = sent.reason;
@@ -177,82 +192,42 @@
     return undefined;
   }
 
-  private async sendTo(
-    admitted: AdmittedRequest,
-    placed: RequestReservation,
-    continuation: RunContinuation | undefined,
-    producedTokens = 0,
-  ): Promise<
-    StreamSegment | Exclude<Awaited<ReturnType<EndpointSender['send']>>, { outcome: 'answered' }>
-  > {
-    const target = admitted;
-    const { endpointId } = placed.backEnd;
-    target.sentTo = [...admitted.sentTo, endpointId];
-    const copy = admitted.isTrial
-      ? undefined
-      : this.parts.placer.placeBackup(admitted.work, placed.backEnd, producedTokens);
-    const sent = await this.parts.sender.send(admitted, placed.backEnd, admitted.signal, {
-      continuation,
-      backUpTo: copy?.backEnd.address,
-    });
-    if (sent.outcome === 'answered') return new StreamSegment(placed, sent.head, sent.answer, copy);
-    placed.release();
-    copy?.release();
-    if (sent.outcome === 'not-run' && !sent.wasSent) {
-      target.sentTo = admitted.sentTo.filter((id) => id !== endpointId);
-    }
-    if (sent.outcome === 'lost' && !admitted.signal.aborted) {
-      await this.reportCrash(admitted, placed.backEnd, false, undefined);
-    }
-    return sent;
-  }
-
   private async reportBroken(
     admitted: AdmittedRequest,
     { placed }: StreamSegment,
     outputSinceMs: number | undefined,
   ): Promise<void> {
     const report = async (): Promise<void> =>
-      this.reportCrash(admitted, placed.backEnd, true, outputSinceMs);
+      this.parts.opener.reportCrash(admitted, placed.backEnd, true, outputSinceMs);
     // A stream with output goes on without waiting for the report.
     if (outputSinceMs === undefined) await report();
     else this.kernel.runTask('report crash', report);
   }
 
-  private async reportCrash(
-    admitted: AdmittedRequest,
-    backEnd: KnownBackEnd,
-    hadHead: boolean,
-    outputSinceMs: number | undefined,
-  ): Promise<void> {
-    const target = admitted;
-    const progress = { hadHead, outputSinceMs };
-    const hasCrashed = await this.parts.crashes.reportLoss(admitted, backEnd, progress);
-    if (hasCrashed && outputSinceMs === undefined) target.crashesAtStart += 1;
-  }
-
   /** Forwards the events of one segment to the caller. */
   private async relay(
     admitted: AdmittedRequest,
     segment: StreamSegment,
     progress: StreamProgress,
   ): Promise<SegmentEnd> {
-    const state = progress;
+    const { clock } = this.kernel;
     const splitter = new EventSplitter();
-    this.parts.migrator.track({ admitted, segment, getOutputTokens: () => state.outputTokens });
     const { endpointId } = segment.placed.backEnd;
     const sound = this.parts.crashes.watchBeginning(admitted);
+    segment.startWaiting(clock.nowMs());
+    this.parts.migrator.track({ admitted, segment, progress });
+    this.parts.silence.track({ admitted, segment, progress });
     try {
       for await (const chunk of segment.response.read()) {
         const events = splitter.push(chunk);
         if (!events) continue;
-        this.writeHead(admitted, state);
-        state.lastEventId = events.lastEventId ?? state.lastEventId;
-        state.events += events.count;
-        segment.recordTokens(state.outputTokens);
+        if (!(await segment.letEventPass())) return { end: 'taken-over' };
+        this.writeHead(admitted, progress);
+        progress.record(events);
+        segment.recordTokens(progress.outputTokens);
         sound.observe();
         await admitted.exchange.write(events.bytes);
-        segment.markReadStart();
+        segment.markReadStart(clock.nowMs());
       }
       splitter.checkEnd();
       if (await segment.mayBeStopped()) {
@@ -262,6 +237,7 @@
       this.parts.placer.recordOutcome(endpointId, 'answered');
       return { end: 'complete' };
     } catch (thrown) {
+      if (segment.takeover?.isCommitted) return { end: 'taken-over' };
       const reason = ServingError.from(thrown).detail;
       return { end: 'broken', reason, outputSinceMs: sound.outputSinceMs };
     } finally {
@@ -283,7 +259,7 @@
   ): Promise<StreamSegment> {
     const from = segment.placed.backEnd.endpointId;
     const { lastEventId } = progress;
-    const stream = { admitted, segment, getOutputTokens: () => progress.outputTokens };
+    const stream = { admitted, segment, progress };
     const refusal = this.guard.findRefusal(admitted);
     if (refusal) void segment.abandonMigration();
     const next = refusal ? undefined : await this.findNextSegment(stream);
@@ -299,14 +275,14 @@
     });
     const metrics = this.kernel.get(ServingMetrics);
     if (next) {
-      const continued = await this.openNextSegment(admitted, next, progress);
+      const continued = await this.parts.opener.openFromCopy(admitted, next, progress);
       if (continued) {
         metrics.countContinuation('from-copy');
         return continued;
       }
     }
     if (!next) this.parts.placer.recordOutcome(from, 'failed');
-    const resumed = refusal ? undefined : await this.resume(admitted, from, lastEventId);
+    const resumed = refusal ? undefined : await this.resume(admitted, from, progress);
     if (resumed) {
       metrics.countContinuation('new-run');
       return resumed;
@@ -328,49 +304,14 @@
     return retries.takeFromBudget(work.service) ? migrator.recover(stream) : undefined;
   }
 
-  private async openNextSegment(
-    admitted: AdmittedRequest,
-    { placed, continueFrom, laterCopy }: NextSegment,
-    { lastEventId, outputTokens }: StreamProgress,
-  ): Promise<StreamSegment | undefined> {
-    const sent = await this.sendTo(admitted, placed, { continueFrom, lastEventId }, outputTokens);
-    if (sent instanceof StreamSegment) return this.checkContinued(admitted, sent);
-    const later = await laterCopy;
-    if (!later || sent.outcome === 'lost') return undefined;
-    const again = await this.sendTo(
-      admitted,
-      placed,
-      { continueFrom: later, lastEventId },
-      outputTokens,
-    );
-    return again instanceof StreamSegment ? this.checkContinued(admitted, again) : undefined;
-  }
-
   /** Starts a new run that resumes after the last event, if the route allows it. */
   private async resume(
     admitted: AdmittedRequest,
     from: EndpointId,
-    lastEventId: string | undefined,
+    progress: StreamProgress,
   ): Promise<StreamSegment | undefined> {
     if (!admitted.route.isResumable || !this.parts.retries.takeRetry(admitted)) return undefined;
-    let placed: RequestReservation;
-    try {
-      placed = this.parts.placer.place(admitted.work, [from], 'retry');
-    } catch {
-      // The placer has logged the reason; its refusal would deny the run that was lost.
-      return undefined;
-    }
-    const sent = await this.sendTo(admitted, placed, { continueFrom: undefined, lastEventId });
-    return sent instanceof StreamSegment ? this.checkContinued(admitted, sent) : undefined;
-  }
-
-  private checkContinued(
-    { signal }: AdmittedRequest,
-    segment: StreamSegment,
-  ): StreamSegment | undefined {
-    if (isSuccess(segment.head) && !signal.aborted) return segment;
-    segment.response.abort();
-    segment.end();
-    return undefined;
+    const placed = this.parts.opener.placeNewRun(admitted, from);
+    return placed && this.parts.opener.openNewRun(admitted, placed, progress);
   }
 }
--- a/src/plugins/forwarding/StreamSegment.ts
+++ b/src/plugins/forwarding/StreamSegment.ts
@@ -4,6 +4,7 @@
 import type { AnswerHead, CopyOutcome, KvCacheCopy } from '../../services';
 import type { EndpointResponse } from './EndpointResponse';
 import type { RequestReservation, EndpointReservation } from './EndpointPlacer';
+import type { Takeover } from './Takeover';
 
 /** Where a run continues after its engine has stopped or lost it. @internal */
 export interface NextSegment {
@@ -22,6 +23,12 @@
   /** Answer to the order that stops the run on this engine; set once the order is sent. */
   stopOrder: Promise<CopyOutcome> | undefined;
 
+  /** The last attempt to take the run over to another engine. */
+  takeover: Takeover | undefined;
+
+  /** Monotonic time since which the next event is awaited; undefined while one is forwarded. */
+  private waitingSinceMs: number | undefined;
+
   private readonly doneController = new AbortController();
 
   constructor(
@@ -37,6 +44,17 @@
     return this.doneController.signal;
   }
 
+  /** Returns how long the next event has been awaited; 0 while the caller is slow to read. */
+  getWaitedMs(nowMs: number): number {
+    return this.waitingSinceMs === undefined ? 0 : nowMs - this.waitingSinceMs;
+  }
+
+  /** Closes the connection, and ends the segment without forwarding it. */
+  discard(): void {
+    this.response.abort();
+    this.end();
+  }
+
   end(): void {
     this.doneController.abort();
     this.placed.release();
@@ -53,12 +71,19 @@
   }
 
   recordTokens(outputTokens: number): void {
+    this.waitingSinceMs = undefined;
     this.placed.recordTokens(outputTokens);
     this.backup?.recordTokens(outputTokens);
   }
 
+  /** Records that this node is ready to read the engine's first event. */
+  startWaiting(nowMs: number): void {
+    this.waitingSinceMs = nowMs;
+  }
+
   /** Starts timing the engine's next event. */
-  markReadStart(): void {
+  markReadStart(nowMs: number): void {
+    this.startWaiting(nowMs);
     this.placed.markReadStart();
   }
 
@@ -66,4 +91,9 @@
   async abandonMigration(): Promise<void> {
     (await this.migration)?.placed.release();
   }
+
+  /** Returns whether an event of this segment may be forwarded, or another one has taken over. */
+  async letEventPass(): Promise<boolean> {
+    return this.takeover === undefined || this.takeover.letEventPass();
+  }
 }
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -45,6 +45,11 @@
   nearlyDoneGraceMs: 450,
   /** Interval at which a stream checks whether its engine is unresponsive. */
   silenceCheckIntervalMs: 250,
+  /** Time in which another engine has to answer before two engines would work on one run. */
+  maxOverlapMs: 300,
+  /** Pause after a failed attempt to take a run over; it doubles up to the maximum. */
+  takeoverPauseMs: 1_000,
+  maxTakeoverPauseMs: 8_000,
   /** Timeout of an order to copy the KV cache of a run. */
   copyTimeoutMs: 2_500,
   /** Delay before a migration that every engine has refused is tried again. */
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -15,8 +15,12 @@
  */
 export type AttemptOutcome = 'answered' | 'shed' | 'unreachable' | 'lost';
 
-/** How a stream continued after its engine was lost or left; `cut` if it did not. @public */
-export type ContinuationOutcome = 'from-copy' | 'new-run' | 'cut';
+/**
+ * How a stream continued after its engine was lost, silent or left. `stayed`: it waits on at its
+ * silent engine, as no other one has taken the run over. `cut`: it did not continue.
+ * @public
+ */
+export type ContinuationOutcome = 'from-copy' | 'new-run' | 'stayed' | 'cut';
 
 /** @public */
 export type SourceCallOutcome = 'changes' | 'no-change' | 'history-gone' | 'failed';
@@ -42,7 +46,7 @@
   /** Counts one attempt to send a request to an endpoint of the service. */
   abstract countAttempt(service: string, outcome: AttemptOutcome): void;
 
-  /** Counts one stream whose engine was lost or left. */
+  /** Counts one stream whose engine was lost or left, or one attempt while it was silent. */
   abstract countContinuation(outcome: ContinuationOutcome): void;
 
   /** Counts one request that a crash of its endpoint ended, by whether its answer had a head. */
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -39,6 +39,12 @@
   return part !== undefined && parts.some((each) => each.split(':')[0] === part);
 }
 
+async function pause(delayMs: number): Promise<void> {
+  await new Promise((resolve) => {
+    setTimeout(resolve, delayMs);
+  });
+}
+
 const SEAL_HEADER = 'X-Bramleyvane-Server-Seal';
 const REQUEST_ID_HEADER = 'X-Bramleyvane-Request-Id';
 
@@ -76,6 +82,20 @@
   /** Number of copy requests that are still to be refused. */
   copiesToRefuse = 0;
 
+  /** Whether orders to stop a run and copy the rest get no answer, and the run goes on. */
+  ignoresFinalCopies = false;
+
+  /** Whether runs that come with a copy are refused, as if the copy were gone. */
+  refusesCopies = false;
+
+  /** Time until a run that continues after an event is answered or refused. */
+  continuationDelayMs = 0;
+
+  private endSilence = (): void => {};
+
+  /** Resolves when the silence ends; a silence that was not given a duration lasts. */
+  private awake = new Promise<void>(() => {});
+
   private readonly running = new Map<string, Run>();
 
   private constructor(private readonly options: PlatformEngineOptions) {
@@ -111,6 +131,27 @@
     this.behaviour = 'silent';
   }
 
+  /** Stalls all streams and new requests for a time, then goes on with them. */
+  goSilentFor(silentMs: number): void {
+    this.behaviour = 'silent';
+    this.awake = new Promise((resolve) => {
+      this.endSilence = resolve;
+    });
+    setTimeout(() => this.wake(), silentMs).unref();
+  }
+
+  /** Ends a silence that was to last for a time. */
+  wake(): void {
+    if (this.behaviour !== 'silent') return;
+    this.behaviour = 'answer';
+    this.endSilence();
+  }
+
+  /** Number of runs whose connection is open. */
+  get runningCount(): number {
+    return this.running.size;
+  }
+
   /** Resets all streams, as a crash of the process would. */
   crash(): void {
     this.behaviour = 'reset';
@@ -146,31 +187,38 @@
     }
     if (this.behaviour === 'crash') void this.stop();
     if (this.behaviour === 'reset') resetConnection(context.env.incoming);
-    if (['reset', 'silent', 'crash'].includes(this.behaviour)) return new Promise(() => {});
+    if (['reset', 'crash'].includes(this.behaviour)) return new Promise(() => {});
+    if (this.behaviour === 'silent') await this.awake;
+    if (headers['last-event-id'] !== undefined) await pause(this.continuationDelayMs);
+    if (context.env.incoming.socket.destroyed) return new Promise(() => {});
+    if (!this.takeCopy(headers)) {
+      return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
+    }
     this.executedRequestIds = [...this.executedRequestIds, requestId];
     const responseRequestId = this.behaviour === 'crossed' ? 'another-request' : requestId;
     const head: Record<string, string> = { [REQUEST_ID_HEADER]: responseRequestId };
     if (this.behaviour !== 'unsigned') head[SEAL_HEADER] = `seal-${this.options.instanceId}`;
     if (this.behaviour === 'fail') return context.body('failed', 500, head);
     if (this.options.callMs !== undefined) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, this.options.callMs);
-      });
+      await pause(this.options.callMs);
     }
     if (this.options.events === undefined) return context.body(`answer to ${requestId}`, 200, head);
     return this.stream(context, requestId, head);
   }
 
+  /** Uses up the copy from which a request continues; false if there is none. */
+  private takeCopy(headers: Readonly<Record<string, string>>): boolean {
+    const handle = headers['kv-from']?.split('/')[1];
+    if (handle === undefined) return true;
+    return !this.refusesCopies && this.copies.delete(handle);
+  }
+
   private stream(
     context: StandInContext,
     requestId: string,
     head: Readonly<Record<string, string>>,
   ): Response {
     const headers = context.req.header();
-    const sourceHandle = headers['kv-from']?.split('/')[1];
-    if (sourceHandle !== undefined && !this.copies.delete(sourceHandle)) {
-      return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
-    }
     const { events = 0, eventIntervalMs = 5 } = this.options;
     const { incoming } = context.env;
     const run: Run = {
@@ -187,18 +235,14 @@
       start: async (controller) => {
         if (hasPart(headers, this.options.deadlyPart)) {
           this.deadlyRequestIds = [...this.deadlyRequestIds, requestId];
-          await new Promise((resolve) => {
-            setTimeout(resolve, CRASH_DELAY_MS);
-          });
+          await pause(CRASH_DELAY_MS);
           await this.stop();
           this.onCrash();
         }
         while (run.producedEvents < events && !run.isStopped && !incoming.socket.destroyed) {
-          await new Promise((resolve) => {
-            setTimeout(resolve, eventIntervalMs);
-          });
+          await pause(eventIntervalMs);
+          if (this.behaviour === 'silent') await this.awake;
           if (run.isStopped) break;
-          if (this.behaviour === 'silent') await new Promise(() => {});
           run.producedEvents += 1;
           controller.enqueue(
             Buffer.from(`id: ${run.producedEvents}\ndata: token ${run.producedEvents}\n\n`),
@@ -209,6 +253,11 @@
         if (run.producedEvents >= events || this.options.isUnframed) controller.close();
         else run.abort();
       },
+      // The connection was closed.
+      cancel: () => {
+        run.isStopped = true;
+        this.running.delete(requestId);
+      },
     });
     if (this.options.isUnframed) {
       context.env.outgoing.useChunkedEncodingByDefault = false;
@@ -225,6 +274,7 @@
       this.copiesToRefuse -= 1;
       return context.body(null, 503);
     }
+    if (request.final && this.ignoresFinalCopies) return new Promise(() => {});
     if (request.final) run.isStopped = true;
     const handle = `${request.id}-copy`;
     await sendCopy(request.to, handle);
--- /dev/null
+++ b/tests/silentEngines.test.ts
@@ -0,0 +1,214 @@
+/**
+ * Tests streams whose engine falls silent for a while and goes on: such a run is never given up
+ * before its continuation is secured.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { PlatformEngine } from '../stand-ins/PlatformEngine';
+import {
+  callFront,
+  createStoreConfiguration,
+  FrontFixture,
+  GENERATION_HEADERS,
+  type FrontNode,
+  type FrontResponse,
+} from './FrontFixture';
+import { waitUntil } from './waitUntil';
+
+let fixture: FrontFixture;
+
+beforeEach(async () => {
+  fixture = await FrontFixture.start();
+});
+
+afterEach(async () => {
+  await fixture.stop();
+});
+
+const EVENTS = 150;
+const EVENT_INTERVAL_MS = 10;
+/** Longer than the time after which an engine counts as silent, and than one attempt lasts. */
+const SILENT_MS = 2_000;
+const NO_RETRIES = { retryShare: 0, retryAllowance: 0 };
+
+const WHOLE_STREAM = Array.from(
+  { length: EVENTS },
+  (_, index) => `id: ${index + 1}\ndata: token ${index + 1}\n\n`,
+).join('');
+
+interface ConfigurationChanges {
+  readonly backups?: boolean;
+  readonly maxAttempts?: number;
+  readonly version?: number;
+  readonly changes?: Readonly<Record<string, unknown>>;
+}
+
+function createConfiguration({
+  backups = false,
+  maxAttempts = 2,
+  version = 5,
+  changes = {},
+}: ConfigurationChanges): Readonly<Record<string, unknown>> {
+  const base = createStoreConfiguration();
+  const routes = (base.routes as ReadonlyArray<Readonly<Record<string, unknown>>>).map((route) => ({
+    ...route,
+    timeoutMs: 30_000,
+    ...(route.streamResume === true ? { maxAttempts } : {}),
+  }));
+  const engine = { kvCapacity: 30_000, stride: 4, moves: true, backups };
+  const services = [
+    { name: 'desk', maxConnections: 40 },
+    { name: 'writers', maxConnections: 40, engine },
+  ];
+  return { ...base, version, routes, services, ...changes };
+}
+
+async function addWriter(instanceId: string): Promise<PlatformEngine> {
+  return fixture.addEngine('writers', {
+    instanceId,
+    events: EVENTS,
+    eventIntervalMs: EVENT_INTERVAL_MS,
+  });
+}
+
+async function call(node: FrontNode, route: 'report' | 'label'): Promise<FrontResponse> {
+  const headers = { ...GENERATION_HEADERS, 'x-bramleyvane-deadline-ms': '30000' };
+  return callFront(node, `/${route}/a`, { method: 'POST', headers });
+}
+
+function listRuns(engines: ReadonlyArray<PlatformEngine>): ReadonlyArray<string> {
+  return engines.flatMap(({ executedRequestIds }) => executedRequestIds);
+}
+
+interface StartedStream {
+  readonly node: FrontNode;
+  readonly answer: Promise<FrontResponse>;
+  readonly primary: PlatformEngine;
+  readonly other: PlatformEngine;
+}
+
+/** Starts a stream on one of two engines and waits until the other one has its backup. */
+async function startReplicatedStream(
+  route: 'report' | 'label',
+  bounds?: Readonly<Record<string, number>>,
+): Promise<StartedStream> {
+  const engines = [await addWriter('i-1'), await addWriter('i-2')];
+  const node = await fixture.addReadyNode(2, bounds);
+  const answer = call(node, route);
+  answer.catch(() => {});
+  const other = await waitUntil('the backup', () => engines.find(({ copies }) => copies.size > 0));
+  const primary = engines.find((engine) => engine !== other) as PlatformEngine;
+  await sleep(100);
+  return { node, answer, primary, other };
+}
+
+// Guards against a stream that is cut because its backup was refused while its sound engine was
+// silent for a moment.
+test('keeps the silent engine when the backup is refused', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report');
+  other.refusesCopies = true;
+  primary.goSilentFor(SILENT_MS);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(listRuns([primary, other])).toHaveLength(1);
+  expect(other.receivedRequests).toHaveLength(1);
+  expect(node.lines).toContainEqual(
+    expect.objectContaining({ what: 'engine silent', outcome: 'stays: refused' }),
+  );
+});
+
+// Guards against a stream that is cut because no repeat was left while its engine was silent.
+test.each([
+  ['report', true],
+  ['label', true],
+  ['label', false],
+] as const)('keeps the silent engine without a budget: %s, backup %s', async (route, backups) => {
+  fixture.store.put('op/config', createConfiguration({ backups }));
+  const engines = [await addWriter('i-1'), await addWriter('i-2')];
+  const node = await fixture.addReadyNode(2, NO_RETRIES);
+  const answer = call(node, route);
+  const primary = await waitUntil('the start of the run', () =>
+    engines.find(({ executedRequestIds }) => executedRequestIds.length > 0),
+  );
+  await sleep(100);
+  primary.goSilentFor(SILENT_MS);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(listRuns(engines)).toHaveLength(1);
+});
+
+// Guards against a resumable stream that is cut because its route allows no further endpoint, or
+// because there is none, while its engine is silent.
+test.each([
+  ['one endpoint allowed', 1, 2],
+  ['one engine', 2, 1],
+])('keeps the silent engine of a resumable stream: %s', async (_name, maxAttempts, count) => {
+  fixture.store.put('op/config', createConfiguration({ maxAttempts }));
+  const engines = await Promise.all(
+    ['i-1', 'i-2'].slice(0, count).map(async (instanceId) => addWriter(instanceId)),
+  );
+  const node = await fixture.addReadyNode(count);
+  const answer = call(node, 'label');
+  const primary = await waitUntil('the start of the run', () =>
+    engines.find(({ executedRequestIds }) => executedRequestIds.length > 0),
+  );
+  await sleep(100);
+  primary.goSilentFor(SILENT_MS);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(listRuns(engines)).toHaveLength(1);
+});
+
+// Guards against a stream that is fed by two engines, or that is cut, when its silent engine wakes
+// while another engine is still to answer.
+test('stays with an engine that wakes before the other one has answered', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report');
+  other.continuationDelayMs = 250;
+  primary.goSilentFor(60_000);
+  await waitUntil('the attempt', () => other.receivedRequests.length === 1);
+  primary.wake();
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(listRuns([primary, other])).toHaveLength(1);
+  expect(node.lines).toContainEqual(
+    expect.objectContaining({ what: 'engine silent', outcome: 'stays: engine woke' }),
+  );
+});
+
+// Guards against events that come twice or from two engines when a silent engine wakes after
+// another one has taken the run over.
+test.each([
+  ['from-copy', 'report', true],
+  ['new-run', 'label', false],
+] as const)(
+  'an engine that wakes after a takeover is not heard: %s',
+  async (kind, route, backups) => {
+    fixture.store.put('op/config', createConfiguration({ backups }));
+    const engines = [await addWriter('i-1'), await addWriter('i-2')];
+    const node = await fixture.addReadyNode(2);
+    const answer = call(node, route);
+    const primary = await waitUntil('the start of the run', () =>
+      engines.find(({ executedRequestIds }) => executedRequestIds.length > 0),
+    );
+    const other = engines.find((engine) => engine !== primary) as PlatformEngine;
+    await sleep(100);
+    primary.goSilentFor(60_000);
+    await waitUntil('the takeover', () => other.executedRequestIds.length === 1);
+    primary.wake();
+    await waitUntil('the close', () => primary.runningCount === 0);
+    expect((await answer).text).toBe(WHOLE_STREAM);
+    expect(node.lines).toContainEqual(
+      expect.objectContaining({ what: 'engine silent', outcome: `taken over: ${kind}` }),
+    );
+  },
+);
+
+// Guards against a stream that is given up for an engine which doesn't answer either.
+test('stays with a silent engine when the other one is silent too', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report');
+  other.goSilentFor(60_000);
+  primary.goSilentFor(SILENT_MS);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(primary.executedRequestIds).toHaveLength(1);
+  expect(node.lines).toContainEqual(
+    expect.objectContaining({ what: 'engine silent', outcome: 'stays: no answer' }),
+  );
+});
