Don't close a leaving engine's stream because an order to stop its run failed

What callers saw: a stream on a leaving engine was cut although the engine would have finished it. Cause: the same as for silent engines. When the last copy order failed (no answer in 2.5 s, 409), the node closed the stream to make the engine stop, and only then continued from the older copy; if that was refused, the run was lost. A 404 (the run has ended) also closed the stream, before its last bytes. Change: without a confirmed stop, the run is taken over from the first copy as for silent engines, except that events wait for the outcome (300 ms at most and the time of one answer). If it stays, it is migrated again after 1 s. A run that has ended closes its own stream.

--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -65,11 +65,11 @@
   override setUp(): void {
     const { kernel, connections, placer } = this;
     const deployment = kernel.get(Deployment);
-    const migrator = new RunMigrator(kernel, placer, this.estimator);
     const sender = new EndpointSender(kernel, connections, placer);
     const retries = new RetryPolicy(kernel);
     const crashes = new CrashReporter(kernel, this.health);
     const opener = new SegmentOpener(placer, sender, crashes);
+    const migrator = new RunMigrator(kernel, placer, this.estimator, opener);
     this.forwarder = new RequestForwarder(kernel, {
       whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
       stream: new StreamDelivery(kernel, {
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -20,8 +20,9 @@
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
+import type { SegmentOpener } from './SegmentOpener';
 import type { NextSegment, StreamSegment } from './StreamSegment';
-import type { RunningStream } from './Takeover';
+import { CopyTakeover, type RunningStream } from './Takeover';
 
 /** @internal */
 export class RunMigrator {
@@ -33,6 +34,7 @@
     private readonly kernel: Kernel,
     private readonly placer: EndpointPlacer,
     private readonly estimator: OutputEstimator,
+    private readonly opener: SegmentOpener,
   ) {
     this.guard = new QuarantineGuard(kernel);
   }
@@ -143,21 +145,48 @@
   /** Stops the run on its engine. The stream closes incomplete, and the next segment takes over. */
   private handOver(stream: RunningStream, placed: RequestReservation, handle: string): NextSegment {
     const { segment } = stream;
-    const { address } = segment.placed.backEnd;
+    const continueFrom = { address: segment.placed.backEnd.address, handle };
     const laterCopy = segment.done.aborted
       ? Promise.resolve(undefined)
-      : this.stop(stream, placed.backEnd);
-    return { placed, continueFrom: { address, handle }, laterCopy };
+      : this.stop(stream, { placed, continueFrom, laterCopy: undefined });
+    return { placed, continueFrom, laterCopy };
   }
 
-  private async stop(stream: RunningStream, to: KnownBackEnd): Promise<KvCacheCopy | undefined> {
+  private async stop(stream: RunningStream, next: NextSegment): Promise<KvCacheCopy | undefined> {
     const { segment } = stream;
-    segment.stopOrder = this.copy(stream, to, true);
+    segment.stopOrder = this.copy(stream, next.placed.backEnd, true);
     const last = await segment.stopOrder;
-    // Unless the engine confirms that it stopped the run, closing the stream makes it stop.
-    if (last.outcome !== 'copied') segment.response.abort();
     const handle = 'handle' in last ? last.handle : undefined;
-    return handle === undefined ? undefined : { address: segment.placed.backEnd.address, handle };
+    if (handle !== undefined) {
+      // The run has stopped even if the rest could not be copied.
+      if (last.outcome !== 'copied') segment.response.abort();
+      return { address: segment.placed.backEnd.address, handle };
+    }
+    // A run that has ended closes its stream; one that may go on keeps it until it is taken over.
+    if (last.outcome !== 'no-such-run') {
+      this.kernel.runTask('take over unstopped run', async () => this.takeOver(stream, next));
+    }
+    return undefined;
+  }
+
+  /** Continues from the first copy, or leaves the run where it is and tries to migrate it again. */
+  private async takeOver(stream: RunningStream, next: NextSegment): Promise<void> {
+    const { segment, admitted } = stream;
+    if (segment.done.aborted || segment.takeover?.isOpen) return;
+    const takeover = new CopyTakeover(this.kernel, this.opener, stream, next, true);
+    segment.takeover = takeover;
+    const outcome = await takeover.run();
+    this.kernel.log.warn('decision', {
+      requestId: admitted.request.requestId,
+      step: 'place',
+      what: 'run not stopped',
+      from: segment.placed.backEnd.endpointId,
+      outcome: outcome === 'committed' ? `taken over: ${takeover.kind}` : `stays: ${outcome}`,
+    });
+    if (outcome === 'committed') return;
+    await this.kernel.clock.sleep(FORWARDING_OPTIONS.takeoverPauseMs, segment.done);
+    segment.migration = undefined;
+    this.start(stream);
   }
 
   private placeOnOtherEngine(
--- a/src/plugins/forwarding/StreamSegment.ts
+++ b/src/plugins/forwarding/StreamSegment.ts
@@ -67,7 +67,8 @@
    */
   async mayBeStopped(): Promise<boolean> {
     if (this.response.isFramed || !this.stopOrder) return false;
-    return (await this.stopOrder).outcome !== 'no-such-run';
+    const { outcome } = await this.stopOrder;
+    return outcome === 'copied' || outcome === 'no-room';
   }
 
   recordTokens(outputTokens: number): void {
--- a/tests/silentEngines.test.ts
+++ b/tests/silentEngines.test.ts
@@ -3,6 +3,7 @@
  * before its continuation is secured.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
+import { Deployment } from '../src/services';
 import type { PlatformEngine } from '../stand-ins/PlatformEngine';
 import {
   callFront,
@@ -30,10 +31,12 @@
 const SILENT_MS = 2_000;
 const NO_RETRIES = { retryShare: 0, retryAllowance: 0 };
 
-const WHOLE_STREAM = Array.from(
-  { length: EVENTS },
-  (_, index) => `id: ${index + 1}\ndata: token ${index + 1}\n\n`,
-).join('');
+function writeStream(events: number): string {
+  const ids = Array.from({ length: events }, (_, index) => index + 1);
+  return ids.map((id) => `id: ${id}\ndata: token ${id}\n\n`).join('');
+}
+
+const WHOLE_STREAM = writeStream(EVENTS);
 
 interface ConfigurationChanges {
   readonly backups?: boolean;
@@ -212,3 +215,26 @@
     expect.objectContaining({ what: 'engine silent', outcome: 'stays: no answer' }),
   );
 });
+
+// Guards against a stream that is cut because an order to stop its run failed, although its leaving
+// engine would have finished it.
+test.each([
+  ['refused', true],
+  ['accepted', false],
+])('a run that its engine does not stop goes on: copy %s', async (_name, refusesCopies) => {
+  fixture.store.put('op/config', createConfiguration({}));
+  const options = { events: 250, eventIntervalMs: 20 };
+  const first = await fixture.addEngine('writers', { instanceId: 'i-1', ...options });
+  const node = await fixture.addReadyNode(1);
+  const answer = call(node, 'report');
+  answer.catch(() => {});
+  await waitUntil('the start of the run', () => first.executedRequestIds.length === 1);
+  const second = await fixture.addEngine('writers', { instanceId: 'i-2', ...options });
+  await waitUntil('the second engine', () => node.kernel.get(Deployment).listAll().length === 2);
+  first.ignoresFinalCopies = true;
+  second.refusesCopies = refusesCopies;
+  fixture.store.put('servers/i-1', first.createEntry('writers', { state: 'draining' }));
+  expect((await answer).text).toBe(writeStream(250));
+  expect(second.executedRequestIds).toHaveLength(refusesCopies ? 0 : 1);
+  if (!refusesCopies) await waitUntil('the close', () => first.runningCount === 0);
+});
