Keep each request in a table until it has its one outcome

A request could end without an answer in ways that no log line or metric showed: its task was an unwatched promise, and an error thrown while an error was answered (by the dialect, the metrics or the log) reached no caller. The promise then rejected without a handler, which ends the process and with it all other requests.

A request now enters the RequestTable when its head was read, with its deadline, and leaves it with exactly one outcome: answered, caller left, or cut after the head of its answer. A task that ends without an answer, or that misses its deadline by 100 ms, gets an error there; each such request is counted (bramleyvane_unanswered_requests_total) and logged with its id. The table also lists the running requests with their deadlines and ends one with an error, for a stop that is planned. An entry stays until the system has taken the whole answer, so a drain waits for that too.

A request whose deadline passes before it was sent to an endpoint is now refused as not run (deadline-passed, 503) instead of 504, which promises nothing.

Seen before the change: tests/answers.test.ts 'an error thrown in the headers of the answer is answered' got no answer within 2 s, and the promise of the task rejected without a handler.

--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -153,6 +153,12 @@
     mayRepeat: true,
     reason: 'This node has not been able to confirm recently that its keys and routes are current.',
   },
+  'deadline-passed': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason: 'The deadline passed before the request was sent to an endpoint.',
+  },
   'answer-timeout': {
     status: 504,
     run: 'unknown',
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -1,11 +1,12 @@
 /**
- * State of an admitted request: its route, its deadline, and the attempts to send it.
+ * State of an admitted request: its route, and the attempts to send it.
  */
-import type { Deadline, EndpointId, Route } from '../../core';
+import type { EndpointId, Route } from '../../core';
 import type { DispatchParameters, RequestDialect, ServingRequest } from '../../services';
 import type { CallerBody, CallerExchange } from './CallerExchange';
 import type { EndpointMessage } from './EndpointConnection';
 import type { PlacementInput } from './EndpointPlacer';
+import type { RunningRequest } from './RunningRequest';
 
 /** One attempt to send a request to an endpoint, as it is logged. @internal */
 export interface SentAttempt {
@@ -16,34 +17,42 @@
 
 /** @internal */
 export class AdmittedRequest {
-  /** Endpoints that may have received the request. */
-  sentTo: ReadonlyArray<EndpointId> = [];
-
   attempts: ReadonlyArray<SentAttempt> = [];
 
   /** Endpoints that crashed before this request had any output there. */
   crashesAtStart = 0;
 
   constructor(
-    readonly exchange: CallerExchange,
+    private readonly running: RunningRequest,
     readonly request: ServingRequest,
     readonly route: Route,
     readonly work: PlacementInput,
     readonly body: CallerBody,
-    /** Monotonic time at which the timeout of the caller or of the route expires. */
-    readonly deadlineMs: number,
-    private readonly deadline: Deadline,
     /** Whether it is the trial of a quarantined part, which is sent to one endpoint only. */
     readonly isTrial: boolean,
   ) {}
 
+  get exchange(): CallerExchange {
+    return this.running.exchange;
+  }
+
   /** Aborts at the deadline or when the caller disconnects. */
   get signal(): AbortSignal {
-    return this.deadline.signal;
+    return this.running.signal;
+  }
+
+  /** Monotonic time at which the timeout of the caller or of the route expires. */
+  get deadlineMs(): number {
+    return this.running.deadlineMs;
+  }
+
+  /** Endpoints that may have received the request. */
+  get sentTo(): ReadonlyArray<EndpointId> {
+    return this.running.sentTo;
   }
 
-  stopDeadline(): void {
-    this.deadline.stop();
+  set sentTo(endpointIds: ReadonlyArray<EndpointId>) {
+    this.running.sentTo = endpointIds;
   }
 
   get clause(): string {
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -13,6 +13,12 @@
   | { readonly form: 'whole'; readonly bytes: Uint8Array }
   | { readonly form: 'stream'; readonly chunks: AsyncIterable<Uint8Array> };
 
+/**
+ * How an exchange ended. `answered`: the answer is complete, and the system may still be sending it.
+ * `cut`: its connection was closed, so that an incomplete answer can't look complete. @internal
+ */
+export type ExchangeOutcome = 'answered' | 'caller left' | 'cut';
+
 /** @internal */
 export class CallerExchange {
   readonly arrivedAtMs: number;
@@ -23,18 +29,32 @@
 
   private errorKind: string | undefined;
 
+  private outcomeKind: ExchangeOutcome | undefined;
+
+  /** Resolves when the answer has been handed to the system, or the connection is closed. */
+  readonly closed: Promise<void>;
+
   constructor(
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     private readonly clock: Clock,
   ) {
     this.arrivedAtMs = clock.nowMs();
+    this.closed = new Promise((resolve) => {
+      response.on('finish', resolve);
+      response.on('close', resolve);
+    });
     response.on('close', () => {
-      if (!response.writableFinished) this.disconnectController.abort();
+      if (!response.writableFinished) this.recordDisconnect();
     });
     // A reset emits 'close' as well; an 'error' event without a listener would end the process.
-    response.on('error', () => this.disconnectController.abort());
-    request.on('error', () => this.disconnectController.abort());
+    response.on('error', () => this.recordDisconnect());
+    request.on('error', () => this.recordDisconnect());
+  }
+
+  /** Undefined until the answer is complete or the connection closed. */
+  get ending(): ExchangeOutcome | undefined {
+    return this.outcomeKind;
   }
 
   /** Aborts when the caller disconnects before the response is complete. */
@@ -108,6 +128,7 @@
 
   end(bytes?: Uint8Array): void {
     this.firstByteAtMs ??= this.clock.nowMs();
+    this.outcomeKind ??= 'answered';
     if (bytes) this.response.end(bytes);
     else this.response.end();
   }
@@ -115,6 +136,7 @@
   /** Destroys the connection, so that a truncated response can't look complete. */
   abort(kind: string): void {
     this.errorKind = kind;
+    this.outcomeKind ??= 'cut';
     this.response.destroy();
   }
 
@@ -144,9 +166,15 @@
         ['Content-Length', String(Buffer.byteLength(body))] as const,
       ].flat(),
     ]);
+    this.outcomeKind ??= 'answered';
     this.response.end(body);
   }
 
+  private recordDisconnect(): void {
+    this.outcomeKind ??= 'caller left';
+    this.disconnectController.abort();
+  }
+
   private createTooLargeError(maxBytes: number): ServingError {
     return new ServingError('request-too-large', {
       detail: `The body is larger than ${maxBytes} bytes.`,
--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -8,6 +8,7 @@
 import { CallerExchange } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
 import type { RequestForwarder } from './RequestForwarder';
+import type { RequestTable } from './RequestTable';
 
 /** Parser limit for the head of a request; `limits.maxHeaderBytes` is checked afterwards. */
 const MAX_HEADER_BYTES = 65_536;
@@ -16,11 +17,10 @@
 export class CallerListener {
   private readonly server: Server;
 
-  private readonly running = new Set<Promise<void>>();
-
   constructor(
     private readonly kernel: Kernel,
     private readonly forwarder: RequestForwarder,
+    private readonly table: RequestTable,
   ) {
     this.server = createServer(
       {
@@ -33,17 +33,11 @@
       (request, response) => {
         response.shouldKeepAlive = response.shouldKeepAlive && this.kernel.state !== 'draining';
         const exchange = new CallerExchange(request, response, this.kernel.clock);
-        const task = this.forwarder.serve(exchange);
-        this.running.add(task);
-        void task.finally(() => this.running.delete(task));
+        void this.table.run(exchange, async (running) => this.forwarder.serve(running));
       },
     );
   }
 
-  get runningCount(): number {
-    return this.running.size;
-  }
-
   async listen(address: string): Promise<void> {
     await listenOn(this.server, address);
     this.server.on('error', (cause) => this.kernel.log.error('caller listener failed', { cause }));
@@ -61,11 +55,6 @@
     this.server.closeIdleConnections();
   }
 
-  /** Resolves when no request is running. */
-  async waitUntilIdle(): Promise<void> {
-    while (this.running.size > 0) await Promise.allSettled(this.running);
-  }
-
   async close(): Promise<void> {
     await closeServers([this.server]);
   }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -14,6 +14,7 @@
 import { LocalLoad } from './LocalLoad';
 import { RetryPolicy } from './RetryPolicy';
 import { RequestForwarder } from './RequestForwarder';
+import { RequestTable } from './RequestTable';
 import { RunMigrator } from './RunMigrator';
 import { SegmentOpener } from './SegmentOpener';
 import { SilenceWatch } from './SilenceWatch';
@@ -58,6 +59,8 @@
     pace: this.pace,
   });
 
+  private readonly table = new RequestTable(this.kernel);
+
   private forwarder!: RequestForwarder;
 
   private listener!: CallerListener;
@@ -71,6 +74,7 @@
     const opener = new SegmentOpener(placer, sender, crashes);
     const migrator = new RunMigrator(kernel, placer, this.estimator, opener);
     this.forwarder = new RequestForwarder(kernel, {
+      table: this.table,
       whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
       stream: new StreamDelivery(kernel, {
         placer,
@@ -84,7 +88,7 @@
       retries,
       estimator: this.estimator,
     });
-    this.listener = new CallerListener(kernel, this.forwarder);
+    this.listener = new CallerListener(kernel, this.forwarder, this.table);
     deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
     deployment.onLeaving((backEnd) => {
       this.health.forget(backEnd.endpointId);
@@ -103,6 +107,12 @@
     const { callerAddress } = this.kernel.settings;
     await this.listener.listen(callerAddress);
     this.kernel.log.info('listening for callers', { callerAddress });
+    this.kernel.runTask('end overdue requests', async (signal) => {
+      while (!signal.aborted) {
+        await this.kernel.clock.sleep(FORWARDING_OPTIONS.overdueCheckIntervalMs, signal);
+        this.table.endOverdue();
+      }
+    });
     this.kernel.runTask('close expired connections', async (signal) => {
       while (!signal.aborted) {
         this.connections.closeExpired();
@@ -125,11 +135,11 @@
     this.listener.stopAccepting();
     const timeout = new AbortController();
     await Promise.race([
-      this.listener.waitUntilIdle(),
+      this.table.waitUntilEmpty(),
       clock.sleep(exitDeadlineMs - clock.nowMs(), timeout.signal),
     ]);
     timeout.abort();
-    log.info('forwarding drained', { cutRequests: this.listener.runningCount });
+    log.info('forwarding drained', { cutRequests: this.table.list().length });
   }
 
   override async dispose(): Promise<void> {
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -1,13 +1,7 @@
 /**
  * Serves each caller's request in a task of its own, from its arrival to the end of the response.
  */
-import {
-  ServingError,
-  startDeadline,
-  type EngineProfile,
-  type ErrorKind,
-  type Route,
-} from '../../core';
+import { ServingError, type EngineProfile, type Route } from '../../core';
 import { admitToRoute, admitWhileDraining, chooseService } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
@@ -22,7 +16,9 @@
 import { FORWARDING_OPTIONS } from './options';
 import type { EstimateInput, OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
+import { createOverdueError, type RequestTable } from './RequestTable';
 import type { RetryPolicy } from './RetryPolicy';
+import type { RunningRequest } from './RunningRequest';
 import type { StreamDelivery } from './StreamDelivery';
 import type { WholeDelivery } from './WholeDelivery';
 
@@ -31,6 +27,7 @@
 
 /** @internal */
 export interface ForwarderParts {
+  readonly table: RequestTable;
   readonly whole: WholeDelivery;
   readonly stream: StreamDelivery;
   readonly retries: RetryPolicy;
@@ -55,25 +52,27 @@
     this.drainingSinceMs = this.kernel.clock.nowMs();
   }
 
-  async serve(exchange: CallerExchange): Promise<void> {
-    let request: ServingRequest | undefined;
+  async serve(running: RunningRequest): Promise<void> {
+    const { exchange } = running;
     let admitted: AdmittedRequest | undefined;
     try {
-      request = this.kernel.get(RequestDialect).readRequest(exchange.requestLine, exchange.headers);
-      admitted = await this.admit(exchange, request);
+      const request = this.kernel
+        .get(RequestDialect)
+        .readRequest(exchange.requestLine, exchange.headers);
+      running.identify(request.requestId);
+      admitted = await this.admit(running, request);
       const { route } = admitted;
       await (route.delivery === 'stream' ? this.parts.stream : this.parts.whole).deliver(admitted);
     } catch (thrown) {
-      this.fail(exchange, request, admitted, thrown);
+      this.fail(running, admitted, thrown);
     }
-    admitted?.stopDeadline();
-    this.finish(exchange, request, admitted);
+    this.finish(running, admitted);
   }
 
-  private async admit(exchange: CallerExchange, request: ServingRequest): Promise<AdmittedRequest> {
+  private async admit(running: RunningRequest, request: ServingRequest): Promise<AdmittedRequest> {
     const deployment = this.kernel.get(Deployment);
+    const { exchange } = running;
     const body = await this.readBody(exchange);
-    const { clock } = this.kernel;
     const verdict = admitToRoute(
       {
         configuration: deployment.configuration,
@@ -105,10 +104,9 @@
     const isTrial = await this.guard.admit(request.sharedPromptParts, `routes.${route.name}`);
     this.parts.retries.recordRequest(service);
     const timeoutMs = Math.min(request.callerTimeoutMs ?? Infinity, route.answerWithinMs);
-    const deadlineMs = exchange.arrivedAtMs + timeoutMs;
-    const leftMs = Math.max(1, Math.ceil(deadlineMs - clock.nowMs()));
+    running.setDeadline(exchange.arrivedAtMs + timeoutMs);
     return new AdmittedRequest(
-      exchange,
+      running,
       request,
       route,
       {
@@ -120,8 +118,6 @@
         latencyGoalMs: route.latencyGoalMs,
       },
       body,
-      deadlineMs,
-      startDeadline(leftMs, exchange.disconnectSignal),
       isTrial,
     );
   }
@@ -173,53 +169,28 @@
   }
 
   private fail(
-    exchange: CallerExchange,
-    request: ServingRequest | undefined,
+    running: RunningRequest,
     admitted: AdmittedRequest | undefined,
     thrown: unknown,
   ): void {
-    if (exchange.disconnectSignal.aborted) return;
-    const error = admitted?.signal.aborted
-      ? new ServingError('answer-timeout', {
-          detail: `No complete response within ${Math.round(admitted.deadlineMs - exchange.arrivedAtMs)} ms.`,
-          clause: `${admitted.clause}.answerWithinMs`,
-          cause: thrown,
-        })
+    if (running.outcome) return;
+    const error = running.isOverdue
+      ? createOverdueError(running, admitted && `${admitted.clause}.answerWithinMs`)
       : ServingError.from(thrown);
-    if (error.kind === 'internal') this.kernel.log.error('request failed', { cause: thrown });
-    const dialect = this.kernel.get(RequestDialect);
-    exchange.fail(error, request ? dialect.writeAnswerHeaders(request.requestId) : []);
-    this.kernel.get(ServingMetrics).countRefusal(error.kind);
-    this.logRefusal(request, error.kind, error);
-  }
-
-  private logRefusal(
-    request: ServingRequest | undefined,
-    kind: ErrorKind,
-    { clause, detail, retryAfterMs }: ServingError,
-  ): void {
-    this.kernel.log.info('decision', {
-      requestId: request?.requestId,
-      step: 'refuse',
-      kind,
-      clause,
-      reason: detail,
-      retryAfterMs,
-      confirmedAgeMs: Math.round(this.kernel.get(Deployment).getConfirmedAgeMs()),
-    });
+    if (error.kind === 'internal') {
+      this.kernel.log.error('request failed', { requestId: running.requestId, cause: thrown });
+    }
+    this.parts.table.end(running, error);
   }
 
-  private finish(
-    exchange: CallerExchange,
-    request: ServingRequest | undefined,
-    admitted: AdmittedRequest | undefined,
-  ): void {
+  private finish(running: RunningRequest, admitted: AdmittedRequest | undefined): void {
+    const { exchange, requestId } = running;
     const { clock, log } = this.kernel;
     const { firstWrittenAtMs, arrivedAtMs } = exchange;
     const firstMs = firstWrittenAtMs === undefined ? undefined : firstWrittenAtMs - arrivedAtMs;
-    const outcome = exchange.disconnectSignal.aborted ? 'caller left' : exchange.outcome;
+    const outcome = running.outcome === 'caller left' ? 'caller left' : exchange.outcome;
     log.info('request', {
-      requestId: request?.requestId,
+      requestId,
       customer: admitted?.work.customer,
       route: admitted?.route.name,
       configurationVersion: admitted?.work.configuration.version,
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -66,6 +66,14 @@
   drainMaxTokens: 150,
   /** How long after the stop signal short requests are still accepted. */
   drainAcceptMs: 2_500,
+  /** Time in which a request is answered at the latest while no route is known for it. */
+  unroutedTimeoutMs: 30_000,
+  /** Interval at which running requests are checked against their deadlines. */
+  overdueCheckIntervalMs: 100,
+  /** How long past its deadline a request is left to its own task. */
+  overdueMarginMs: 100,
+  /** Time in which the system takes the last answers of a node that stops. */
+  stopAnswersMs: 150,
   /** How long before the process would be killed it exits by itself. */
   exitMarginMs: 350,
   /** Interval at which callers' connections are checked against the header timeout. */
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -11,6 +11,7 @@
   type GaugeReading,
   type MetricLabels,
   type SourceCallOutcome,
+  type UnansweredCause,
 } from '../../services';
 import { METRICS_OPTIONS } from './options';
 
@@ -109,6 +110,12 @@
     ['service', 'had_head'],
   );
 
+  private readonly unanswered = this.createCounter(
+    'unanswered_requests',
+    'Requests that would have ended without an answer, by cause.',
+    ['cause'],
+  );
+
   private readonly sourceCalls = this.createCounter(
     'source_calls',
     'Calls of the configuration source, by outcome.',
@@ -163,6 +170,10 @@
     this.crashLosses.inc({ service, had_head: String(hadHead) });
   }
 
+  countUnanswered(cause: UnansweredCause): void {
+    this.unanswered.inc({ cause });
+  }
+
   countSourceCall(outcome: SourceCallOutcome): void {
     this.sourceCalls.inc({ outcome });
   }
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -25,6 +25,12 @@
 /** @public */
 export type SourceCallOutcome = 'changes' | 'no-change' | 'history-gone' | 'failed';
 
+/**
+ * Why a request had no answer when it should have had one. `task ended`: its task ended without one.
+ * `overdue`: its deadline passed. `stop`: its node stopped. @public
+ */
+export type UnansweredCause = 'task ended' | 'overdue' | 'stop';
+
 /** @public */
 export abstract class ServingMetrics {
   abstract observeFirstToken(labels: MetricLabels, delayMs: number): void;
@@ -52,6 +58,9 @@
   /** Counts one request that a crash of its endpoint ended, by whether its answer had a head. */
   abstract countCrashLoss(service: string, hadHead: boolean): void;
 
+  /** Counts one request that would have ended without an answer. */
+  abstract countUnanswered(cause: UnansweredCause): void;
+
   /** Counts one call of the source of the configuration. */
   abstract countSourceCall(outcome: SourceCallOutcome): void;
 
