End the wait for a body, for joining and for a trial with the request

The body, the wait until a new node has joined, and the trial of a quarantined part were awaited before the request had its deadline and its disconnect signal. A caller saw no answer at its deadline, or none at all; a node went on waiting for a caller that had left.

The deadline now holds from the arrival: first by the caller's timeout and the route of the configuration in force, then by the route that the request was admitted to.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -16,4 +16,5 @@
 export * from './errorKinds';
 export * from './ids';
 export * from './signedToken';
+export * from './rejectOnAbort';
 export * from './startDeadline';
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -2,7 +2,7 @@
  * One HTTP exchange with a caller: reads the request and writes the response.
  */
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import { getErrorAnswer, ServingError, type Clock } from '../../core';
+import { getErrorAnswer, rejectOnAbort, ServingError, type Clock } from '../../core';
 import type { HeaderList } from '../../services';
 import { pairHeaders } from '../../wire';
 
@@ -97,15 +97,21 @@
 
   /**
    * Reads the body. A body larger than `maxBufferedBytes` is returned as a stream.
-   * @throws ServingError `request-too-large`, `malformed-request`.
+   * @throws ServingError `request-too-large`, `malformed-request`; another error if the signal aborts.
    */
-  async readBody(maxBufferedBytes: number, maxBytes: number): Promise<CallerBody> {
+  async readBody(
+    maxBufferedBytes: number,
+    maxBytes: number,
+    signal: AbortSignal,
+  ): Promise<CallerBody> {
     const declared = Number(this.request.headers['content-length'] ?? 0);
     if (declared > maxBytes) throw this.createTooLargeError(maxBytes);
     const chunks: Uint8Array[] = [];
     let size = 0;
     const source = this.readChunks(maxBytes);
-    for (let next = await source.next(); !next.done; next = await source.next()) {
+    const readNext = async (): Promise<IteratorResult<Uint8Array>> =>
+      rejectOnAbort(source.next(), signal);
+    for (let next = await readNext(); !next.done; next = await readNext()) {
       chunks.push(next.value);
       size += next.value.length;
       if (size > maxBufferedBytes) {
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -1,8 +1,8 @@
 /**
  * Serves each caller's request in a task of its own, from its arrival to the end of the response.
  */
-import { ServingError, type EngineProfile, type Route } from '../../core';
-import { admitToRoute, admitWhileDraining, chooseService } from '../../decisions';
+import { rejectOnAbort, ServingError, type EngineProfile, type Route } from '../../core';
+import { admitToRoute, admitWhileDraining, chooseService, findRoute } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -12,7 +12,7 @@
   type ServingRequest,
 } from '../../services';
 import { AdmittedRequest } from './AdmittedRequest';
-import type { CallerBody, CallerExchange } from './CallerExchange';
+import type { CallerBody } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
 import type { EstimateInput, OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
@@ -60,6 +60,7 @@
         .get(RequestDialect)
         .readRequest(exchange.requestLine, exchange.headers);
       running.identify(request.requestId);
+      this.setFirstDeadline(running, request);
       admitted = await this.admit(running, request);
       const { route } = admitted;
       await (route.delivery === 'stream' ? this.parts.stream : this.parts.whole).deliver(admitted);
@@ -71,8 +72,7 @@
 
   private async admit(running: RunningRequest, request: ServingRequest): Promise<AdmittedRequest> {
     const deployment = this.kernel.get(Deployment);
-    const { exchange } = running;
-    const body = await this.readBody(exchange);
+    const body = await this.readBody(running);
     const verdict = admitToRoute(
       {
         configuration: deployment.configuration,
@@ -100,11 +100,13 @@
     const input = { customer: holder?.customer, routeName: route.name, prompt };
     this.checkPromptSize(request, configuration.services.get(service)?.engine);
     this.checkDrain(route, input);
-    await this.waitUntilJoined(request);
-    const isTrial = await this.guard.admit(request.sharedPromptParts, `routes.${route.name}`);
+    this.setDeadline(running, request, route);
+    await this.waitUntilJoined(running, request);
+    const isTrial = await rejectOnAbort(
+      this.guard.admit(request.sharedPromptParts, `routes.${route.name}`),
+      running.signal,
+    );
     this.parts.retries.recordRequest(service);
-    const timeoutMs = Math.min(request.callerTimeoutMs ?? Infinity, route.answerWithinMs);
-    running.setDeadline(exchange.arrivedAtMs + timeoutMs);
     return new AdmittedRequest(
       running,
       request,
@@ -122,6 +124,23 @@
     );
   }
 
+  /** While the body is read, the route is the one of the configuration at the arrival. */
+  private setFirstDeadline(running: RunningRequest, request: ServingRequest): void {
+    const { configuration } = this.kernel.get(Deployment);
+    const route = configuration && findRoute(configuration, request.host, request.target);
+    this.setDeadline(running, request, route);
+  }
+
+  private setDeadline(
+    running: RunningRequest,
+    { callerTimeoutMs = Infinity }: ServingRequest,
+    route: Route | undefined,
+  ): void {
+    const routeTimeoutMs = route?.answerWithinMs ?? FORWARDING_OPTIONS.unroutedTimeoutMs;
+    const timeoutMs = Math.min(callerTimeoutMs, routeTimeoutMs);
+    running.setDeadline(running.exchange.arrivedAtMs + timeoutMs);
+  }
+
   /** Refuses a prompt that no engine can hold; each of them would refuse it as if it were full. */
   private checkPromptSize({ prompt }: ServingRequest, engine: EngineProfile | undefined): void {
     if (!prompt || !engine || prompt.promptTokens <= engine.memoryTokens) return;
@@ -134,11 +153,15 @@
    * Holds prompts on a new node until it knows which parts the others have quarantined. They are not
    * refused, as most callers would have to come back before that.
    */
-  private async waitUntilJoined({ sharedPromptParts }: ServingRequest): Promise<void> {
+  private async waitUntilJoined(
+    { signal }: RunningRequest,
+    { sharedPromptParts }: ServingRequest,
+  ): Promise<void> {
     if (sharedPromptParts.length === 0) return;
     const members = this.kernel.get(Members);
     while (!members.hasJoined()) {
-      await this.kernel.clock.sleep(FORWARDING_OPTIONS.joinCheckIntervalMs);
+      await this.kernel.clock.sleep(FORWARDING_OPTIONS.joinCheckIntervalMs, signal);
+      signal.throwIfAborted();
     }
   }
 
@@ -161,11 +184,11 @@
     throw new ServingError('draining', { detail, clause: `routes.${route.name}`, retryAfterMs });
   }
 
-  private async readBody(exchange: CallerExchange): Promise<CallerBody> {
+  private async readBody({ exchange, signal }: RunningRequest): Promise<CallerBody> {
     const { limits } = this.kernel.get(Deployment).configuration ?? {};
     if (limits) exchange.checkHeaders(limits.maxHeaderBytes);
     const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    return exchange.readBody(FORWARDING_OPTIONS.maxReplayableBodyBytes, maxBytes);
+    return exchange.readBody(FORWARDING_OPTIONS.maxReplayableBodyBytes, maxBytes, signal);
   }
 
   private fail(
--- a/tests/answers.test.ts
+++ b/tests/answers.test.ts
@@ -3,9 +3,16 @@
  */
 import { setTimeout as sleep } from 'node:timers/promises';
 import { WholeDelivery } from '../src/plugins/forwarding/WholeDelivery';
-import { RequestDialect, ServingMetrics } from '../src/services';
+import { Deployment, Members, Quarantine, RequestDialect, ServingMetrics } from '../src/services';
 import { CallerConnection } from './CallerConnection';
-import { createStoreConfiguration, FrontFixture, type FrontNode } from './FrontFixture';
+import {
+  callFront,
+  createStoreConfiguration,
+  FrontFixture,
+  GENERATION_HEADERS,
+  type FrontNode,
+} from './FrontFixture';
+import { waitUntil } from './waitUntil';
 
 let fixture: FrontFixture;
 let callers: ReadonlyArray<CallerConnection> = [];
@@ -28,6 +35,20 @@
   return caller;
 }
 
+async function applyConfiguration(
+  { kernel }: FrontNode,
+  configuration: Readonly<Record<string, unknown>>,
+): Promise<void> {
+  fixture.store.put('op/config', configuration);
+  await waitUntil(
+    'the new configuration',
+    () => kernel.get(Deployment).configuration?.version === configuration.version,
+  );
+}
+
+/** Longest time that an answer may take beyond the deadline of its request. */
+const LATE_MS = 500;
+
 const BRIEF = { 'x-bramleyvane-deadline-ms': '300' };
 
 // Guards against an error thrown while an error is answered: its caller got no answer, and the
@@ -72,3 +93,72 @@
     expect(text).toContain(`bramleyvane_unanswered_requests_total{cause="${cause}"} 1`);
   },
 );
+
+const PARTS = { 'x-bramleyvane-prompt-prefix': 'aa:400,bb:10' };
+
+function holdTrials({ kernel }: FrontNode): jest.SpyInstance {
+  const quarantine = kernel.get(Quarantine);
+  jest.spyOn(quarantine, 'check').mockReturnValue({ outcome: 'trial', part: 'aa' as never });
+  return jest.spyOn(quarantine, 'takeTrial').mockReturnValue(new Promise(() => {}));
+}
+
+// Guards against a request that waits beyond its deadline for a body, for a node that joins, or for
+// the trial of a quarantined part.
+test.each(['body', 'joining', 'trial'])(
+  'the wait for the %s ends at the deadline',
+  async (what) => {
+    const node = await fixture.addReadyNode(0);
+    const { kernel } = node;
+    if (what === 'joining') jest.spyOn(kernel.get(Members), 'hasJoined').mockReturnValue(false);
+    if (what === 'trial') holdTrials(node);
+    const caller = await openCaller(node);
+    const startedAtMs = performance.now();
+    if (what === 'body') caller.send('/credit/a', BRIEF, 'half', 10);
+    else caller.send('/label/a', { ...GENERATION_HEADERS, ...BRIEF, ...PARTS });
+    const status = await Promise.race([caller.readStatus(), sleep(3_000, 0)]);
+    expect(status).toBe(503);
+    expect(performance.now() - startedAtMs).toBeLessThan(300 + LATE_MS);
+  },
+);
+
+// Guards against a node that goes on waiting for a request whose caller has left.
+test('the wait for joining ends when the caller leaves', async () => {
+  const node = await fixture.addReadyNode(0);
+  const hasJoined = jest.spyOn(node.kernel.get(Members), 'hasJoined').mockReturnValue(false);
+  const caller = await openCaller(node);
+  caller.send('/label/a', { ...GENERATION_HEADERS, ...PARTS });
+  await waitUntil('the wait', () => hasJoined.mock.calls.length > 2);
+  caller.close();
+  await sleep(200);
+  const before = hasJoined.mock.calls.length;
+  await sleep(200);
+  expect(hasJoined.mock.calls.length).toBe(before);
+});
+
+const ROUTES = createStoreConfiguration().routes as ReadonlyArray<Record<string, unknown>>;
+
+// Guards against a request that loses its answer because a new configuration changes its route.
+test.each([
+  ['removed', []],
+  ['moved', ROUTES.map((route) => ({ ...route, service: 'other' }))],
+  ['re-timed', ROUTES.map((route) => ({ ...route, timeoutMs: 50 }))],
+])('requests run to their answer when their route is %s', async (_name, routes) => {
+  await fixture.addEngine('desk', { instanceId: 'i-desk', callMs: 800 });
+  await fixture.addEngine('writers', { instanceId: 'i-w', events: 100, eventIntervalMs: 10 });
+  const node = await fixture.addReadyNode(2);
+  const running = [
+    callFront(node, '/credit/a'),
+    callFront(node, '/lookup/a'),
+    callFront(node, '/report/a', { headers: GENERATION_HEADERS }),
+  ];
+  await waitUntil('the runs', () =>
+    fixture.engines.every(({ receivedRequests }) => receivedRequests.length > 0),
+  );
+  const hasJoined = jest.spyOn(node.kernel.get(Members), 'hasJoined').mockReturnValue(false);
+  const held = callFront(node, '/label/a', { headers: { ...GENERATION_HEADERS, ...PARTS } });
+  await waitUntil('the hold', () => hasJoined.mock.calls.length > 0);
+  await applyConfiguration(node, createStoreConfiguration({ version: 6, routes }));
+  hasJoined.mockReturnValue(true);
+  const answers = await Promise.all([...running, held]);
+  expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
+});
