Don't wait for a caller that has left to read on

A write to a response that was already destroyed waited for a 'drain' event that never comes, as the disconnect signal had aborted before anyone listened. The task of the request, and a drain that waits for it, hung until the end of the grace. The write now returns at once if the caller has left.

Seen before: CallerExchange.test.ts 'a write after the caller left resolves' still waited after 500 ms.

--- /dev/null
+++ b/src/plugins/forwarding/CallerExchange.test.ts
@@ -0,0 +1,24 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
+import { connect, type AddressInfo } from 'node:net';
+import { once } from 'node:events';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { SystemClock } from '../../core';
+import { CallerExchange } from './CallerExchange';
+
+// Guards against a task that waits for ever to write to a caller that has left already.
+test('a write after the caller left resolves', async () => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  caller.write('GET / HTTP/1.1\r\nHost: desk\r\n\r\n');
+  const [request, response] = (await once(server, 'request')) as [IncomingMessage, ServerResponse];
+  const exchange = new CallerExchange(request, response, new SystemClock());
+  caller.destroy();
+  await once(exchange.disconnectSignal, 'abort');
+  exchange.writeHead(200, []);
+  const written = Promise.resolve(exchange.write(Buffer.alloc(1_000_000)));
+  const outcome = await Promise.race([written.then(() => 'written'), sleep(500, 'waits')]);
+  expect(outcome).toBe('written');
+  expect(exchange.ending).toBe('caller left');
+  server.close();
+});
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -210,6 +210,7 @@
   }
 
   private async waitForDrain(): Promise<void> {
+    if (this.disconnectSignal.aborted) return;
     const settled = new AbortController();
     await new Promise<void>((resolve) => {
       this.response.once('drain', resolve);
