Answer the requests that still run when the node stops

A node that is disposed of destroyed all connections: callers whose requests still ran saw a closed connection, which promises nothing. Now the table ends these requests: 503 if they were sent nowhere, 502 otherwise; where the head of an answer was sent, the connection is cut.

Seen before: tests/answers.test.ts 'a request that still runs when the node stops is answered' got a closed connection; now 502.

--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -55,7 +55,16 @@
     this.server.closeIdleConnections();
   }
 
+  /** Ends requests that still run with an error, and closes all connections. */
   async close(): Promise<void> {
+    this.server.close();
+    this.table.endAll();
+    const timeout = new AbortController();
+    await Promise.race([
+      this.table.waitUntilEmpty(),
+      this.kernel.clock.sleep(FORWARDING_OPTIONS.stopAnswersMs, timeout.signal),
+    ]);
+    timeout.abort();
     await closeServers([this.server]);
   }
 }
--- a/tests/answers.test.ts
+++ b/tests/answers.test.ts
@@ -162,3 +162,15 @@
   const answers = await Promise.all([...running, held]);
   expect(answers.map(({ status }) => status)).toEqual([200, 200, 200, 200]);
 });
+
+// Guards against a stop that cuts the connections of requests whose head has not been sent.
+test('a request that still runs when the node stops is answered', async () => {
+  await fixture.addEngine('desk', { instanceId: 'i-desk', callMs: 5_000 });
+  const node = await fixture.addReadyNode(1);
+  const caller = await openCaller(node);
+  caller.send('/credit/a');
+  const [desk] = fixture.engines;
+  await waitUntil('the run', () => desk!.receivedRequests.length === 1);
+  await node.kernel.dispose();
+  expect(await caller.readStatus()).toBe(502);
+});
