Keep complete answers without a length from endpoints that leave

An answer with neither a length nor chunks ends with its connection. To tell its end from a crash the node probes the endpoint's address and threw the answer away when nothing listened there. An endpoint that leaves as planned ends right after its last answer, so its complete answers were reported lost (a call: 502) or cut (a stream whose last event was complete).

Only reports of crashes knew which endpoints depart. That knowledge (known as leaving for a second, or no longer listed) is now a class of its own, Departures, and the end of an answer asks it too, before the probe and after it. A reset, or an end inside an event, is still never complete.

Seen before: tests/answers.test.ts 'an answer without a length at ... holds when its endpoint leaves': 502 for the call, a closed connection for the stream.

--- a/src/plugins/forwarding/EndpointConnections.ts
+++ b/src/plugins/forwarding/EndpointConnections.ts
@@ -3,6 +3,7 @@
  */
 import { ServingError, type Clock } from '../../core';
 import type { KnownBackEnd } from '../../services';
+import type { Departures } from './Departures';
 import { ConnectionPool, EndpointResponse } from './EndpointResponse';
 import { EndpointConnection, type EndpointMessage } from './EndpointConnection';
 import { FORWARDING_OPTIONS } from './options';
@@ -19,8 +20,9 @@
   private busyCount = 0;
 
   constructor(
-    private readonly address: string,
+    private readonly backEnd: KnownBackEnd,
     private readonly clock: Clock,
+    private readonly departures: Pick<Departures, 'isDeparting'>,
   ) {
     super();
   }
@@ -53,6 +55,10 @@
     } else void connection.close();
   }
 
+  override isDeparting(): boolean {
+    return this.departures.isDeparting(this.backEnd);
+  }
+
   /** Closes idle connections that have passed their idle timeout. */
   closeExpired(): void {
     const expired = this.idle.filter((idle) => !this.isUsable(idle));
@@ -62,7 +68,7 @@
 
   private open(): EndpointConnection {
     try {
-      return new EndpointConnection(this.address);
+      return new EndpointConnection(this.backEnd.address);
     } catch (thrown) {
       throw ServingError.from(thrown, 'endpoint-unreachable');
     }
@@ -81,7 +87,10 @@
 export class EndpointConnections {
   private readonly pools = new Map<string, EndpointPool>();
 
-  constructor(private readonly clock: Clock) {}
+  constructor(
+    private readonly clock: Clock,
+    private readonly departures: Pick<Departures, 'isDeparting'>,
+  ) {}
 
   /** Number of this node's requests in flight at an endpoint. */
   countBusy(backEnd: KnownBackEnd): number {
@@ -117,7 +126,7 @@
 
   private getPool(backEnd: KnownBackEnd): EndpointPool {
     const key = getPoolKey(backEnd);
-    const pool = this.pools.get(key) ?? new EndpointPool(backEnd.address, this.clock);
+    const pool = this.pools.get(key) ?? new EndpointPool(backEnd, this.clock, this.departures);
     this.pools.set(key, pool);
     return pool;
   }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -9,6 +9,7 @@
 import { EndpointSender } from './EndpointSender';
 import { CallerListener } from './CallerListener';
 import { CrashReporter } from './CrashReporter';
+import { Departures } from './Departures';
 import { FORWARDING_OPTIONS } from './options';
 import { OutputEstimator } from './OutputEstimator';
 import { LocalLoad } from './LocalLoad';
@@ -42,7 +43,9 @@
 export class ForwardingPlugin extends Plugin {
   static override readonly type = 'forwarding';
 
-  private readonly connections = new EndpointConnections(this.kernel.clock);
+  private readonly departures = new Departures(this.kernel);
+
+  private readonly connections = new EndpointConnections(this.kernel.clock, this.departures);
 
   private readonly estimator = new OutputEstimator();
 
@@ -70,7 +73,7 @@
     const deployment = kernel.get(Deployment);
     const sender = new EndpointSender(kernel, connections, placer);
     const retries = new RetryPolicy(kernel);
-    const crashes = new CrashReporter(kernel, this.health);
+    const crashes = new CrashReporter(kernel, this.health, this.departures);
     const opener = new SegmentOpener(placer, sender, crashes);
     const migrator = new RunMigrator(kernel, placer, this.estimator, opener);
     this.forwarder = new RequestForwarder(kernel, {
--- a/tests/answers.test.ts
+++ b/tests/answers.test.ts
@@ -1,6 +1,8 @@
 /**
  * Every request that was read gets one answer, or its caller has left.
  */
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { WholeDelivery } from '../src/plugins/forwarding/WholeDelivery';
 import { Deployment, Members, Quarantine, RequestDialect, ServingMetrics } from '../src/services';
@@ -15,11 +17,13 @@
 import { waitUntil } from './waitUntil';
 
 let fixture: FrontFixture;
+let servers: ReadonlyArray<Server> = [];
 let callers: ReadonlyArray<CallerConnection> = [];
 
 beforeEach(async () => {
   fixture = await FrontFixture.start();
   fixture.store.put('op/config', createStoreConfiguration());
+  servers = [];
   callers = [];
 });
 
@@ -27,6 +31,7 @@
   jest.restoreAllMocks();
   callers.forEach((caller) => caller.close());
   await fixture.stop();
+  servers.forEach((server) => server.close());
 });
 
 async function openCaller(node: FrontNode): Promise<CallerConnection> {
@@ -174,3 +179,91 @@
   await node.kernel.dispose();
   expect(await caller.readStatus()).toBe(502);
 });
+
+function createRawEntry(service: string, server: Server, state: string): unknown {
+  const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  return { service, address, zone: 'brisbane', slots: 4, state, coldRemainingMs: 0, born: 1 };
+}
+
+/** Starts an endpoint that writes each answer byte for byte. */
+async function addRawEndpoint(
+  service: string,
+  answer: (socket: Socket, requestId: string, server: Server) => void,
+): Promise<string> {
+  const server = createServer((socket) => {
+    socket.on('error', () => {});
+    socket.on('data', (data) => {
+      const requestId = /x-bramleyvane-request-id: *(\S+)/i.exec(data.toString())?.[1];
+      if (requestId !== undefined) answer(socket, requestId, server);
+    });
+  });
+  servers = [...servers, server];
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const key = `servers/i-raw-${servers.length}`;
+  fixture.store.put(key, createRawEntry(service, server, 'ready'));
+  return key;
+}
+
+const createHead = (requestId: string, rest: string, status = '200 OK'): string =>
+  `HTTP/1.1 ${status}\r\nX-Bramleyvane-Request-Id: ${requestId}\r\n` +
+  `X-Bramleyvane-Server-Seal: seal\r\n${rest}`;
+
+const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+
+// Guards against a complete answer without a length that is thrown away because its endpoint, which
+// was known to leave, ended right after it.
+test.each(['/credit/a', '/report/a'])(
+  'an answer without a length at %s holds when its endpoint leaves',
+  async (target) => {
+    const isStream = target.startsWith('/report');
+    const service = isStream ? 'writers' : 'desk';
+    let finish = (): void => {};
+    const key = await addRawEndpoint(service, (socket, requestId, server) => {
+      finish = () => {
+        server.close();
+        socket.end(createHead(requestId, `\r\n${EVENTS}`));
+      };
+    });
+    const node = await fixture.addReadyNode(1);
+    const caller = await openCaller(node);
+    caller.send(target, isStream ? GENERATION_HEADERS : {});
+    await sleep(300);
+    fixture.store.put(key, createRawEntry(service, servers[0]!, 'draining'));
+    await sleep(1_500);
+    finish();
+    expect(await caller.readStatus()).toBe(200);
+    const end = '0\r\n\r\n';
+    await waitUntil('the answer', () => caller.received.endsWith(end) || caller.isClosed);
+    expect(caller.received.endsWith(end)).toBe(true);
+  },
+);
+
+// Guards against an answer that was reset on its way and is taken for whole because its endpoint
+// was leaving.
+test.each(['/credit/a', '/report/a'])(
+  'a reset answer without a length at %s is not whole when its endpoint leaves',
+  async (target) => {
+    const isStream = target.startsWith('/report');
+    const service = isStream ? 'writers' : 'desk';
+    let finish = (): void => {};
+    const key = await addRawEndpoint(service, (socket, requestId, server) => {
+      finish = () => {
+        server.close();
+        socket.write(createHead(requestId, `\r\n${EVENTS}`));
+        setTimeout(() => socket.resetAndDestroy(), 50);
+      };
+    });
+    const node = await fixture.addReadyNode(1);
+    fixture.store.put(key, createRawEntry(service, servers[0]!, 'ready'));
+    const answer = callFront(node, target, { headers: isStream ? GENERATION_HEADERS : {} }).then(
+      ({ status }) => status,
+      () => 0,
+    );
+    await sleep(300);
+    fixture.store.put(key, createRawEntry(service, servers[0]!, 'draining'));
+    await sleep(1_500);
+    finish();
+    expect(await answer).toBe(isStream ? 0 : 502);
+  },
+);
