Report an error answer of a stream that breaks off as lost

An engine that broke off while it wrote an error answer to a streaming request left the caller with 500 'internal', and the log with 'request failed', as if this node had failed. It is answer-lost (502) now, as for calls.

Seen before: tests/answers.test.ts 'an error answer that breaks off at /report/a is lost' got 500. The other cases (a call; a large answer that breaks off before or after its head was sent) were right before the change; their tests stay as guards.

--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -175,7 +175,7 @@
     progress: StreamProgress,
   ): Promise<StreamSegment | undefined> {
     const { head } = segment;
-    const { exchange } = admitted;
+    const { exchange, clause } = admitted;
     if (isSuccess(head)) {
       const target = progress;
       target.head = head;
@@ -186,6 +186,9 @@
       for await (const chunk of segment.response.read()) chunks.push(chunk);
       exchange.writeHead(head.status, head.headers);
       exchange.end(Buffer.concat(chunks));
+    } catch (thrown) {
+      const { detail } = ServingError.from(thrown);
+      throw new ServingError('answer-lost', { detail, clause, cause: thrown });
     } finally {
       segment.end();
     }
--- a/tests/answers.test.ts
+++ b/tests/answers.test.ts
@@ -267,3 +267,34 @@
     expect(await answer).toBe(isStream ? 0 : 502);
   },
 );
+
+// Guards against "internal error" where the endpoint broke off, and against an error answer that
+// looks complete.
+test.each(['/report/a', '/credit/a'])(
+  'an error answer that breaks off at %s is lost',
+  async (at) => {
+    await addRawEndpoint(at.startsWith('/report') ? 'writers' : 'desk', (socket, requestId) => {
+      socket.end(createHead(requestId, 'Content-Length: 100\r\n\r\nfail', '500 Failed'));
+    });
+    const node = await fixture.addReadyNode(1);
+    const caller = await openCaller(node);
+    caller.send(at, GENERATION_HEADERS);
+    expect(await caller.readStatus()).toBe(502);
+  },
+);
+
+// Guards against a large answer that looks complete, or gets none, where the endpoint breaks off.
+test.each([
+  ['before', 100_000, 502],
+  ['after', 400_000, 200],
+])('a large answer that breaks off %s its head was sent', async (_name, size, status) => {
+  await addRawEndpoint('desk', (socket, requestId) => {
+    socket.write(createHead(requestId, `Content-Length: 500000\r\n\r\n${'x'.repeat(size)}`));
+    setTimeout(() => socket.destroy(), 200);
+  });
+  const node = await fixture.addReadyNode(1);
+  const caller = await openCaller(node);
+  caller.send('/credit/a');
+  expect(await caller.readStatus()).toBe(status);
+  if (status === 200) await waitUntil('the cut', () => caller.isClosed);
+});
