Close callers' connections only when they are idle

Callers reuse a connection that is idle within the limit of the configuration in force. Node.js closed such connections by itself, without an answer to the request that was on its way, in three ways:

- The idle timer is set when a response ends, by the limit of that moment.
A longer limit that came later did not hold for connections that were idle already.
- Timers run before sockets are read.
After a pause of the process (a large configuration on a small core) a connection was destroyed although its next request had arrived.
- close() and closeIdleConnections(), at the end of the time in which a draining node accepts work, did the same, and destroyed connections whose last response the system had not taken yet.

CallerServer owns the close of idle connections: the longer of the limit in force and the one that the Keep-Alive header stated holds, and a connection is closed only if the event loop has read sockets once and nothing has arrived. The timeout itself is as before (limit x 1.25 and a second).

Not changed and not tested here: a connection that was opened and has sent nothing is answered 408 after headerTimeoutMs.

--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -1,11 +1,11 @@
 /**
  * HTTP server for callers whose requests are forwarded to endpoints.
  */
-import { createServer, type Server } from 'node:http';
 import type { CallerLimits } from '../../core';
 import type { Kernel } from '../../kernel';
 import { closeServers, listenOn } from '../../wire';
 import { CallerExchange } from './CallerExchange';
+import { CallerServer } from './CallerServer';
 import { FORWARDING_OPTIONS } from './options';
 import type { RequestForwarder } from './RequestForwarder';
 import type { RequestTable } from './RequestTable';
@@ -15,14 +15,14 @@
 
 /** @internal */
 export class CallerListener {
-  private readonly server: Server;
+  private readonly server: CallerServer;
 
   constructor(
     private readonly kernel: Kernel,
     private readonly forwarder: RequestForwarder,
     private readonly table: RequestTable,
   ) {
-    this.server = createServer(
+    this.server = new CallerServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
         connectionsCheckingInterval: FORWARDING_OPTIONS.callerCheckIntervalMs,
@@ -30,12 +30,13 @@
         requestTimeout: 0,
         noDelay: true,
       },
-      (request, response) => {
-        response.shouldKeepAlive = response.shouldKeepAlive && this.kernel.state !== 'draining';
-        const exchange = new CallerExchange(request, response, this.kernel.clock);
-        void this.table.run(exchange, async (running) => this.forwarder.serve(running));
-      },
+      kernel.clock,
     );
+    this.server.on('request', (request, response) => {
+      response.shouldKeepAlive = response.shouldKeepAlive && this.kernel.state !== 'draining';
+      const exchange = new CallerExchange(request, response, this.kernel.clock);
+      void this.table.run(exchange, async (running) => this.forwarder.serve(running));
+    });
   }
 
   async listen(address: string): Promise<void> {
@@ -46,13 +47,13 @@
   /** Applies the limits of a new configuration. */
   applyLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
     this.server.headersTimeout = headerTimeoutMs;
-    this.server.keepAliveTimeout = idleTimeoutMs * FORWARDING_OPTIONS.callerIdleFactor;
+    this.server.setIdleTimeout(idleTimeoutMs * FORWARDING_OPTIONS.callerIdleFactor);
   }
 
   /** Stops accepting connections and closes idle ones. */
   stopAccepting(): void {
     this.server.close();
-    this.server.closeIdleConnections();
+    void this.server.closeIdle();
   }
 
   /** Ends requests that still run with an error, and closes all connections. */
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -80,4 +80,6 @@
   callerCheckIntervalMs: 500,
   /** An idle connection of a caller is closed after its idle timeout times this factor. */
   callerIdleFactor: 1.25,
+  /** How much longer than the `Keep-Alive` header says an idle connection stays open. */
+  callerIdleMarginMs: 1_000,
 } as const;
