Keep the process alive after an error that nothing caught

Once the node has started, such errors are logged ('uncaught error', with the stack) and counted (bramleyvane_uncaught_errors_total); the request of one is answered at its deadline by the table.

Seen before: tests/frontProcess.test.ts '... that nothing catches does not end the process': both processes were gone. Now both serve on.

--- a/src/cli/FrontCommand.ts
+++ b/src/cli/FrontCommand.ts
@@ -6,6 +6,7 @@
 import { parseFrontSettings, ServingError, SystemClock, type FrontSettings } from '../core';
 import { Kernel, Log } from '../kernel';
 import { FrontSettingsStore } from '../services';
+import { reportUncaughtErrors } from './reportUncaughtErrors';
 import { CliCommand, EXIT_CODE_HELP } from './CliCommand';
 
 interface FrontFlags {
@@ -68,6 +69,7 @@
     process.on('SIGHUP', () => file.reload(log));
     log.info('started', { incarnation: kernel.incarnation });
     await kernel.start();
+    reportUncaughtErrors(kernel);
     await stopRequest;
     await kernel.drain();
     await kernel.dispose();
--- a/src/cli/ServeCommand.ts
+++ b/src/cli/ServeCommand.ts
@@ -12,6 +12,7 @@
   type Settings,
 } from '../core';
 import { Kernel, Log } from '../kernel';
+import { reportUncaughtErrors } from './reportUncaughtErrors';
 import { CliCommand, EXIT_CODE_HELP } from './CliCommand';
 import { readSettings } from './readSettings';
 
@@ -48,6 +49,7 @@
       });
     });
     await kernel.start();
+    reportUncaughtErrors(kernel);
     await stopRequest;
     await kernel.drain();
     await kernel.dispose();
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -116,6 +116,12 @@
     ['cause'],
   );
 
+  private readonly uncaughtErrors = this.createCounter(
+    'uncaught_errors',
+    'Errors that nothing caught.',
+    [],
+  );
+
   private readonly sourceCalls = this.createCounter(
     'source_calls',
     'Calls of the configuration source, by outcome.',
@@ -174,6 +180,10 @@
     this.unanswered.inc({ cause });
   }
 
+  countUncaughtError(): void {
+    this.uncaughtErrors.inc();
+  }
+
   countSourceCall(outcome: SourceCallOutcome): void {
     this.sourceCalls.inc({ outcome });
   }
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -61,6 +61,9 @@
   /** Counts one request that would have ended without an answer. */
   abstract countUnanswered(cause: UnansweredCause): void;
 
+  /** Counts one error that nothing caught. */
+  abstract countUncaughtError(): void;
+
   /** Counts one call of the source of the configuration. */
   abstract countSourceCall(outcome: SourceCallOutcome): void;
 
--- a/tests/frontProcess.test.ts
+++ b/tests/frontProcess.test.ts
@@ -20,8 +20,14 @@
 let settings: FrontSettings;
 let node: ManagedProcess;
 
-function startNode(): ManagedProcess {
-  return new ManagedProcess(['dist/bramleyvane.cjs', 'front', '--settings-file', file]);
+function startNode(nodeFlags: ReadonlyArray<string> = []): ManagedProcess {
+  return new ManagedProcess([
+    ...nodeFlags,
+    'dist/bramleyvane.cjs',
+    'front',
+    '--settings-file',
+    file,
+  ]);
 }
 
 async function lookUp(key = 'key-1'): Promise<number> {
@@ -113,3 +119,25 @@
     expect.arrayContaining(['started', 'forwarding drained', 'stopped']),
   );
 });
+
+// Guards against one unexpected error that ends the process and with it the requests of all callers.
+test.each([
+  ['a rejected promise', 'Promise.reject(new Error("unexpected"))'],
+  ['an error in a callback', 'throw new Error("unexpected")'],
+])('%s that nothing catches does not end the process', async (_name, code) => {
+  await node.kill();
+  const [script, trigger] = ['fail.cjs', 'trigger'].map((name) => path.join(folder, name));
+  writeFileSync(
+    script!,
+    `const timer = setInterval(() => {
+      if (!require('node:fs').existsSync(${JSON.stringify(trigger)})) return;
+      clearInterval(timer);
+      ${code};
+    }, 20);`,
+  );
+  node = startNode(['--require', script!]);
+  await waitUntil('service', async () => (await tryLookUp()) === 200);
+  writeFileSync(trigger!, '');
+  await waitUntil('the error', () => node.lines.some(({ event }) => event === 'uncaught error'));
+  expect(await lookUp()).toBe(200);
+});
