Answer the requests that still run at the end of a planned stop

What callers saw: at the end of the grace the node closed the connections of all running requests, among them calls that may not be repeated and requests whose body was still on the way; they got no answer (LOST).

Cause: ForwardingPlugin.drain waited until 350 ms before the kill and then let dispose close every connection. Nothing told the running tasks that the time was over.

Change: NodeDrain holds the schedule of the stop, computed once from the grace (decisions/drainSchedule): accept, answer and exit deadline. At the answer deadline its signal aborts the running requests. One that was not sent is refused with 503 draining, one that was sent gets 502 answer-lost, a stream that has begun is broken off. The steps are shares of the grace, so that a grace of 1 s works too; at 8 s new connections are accepted for 2.5 s and the exit is 350 ms before the kill, as before.

--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -1,8 +1,9 @@
 /**
  * HTTP server for callers whose requests are forwarded to endpoints.
  */
+import { once } from 'node:events';
 import { createServer, type Server } from 'node:http';
-import type { CallerLimits } from '../../core';
+import { startDeadline, type CallerLimits } from '../../core';
 import type { Kernel } from '../../kernel';
 import { closeServers, listenOn } from '../../wire';
 import { CallerExchange } from './CallerExchange';
@@ -61,9 +62,15 @@
     this.server.closeIdleConnections();
   }
 
-  /** Resolves when no request is running. */
-  async waitUntilIdle(): Promise<void> {
-    while (this.running.size > 0) await Promise.allSettled(this.running);
+  /** Resolves when no request is running, or at the deadline. */
+  async waitUntilIdle(deadlineMs: number): Promise<void> {
+    const { clock } = this.kernel;
+    const timeout = startDeadline(deadlineMs - clock.nowMs());
+    const expired = once(timeout.signal, 'abort');
+    while (this.running.size > 0 && !timeout.signal.aborted) {
+      await Promise.race([Promise.allSettled(this.running), expired]);
+    }
+    timeout.stop();
   }
 
   async close(): Promise<void> {
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -12,6 +12,7 @@
 import { FORWARDING_OPTIONS } from './options';
 import { OutputEstimator } from './OutputEstimator';
 import { LocalLoad } from './LocalLoad';
+import { NodeDrain } from './NodeDrain';
 import { RetryPolicy } from './RetryPolicy';
 import { RequestForwarder } from './RequestForwarder';
 import { RunMigrator } from './RunMigrator';
@@ -56,6 +57,8 @@
     pace: this.pace,
   });
 
+  private readonly nodeDrain = new NodeDrain(this.kernel);
+
   private forwarder!: RequestForwarder;
 
   private listener!: CallerListener;
@@ -79,6 +82,7 @@
       }),
       retries,
       estimator: this.estimator,
+      drain: this.nodeDrain,
     });
     this.listener = new CallerListener(kernel, this.forwarder);
     deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
@@ -108,24 +112,20 @@
   }
 
   /**
-   * Accepts short requests for a limited time, then waits for running requests until shortly before
-   * the process is killed.
+   * Accepts short requests for a limited time, then waits for running requests. Those that are still
+   * running shortly before the process is killed are answered with an error.
    */
   override async drain(): Promise<void> {
     const { clock, log } = this.kernel;
-    const { shutdownGraceMs } = this.kernel.get(Deployment).bounds;
-    const { drainAcceptMs, exitMarginMs } = FORWARDING_OPTIONS;
-    const exitDeadlineMs = clock.nowMs() + shutdownGraceMs - exitMarginMs;
+    const { acceptDeadlineMs, answerDeadlineMs, exitDeadlineMs } = this.nodeDrain.start();
     this.forwarder.startDrain();
-    await clock.sleep(drainAcceptMs);
+    await clock.sleep(acceptDeadlineMs - clock.nowMs());
     this.listener.stopAccepting();
-    const timeout = new AbortController();
-    await Promise.race([
-      this.listener.waitUntilIdle(),
-      clock.sleep(exitDeadlineMs - clock.nowMs(), timeout.signal),
-    ]);
-    timeout.abort();
-    log.info('forwarding drained', { cutRequests: this.listener.runningCount });
+    await this.listener.waitUntilIdle(answerDeadlineMs);
+    const endedRequests = this.listener.runningCount;
+    this.nodeDrain.endRequests();
+    await this.listener.waitUntilIdle(exitDeadlineMs);
+    log.info('forwarding drained', { endedRequests, cutRequests: this.listener.runningCount });
   }
 
   override async dispose(): Promise<void> {
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -20,6 +20,7 @@
 import { AdmittedRequest } from './AdmittedRequest';
 import type { CallerBody, CallerExchange } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
+import type { NodeDrain } from './NodeDrain';
 import type { EstimateInput, OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
@@ -35,6 +36,7 @@
   readonly stream: StreamDelivery;
   readonly retries: RetryPolicy;
   readonly estimator: OutputEstimator;
+  readonly drain: NodeDrain;
 }
 
 /** @internal */
@@ -60,7 +62,7 @@
     let admitted: AdmittedRequest | undefined;
     try {
       request = this.kernel.get(RequestDialect).readRequest(exchange.requestLine, exchange.headers);
-      admitted = await this.admit(exchange, request);
+      admitted = await this.parts.drain.waitFor(this.admit(exchange, request));
       const { route } = admitted;
       await (route.delivery === 'stream' ? this.parts.stream : this.parts.whole).deliver(admitted);
     } catch (thrown) {
@@ -121,7 +123,7 @@
       },
       body,
       deadlineMs,
-      startDeadline(leftMs, exchange.disconnectSignal),
+      startDeadline(leftMs, exchange.disconnectSignal, this.parts.drain.endSignal),
       isTrial,
     );
   }
@@ -179,13 +181,7 @@
     thrown: unknown,
   ): void {
     if (exchange.disconnectSignal.aborted) return;
-    const error = admitted?.signal.aborted
-      ? new ServingError('answer-timeout', {
-          detail: `No complete response within ${Math.round(admitted.deadlineMs - exchange.arrivedAtMs)} ms.`,
-          clause: `${admitted.clause}.answerWithinMs`,
-          cause: thrown,
-        })
-      : ServingError.from(thrown);
+    const error = this.explainFailure(exchange, admitted, thrown);
     if (error.kind === 'internal') this.kernel.log.error('request failed', { cause: thrown });
     const dialect = this.kernel.get(RequestDialect);
     exchange.fail(error, request ? dialect.writeAnswerHeaders(request.requestId) : []);
@@ -193,6 +189,21 @@
     this.logRefusal(request, error.kind, error);
   }
 
+  private explainFailure(
+    { arrivedAtMs }: CallerExchange,
+    admitted: AdmittedRequest | undefined,
+    thrown: unknown,
+  ): ServingError {
+    if (!admitted?.signal.aborted) return ServingError.from(thrown);
+    const ended = this.parts.drain.explainEnd(admitted);
+    if (ended) return ended;
+    return new ServingError('answer-timeout', {
+      detail: `No complete response within ${Math.round(admitted.deadlineMs - arrivedAtMs)} ms.`,
+      clause: `${admitted.clause}.answerWithinMs`,
+      cause: thrown,
+    });
+  }
+
   private logRefusal(
     request: ServingRequest | undefined,
     kind: ErrorKind,
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -61,8 +61,15 @@
   drainMaxTokens: 150,
   /** How long after the stop signal short requests are still accepted. */
   drainAcceptMs: 2_500,
-  /** How long before the process would be killed it exits by itself. */
-  exitMarginMs: 350,
+  /** Part of the grace period in which a draining node accepts new connections. */
+  drainAcceptShare: 0.3125,
+  maxDrainAcceptMs: 2_500,
+  /** Part of the grace period, at its end, in which running requests are answered with an error. */
+  answerMarginShare: 0.1,
+  maxAnswerMarginMs: 600,
+  /** Part of the grace period by which the process exits before it would be killed. */
+  exitMarginShare: 0.05,
+  maxExitMarginMs: 350,
   /** Interval at which callers' connections are checked against the header timeout. */
   callerCheckIntervalMs: 500,
   /** An idle connection of a caller is closed after its idle timeout times this factor. */
--- /dev/null
+++ b/tests/drain.test.ts
@@ -0,0 +1,131 @@
+import { createConnection } from 'node:net';
+import { once } from 'node:events';
+import { createStoreConfiguration, callFront, FrontFixture, HOST } from './FrontFixture';
+import type { FrontNode } from './FrontFixture';
+import { splitAddress } from '../src/core';
+import { waitUntil } from './waitUntil';
+
+const ROUTE = { host: HOST, latencyGoalMs: 300, priority: 1, timeoutMs: 30_000 };
+
+/** Each kind of route, to fast engines and, with a `slow-` prefix, to engines that never finish. */
+const ROUTES = ['', 'slow-'].flatMap((speed) => [
+  { ...ROUTE, name: `${speed}lookup`, kind: 'safe', service: `${speed}desk`, maxAttempts: 2 },
+  { ...ROUTE, name: `${speed}credit`, kind: 'unsafe', service: `${speed}desk` },
+  { ...ROUTE, name: `${speed}report`, kind: 'streaming', service: `${speed}writers` },
+  {
+    ...ROUTE,
+    name: `${speed}label`,
+    kind: 'streaming',
+    service: `${speed}writers`,
+    streamResume: true,
+    maxAttempts: 2,
+  },
+]);
+
+const CONFIGURATION = createStoreConfiguration({
+  routes: ROUTES.map((route) => ({ ...route, prefix: `/${route.name}/` })),
+  services: ['desk', 'slow-desk', 'writers', 'slow-writers'].map((name) => ({
+    name,
+    maxConnections: 40,
+    ...(name.endsWith('writers') && {
+      engine: { kvCapacity: 900_000, stride: 1, moves: false, backups: false },
+    }),
+  })),
+});
+
+/** Longer than any grace period of these tests. */
+const LONG_HEADERS = { 'x-bramleyvane-deadline-ms': '30000' };
+
+let fixture: FrontFixture;
+
+beforeEach(async () => {
+  fixture = await FrontFixture.start();
+  fixture.store.put('op/config', CONFIGURATION);
+  await fixture.addEngine('desk', { instanceId: 'i-desk', callMs: 5 });
+  const silent = await fixture.addEngine('slow-desk', { instanceId: 'i-slow-desk' });
+  silent.behaviour = 'silent';
+  await fixture.addEngine('writers', { instanceId: 'i-writers', events: 10 });
+  await fixture.addEngine('slow-writers', {
+    instanceId: 'i-slow-writers',
+    events: 100_000,
+    eventIntervalMs: 20,
+  });
+});
+
+afterEach(async () => {
+  await fixture.stop();
+});
+
+function findEngine(service: string): FrontFixture['engines'][number] {
+  const index = ['desk', 'slow-desk', 'writers', 'slow-writers'].indexOf(service);
+  return fixture.engines[index]!;
+}
+
+async function startNode(graceSeconds: number): Promise<FrontNode> {
+  return fixture.addReadyNode(4, { shutdownGraceSeconds: graceSeconds });
+}
+
+/** Stops a node as SIGTERM does. */
+async function stopNode({ kernel }: FrontNode): Promise<void> {
+  await kernel.drain();
+  await kernel.dispose();
+}
+
+// Guards against a planned stop that ends by closing the connections of running requests: each of
+// them gets an answer, which promises that the request has not run only if it was not sent.
+test.each([
+  ['a call that may be repeated', '/slow-lookup/a', 'slow-desk'],
+  ['a call that may not be repeated', '/slow-credit/a', 'slow-desk'],
+])('the end of a stop answers %s', async (_name, target, service) => {
+  const node = await startNode(1);
+  const call = callFront(node, target, { method: 'POST', body: 'b', headers: LONG_HEADERS });
+  const settled = call.then(({ status }) => status, String);
+  await waitUntil('the request', () => findEngine(service).receivedRequests.length > 0);
+  await stopNode(node);
+  expect(await settled).toBe(502);
+});
+
+// Guards against a broken-off stream that looks complete, and one without a head that gets no answer.
+test.each([
+  ['silent', 502],
+  ['answer', 'cut'],
+] as const)(
+  'the end of a stop ends a stream whose engine is in state %s',
+  async (behaviour, outcome) => {
+    const node = await startNode(1);
+    const engine = findEngine('slow-writers');
+    engine.behaviour = behaviour;
+    const call = callFront(node, '/slow-report/a', { method: 'POST', headers: LONG_HEADERS });
+    const settled = call.then(
+      ({ status }) => status,
+      () => 'cut',
+    );
+    await waitUntil('the request', () => engine.receivedRequests.length > 0);
+    await stopNode(node);
+    expect(await settled).toBe(outcome);
+  },
+);
+
+// Guards against a request that is cut with no answer while its body is still on the way.
+test('the end of a stop refuses a request whose body is incomplete', async () => {
+  const node = await startNode(1);
+  const { host, port } = splitAddress(node.settings.node.callerAddress);
+  const socket = createConnection(port, host);
+  let received = '';
+  socket.on('data', (chunk: Buffer) => {
+    received += chunk.toString();
+  });
+  socket.on('error', () => {});
+  const closed = once(socket, 'close');
+  socket.write(
+    `POST /credit/a HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: Token key-1\r\nX-Bramleyvane-Request-Id: partial\r\nContent-Length: 9\r\n\r\nbody`,
+  );
+  await waitUntil('the connection', () => socket.bytesWritten > 0);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  await stopNode(node);
+  await closed;
+  expect(received).toMatch(/^HTTP\/1.1 503 /);
+  expect(received).toMatch(/"kind":"draining"/);
+});
