Admit in a planned stop only what ends before the exit

What callers saw: in the first 2.5 s of a stop each call and each generation of up to 150 tokens was taken, whatever its time limit and the grace; what did not end was cut at the exit. Later requests on kept connections were refused even if they would have ended at once.

Cause: admitWhileDraining looked at the time since the signal and not at the time that is left. It was asked once, before the waits for joining and for a trial.

Change: a request is admitted if its own time limit ends before the remaining requests are answered; one that may be repeated or resumed also if twice its expected duration fits, by the pace of the slowest endpoint of its service and its expected output. Everything else is refused at once with 503, not run, and is asked again after the waits.

--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -57,7 +57,7 @@
     pace: this.pace,
   });
 
-  private readonly nodeDrain = new NodeDrain(this.kernel);
+  private readonly nodeDrain = new NodeDrain(this.kernel, this.estimator, this.pace);
 
   private forwarder!: RequestForwarder;
 
@@ -81,7 +81,6 @@
         crashes,
       }),
       retries,
-      estimator: this.estimator,
       drain: this.nodeDrain,
     });
     this.listener = new CallerListener(kernel, this.forwarder);
@@ -112,13 +111,13 @@
   }
 
   /**
-   * Accepts short requests for a limited time, then waits for running requests. Those that are still
+   * Accepts requests that end in time and, for a part of the time, new connections; then waits for
+   * running requests. Those that are still
    * running shortly before the process is killed are answered with an error.
    */
   override async drain(): Promise<void> {
     const { clock, log } = this.kernel;
     const { acceptDeadlineMs, answerDeadlineMs, exitDeadlineMs } = this.nodeDrain.start();
-    this.forwarder.startDrain();
     await clock.sleep(acceptDeadlineMs - clock.nowMs());
     this.listener.stopAccepting();
     await this.listener.waitUntilIdle(answerDeadlineMs);
--- a/src/plugins/forwarding/NodeDrain.ts
+++ b/src/plugins/forwarding/NodeDrain.ts
@@ -2,12 +2,26 @@
  * State of this node's planned shutdown, as far as callers' requests are concerned.
  */
 import { setMaxListeners } from 'node:events';
-import { ServingError } from '../../core';
-import { computeDrainSchedule, type DrainSchedule } from '../../decisions';
+import { ServingError, type Route } from '../../core';
+import {
+  admitWhileDraining,
+  computeDrainSchedule,
+  estimateDurationMs,
+  type DrainSchedule,
+  type EndpointPace,
+} from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Deployment, Members } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import { FORWARDING_OPTIONS } from './options';
+import type { EstimateInput, OutputEstimator } from './OutputEstimator';
+
+/** A request that is to be sent to an endpoint. @internal */
+export interface DrainedRequest {
+  readonly route: Route;
+  readonly work: EstimateInput & { readonly service: string };
+  readonly deadlineMs: number;
+}
 
 /** @internal */
 export class NodeDrain {
@@ -15,7 +29,11 @@
 
   private readonly endController = new AbortController();
 
-  constructor(private readonly kernel: Kernel) {
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly estimator: OutputEstimator,
+    private readonly pace: EndpointPace,
+  ) {
     // Every running request adds a listener.
     setMaxListeners(0, this.endController.signal);
   }
@@ -36,6 +54,30 @@
     return this.schedule;
   }
 
+  /** Returns why a request must not be sent any more; undefined if it may be. */
+  findRefusal({ route, work, deadlineMs }: DrainedRequest): ServingError | undefined {
+    if (!this.schedule) return undefined;
+    const nowMs = this.kernel.clock.nowMs();
+    const verdict = admitWhileDraining(
+      {
+        leftMs: this.schedule.answerDeadlineMs - nowMs,
+        timeLimitMs: deadlineMs - nowMs,
+        expectedMs: this.estimateDurationMs(route, work),
+        mayRunAgain: route.delivery === 'stream' ? route.isResumable : route.isRepeatable,
+        hasOtherNode: this.hasOtherNode(),
+      },
+      FORWARDING_OPTIONS,
+    );
+    if (verdict.outcome === 'admit') return undefined;
+    const { detail, retryAfterMs } = verdict;
+    return new ServingError('draining', { detail, clause: `routes.${route.name}`, retryAfterMs });
+  }
+
+  /** Limits the deadline that an endpoint is given to the end of the shutdown. */
+  limitDeadline(deadlineMs: number): number {
+    return Math.min(deadlineMs, this.schedule?.answerDeadlineMs ?? Infinity);
+  }
+
   /** Ends all requests that are still running, and all that arrive from now on. */
   endRequests(): void {
     this.endController.abort();
@@ -72,16 +114,34 @@
     });
   }
 
-  private createRefusal(detail: string): ServingError {
-    const hasOtherNode = this.kernel
+  private estimateDurationMs(
+    route: Route,
+    work: EstimateInput & { readonly service: string },
+  ): number | undefined {
+    const nowMs = this.kernel.clock.nowMs();
+    return estimateDurationMs({
+      route,
+      expectedTokens: work.prompt && this.estimator.getRemaining(work, 0),
+      pacesMs: this.kernel
+        .get(Deployment)
+        .listAssignable(work.service)
+        .flatMap(({ endpointId }) => this.pace.get(endpointId, nowMs) ?? []),
+    });
+  }
+
+  private hasOtherNode(): boolean {
+    return this.kernel
       .get(Members)
       .listLive()
       .some(({ takesCallers }) => takesCallers);
+  }
+
+  private createRefusal(detail: string): ServingError {
     const { otherNodeRetryAfterMs, noNodeRetryAfterMs } = FORWARDING_OPTIONS;
     return new ServingError('draining', {
       detail,
       clause: 'bounds.shutdownGraceMs',
-      retryAfterMs: hasOtherNode ? otherNodeRetryAfterMs : noNodeRetryAfterMs,
+      retryAfterMs: this.hasOtherNode() ? otherNodeRetryAfterMs : noNodeRetryAfterMs,
     });
   }
 }
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -1,14 +1,8 @@
 /**
  * Serves each caller's request in a task of its own, from its arrival to the end of the response.
  */
-import {
-  ServingError,
-  startDeadline,
-  type EngineProfile,
-  type ErrorKind,
-  type Route,
-} from '../../core';
-import { admitToRoute, admitWhileDraining, chooseService } from '../../decisions';
+import { ServingError, startDeadline, type EngineProfile, type ErrorKind } from '../../core';
+import { admitToRoute, chooseService } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -20,8 +14,7 @@
 import { AdmittedRequest } from './AdmittedRequest';
 import type { CallerBody, CallerExchange } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
-import type { NodeDrain } from './NodeDrain';
-import type { EstimateInput, OutputEstimator } from './OutputEstimator';
+import type { DrainedRequest, NodeDrain } from './NodeDrain';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
 import type { StreamDelivery } from './StreamDelivery';
@@ -35,14 +28,11 @@
   readonly whole: WholeDelivery;
   readonly stream: StreamDelivery;
   readonly retries: RetryPolicy;
-  readonly estimator: OutputEstimator;
   readonly drain: NodeDrain;
 }
 
 /** @internal */
 export class RequestForwarder {
-  private drainingSinceMs: number | undefined;
-
   private readonly guard: QuarantineGuard;
 
   constructor(
@@ -52,11 +42,6 @@
     this.guard = new QuarantineGuard(kernel);
   }
 
-  /** Starts to drain: only short requests are accepted, for a limited time. */
-  startDrain(): void {
-    this.drainingSinceMs = this.kernel.clock.nowMs();
-  }
-
   async serve(exchange: CallerExchange): Promise<void> {
     let request: ServingRequest | undefined;
     let admitted: AdmittedRequest | undefined;
@@ -102,12 +87,15 @@
     const { prompt } = request;
     const input = { customer: holder?.customer, routeName: route.name, prompt };
     this.checkPromptSize(request, configuration.services.get(service)?.engine);
-    this.checkDrain(route, input);
+    const timeoutMs = Math.min(request.callerTimeoutMs ?? Infinity, route.answerWithinMs);
+    const deadlineMs = exchange.arrivedAtMs + timeoutMs;
+    const candidate = { route, work: { ...input, service }, deadlineMs };
+    this.checkDrain(candidate);
     await this.waitUntilJoined(request);
     const isTrial = await this.guard.admit(request.sharedPromptParts, `routes.${route.name}`);
+    // The node may have begun to drain while the request waited.
+    this.checkDrain(candidate);
     this.parts.retries.recordRequest(service);
-    const timeoutMs = Math.min(request.callerTimeoutMs ?? Infinity, route.answerWithinMs);
-    const deadlineMs = exchange.arrivedAtMs + timeoutMs;
     const leftMs = Math.max(1, Math.ceil(deadlineMs - clock.nowMs()));
     return new AdmittedRequest(
       exchange,
@@ -148,23 +136,9 @@
     }
   }
 
-  private checkDrain(route: Route, input: EstimateInput): void {
-    if (this.drainingSinceMs === undefined) return;
-    const verdict = admitWhileDraining(
-      {
-        delivery: route.delivery,
-        drainingForMs: this.kernel.clock.nowMs() - this.drainingSinceMs,
-        expectedTokens: this.parts.estimator.getRemaining(input, 0),
-        hasOtherNode: this.kernel
-          .get(Members)
-          .listLive()
-          .some(({ takesCallers }) => takesCallers),
-      },
-      FORWARDING_OPTIONS,
-    );
-    if (verdict.outcome === 'admit') return;
-    const { detail, retryAfterMs } = verdict;
-    throw new ServingError('draining', { detail, clause: `routes.${route.name}`, retryAfterMs });
+  private checkDrain(candidate: DrainedRequest): void {
+    const refusal = this.parts.drain.findRefusal(candidate);
+    if (refusal) throw refusal;
   }
 
   private async readBody(exchange: CallerExchange): Promise<CallerBody> {
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -57,10 +57,8 @@
   joinCheckIntervalMs: 20,
   /** `Retry-After` while no node accepts callers, for example when all of them restart. */
   noNodeRetryAfterMs: 1_000,
-  /** Estimated output tokens up to which a draining node still accepts a generation. */
-  drainMaxTokens: 150,
-  /** How long after the stop signal short requests are still accepted. */
-  drainAcceptMs: 2_500,
+  /** Multiple of its expected duration that has to be left for a request of a draining node. */
+  drainDurationMargin: 2,
   /** Part of the grace period in which a draining node accepts new connections. */
   drainAcceptShare: 0.3125,
   maxDrainAcceptMs: 2_500,
--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -1,7 +1,13 @@
 import { createConnection } from 'node:net';
 import { once } from 'node:events';
-import { createStoreConfiguration, callFront, FrontFixture, HOST } from './FrontFixture';
-import type { FrontNode } from './FrontFixture';
+import {
+  callFront,
+  createStoreConfiguration,
+  FrontFixture,
+  GENERATION_HEADERS,
+  HOST,
+  type FrontNode,
+} from './FrontFixture';
 import { splitAddress } from '../src/core';
 import { waitUntil } from './waitUntil';
 
@@ -129,3 +135,40 @@
   expect(received).toMatch(/^HTTP\/1.1 503 /);
   expect(received).toMatch(/"kind":"draining"/);
 });
+
+// Guards against a late request that is sent although the stop would cut it, and against refusing
+// one that is sure to end.
+test.each([
+  ['a call that may not be repeated, with a long limit', 'credit', 30_000, 503],
+  ['a call that may not be repeated, with a short limit', 'credit', 900, 200],
+  ['a call that may be repeated', 'lookup', 30_000, 200],
+  ['a stream that may not be resumed, with a long limit', 'report', 30_000, 503],
+  ['a stream that may not be resumed, with a short limit', 'report', 900, 200],
+  ['a stream that may be resumed', 'label', 30_000, 200],
+])('in a stop, %s', async (_name, route, limitMs, status) => {
+  const node = await startNode(2);
+  const headers = {
+    ...GENERATION_HEADERS,
+    'x-bramleyvane-length-hint': '10',
+    'x-bramleyvane-deadline-ms': String(limitMs),
+  };
+  const call = async (): ReturnType<typeof callFront> =>
+    callFront(node, `/${route}/a`, { method: 'POST', headers });
+  // Two answers make the pace of the engine known.
+  await call();
+  await call();
+  const engine = findEngine(['credit', 'lookup'].includes(route) ? 'desk' : 'writers');
+  const before = engine.receivedRequests.length;
+  const stopped = stopNode(node);
+  const response = await call();
+  expect(response.status).toBe(status);
+  const sent = engine.receivedRequests.slice(before);
+  expect(sent).toHaveLength(status === 200 ? 1 : 0);
+  if (status === 503) {
+    expect(Number(response.headers['retry-after'])).toBeGreaterThan(0);
+    expect(JSON.parse(response.text)).toMatchObject({
+      error: { kind: 'draining', run: 'not-run' },
+    });
+  }
+  await stopped;
+});
