Keep the deadlines of endpoints within a planned stop

Cause: an endpoint got the caller's time limit also when the node that had sent the request was to exit before; it then worked on for nobody.

Change: EndpointSender sends the time until the node answers the remaining requests, if that is less. It is never longer than the caller's.

Evidence: 'in a stop, no engine gets a deadline beyond the exit' received 29,998 ms within a grace of 2 s before, and passes now.

--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -17,6 +17,7 @@
 import type { EndpointResponse } from './EndpointResponse';
 import type { EndpointConnections } from './EndpointConnections';
 import type { EndpointPlacer } from './EndpointPlacer';
+import type { NodeDrain } from './NodeDrain';
 
 /** Outcome of one attempt. @internal */
 export type SendOutcome =
@@ -69,6 +70,7 @@
     private readonly kernel: Kernel,
     private readonly connections: EndpointConnections,
     private readonly placer: EndpointPlacer,
+    private readonly drain: NodeDrain,
   ) {}
 
   async send(
@@ -78,11 +80,12 @@
     { continuation, backUpTo }: SendOptions = {},
   ): Promise<SendOutcome> {
     const { clock } = this.kernel;
+    const deadlineMs = this.drain.limitDeadline(admitted.deadlineMs);
     const dialect = this.kernel.get(RequestDialect);
     const message = admitted.createMessage(dialect, {
       expectedEndpointId: backEnd.endpointId,
       customer: admitted.work.customer,
-      remainingMs: Math.max(1, Math.floor(admitted.deadlineMs - clock.nowMs())),
+      remainingMs: Math.max(1, Math.floor(deadlineMs - clock.nowMs())),
       lastEventId: continuation?.lastEventId ?? admitted.request.lastEventId,
       continueFrom: continuation?.continueFrom,
       backUpTo,
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -67,7 +67,7 @@
     const { kernel, connections, placer } = this;
     const deployment = kernel.get(Deployment);
     const migrator = new RunMigrator(kernel, placer, this.estimator);
-    const sender = new EndpointSender(kernel, connections, placer);
+    const sender = new EndpointSender(kernel, connections, placer, this.nodeDrain);
     const retries = new RetryPolicy(kernel);
     const crashes = new CrashReporter(kernel, this.health);
     this.forwarder = new RequestForwarder(kernel, {
--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -172,3 +172,15 @@
   }
   await stopped;
 });
+
+// Guards against an engine that goes on working on a request after the node that sent it has exited.
+test('in a stop, no engine gets a deadline beyond the exit', async () => {
+  const node = await startNode(2);
+  const stopped = stopNode(node);
+  expect((await callFront(node, '/lookup/a', { headers: LONG_HEADERS })).status).toBe(200);
+  const [received] = findEngine('desk').receivedRequests;
+  const deadlineMs = Number(received?.headers['x-bramleyvane-deadline-ms']);
+  expect(deadlineMs).toBeGreaterThan(0);
+  expect(deadlineMs).toBeLessThan(2_000);
+  await stopped;
+});
