Close connections after responses to requests that came before a stop

What callers saw: the answer to a request that had come before the SIGTERM kept its connection open, so the caller sent its next request there, to a node that was about to exit.

Cause: whether a connection stays open was decided at the arrival of a request.

Change: at the start of a stop, responses without a head are marked as the last ones of their connections.

Evidence: 'a response in a stop closes its connection, also if the request came before' failed before (no Connection: close in the head) and passes now. RawCaller takes the place of the raw socket in the test of an incomplete body.

--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -2,7 +2,7 @@
  * HTTP server for callers whose requests are forwarded to endpoints.
  */
 import { once } from 'node:events';
-import { createServer, type Server } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import { startDeadline, type CallerLimits } from '../../core';
 import type { Kernel } from '../../kernel';
 import { closeServers, listenOn } from '../../wire';
@@ -19,6 +19,8 @@
 
   private readonly running = new Set<Promise<void>>();
 
+  private readonly openResponses = new Set<ServerResponse>();
+
   constructor(
     private readonly kernel: Kernel,
     private readonly forwarder: RequestForwarder,
@@ -33,6 +35,8 @@
       },
       (request, response) => {
         response.shouldKeepAlive = response.shouldKeepAlive && this.kernel.state !== 'draining';
+        this.openResponses.add(response);
+        response.once('close', () => this.openResponses.delete(response));
         const exchange = new CallerExchange(request, response, this.kernel.clock);
         const task = this.forwarder.serve(exchange);
         this.running.add(task);
@@ -56,6 +60,14 @@
     this.server.keepAliveTimeout = idleTimeoutMs * FORWARDING_OPTIONS.callerIdleFactor;
   }
 
+  /** Closes connections after the responses that are still to be begun. */
+  closeAfterResponses(): void {
+    this.openResponses.forEach((response) => {
+      const open = response;
+      if (!response.headersSent) open.shouldKeepAlive = false;
+    });
+  }
+
   /** Stops accepting connections and closes idle ones. */
   stopAccepting(): void {
     this.server.close();
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -118,6 +118,7 @@
   override async drain(): Promise<void> {
     const { clock, log } = this.kernel;
     const { acceptDeadlineMs, answerDeadlineMs, exitDeadlineMs } = this.nodeDrain.start();
+    this.listener.closeAfterResponses();
     await clock.sleep(acceptDeadlineMs - clock.nowMs());
     this.listener.stopAccepting();
     await this.listener.waitUntilIdle(answerDeadlineMs);
--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -1,5 +1,3 @@
-import { createConnection } from 'node:net';
-import { once } from 'node:events';
 import {
   callFront,
   createStoreConfiguration,
@@ -8,7 +6,7 @@
   HOST,
   type FrontNode,
 } from './FrontFixture';
-import { splitAddress } from '../src/core';
+import { RawCaller } from './RawCaller';
 import { waitUntil } from './waitUntil';
 
 const ROUTE = { host: HOST, latencyGoalMs: 300, priority: 1, timeoutMs: 30_000 };
@@ -115,25 +113,28 @@
 // Guards against a request that is cut with no answer while its body is still on the way.
 test('the end of a stop refuses a request whose body is incomplete', async () => {
   const node = await startNode(1);
-  const { host, port } = splitAddress(node.settings.node.callerAddress);
-  const socket = createConnection(port, host);
-  let received = '';
-  socket.on('data', (chunk: Buffer) => {
-    received += chunk.toString();
-  });
-  socket.on('error', () => {});
-  const closed = once(socket, 'close');
-  socket.write(
-    `POST /credit/a HTTP/1.1\r\nHost: ${HOST}\r\nAuthorization: Token key-1\r\nX-Bramleyvane-Request-Id: partial\r\nContent-Length: 9\r\n\r\nbody`,
-  );
-  await waitUntil('the connection', () => socket.bytesWritten > 0);
-  await new Promise((resolve) => {
-    setTimeout(resolve, 50);
-  });
+  const caller = new RawCaller(node);
+  caller.send('POST /credit/a HTTP/1.1', ['Content-Length: 9'], 'body');
+  // The node has read the part that was sent before this response.
+  expect((await callFront(node, '/lookup/a')).status).toBe(200);
   await stopNode(node);
-  await closed;
-  expect(received).toMatch(/^HTTP\/1.1 503 /);
-  expect(received).toMatch(/"kind":"draining"/);
+  await caller.closed;
+  expect(caller.received).toMatch(/^HTTP\/1.1 503 /);
+  expect(caller.received).toMatch(/"kind":"draining"/);
+});
+
+// Guards against a caller that sends its next request on a connection which is about to be closed.
+test('a response in a stop closes its connection, also if the request came before', async () => {
+  const node = await startNode(2);
+  const desk = findEngine('desk');
+  const caller = new RawCaller(node);
+  Object.assign(desk, { options: { instanceId: 'i-desk', callMs: 300 } });
+  caller.send('GET /lookup/a HTTP/1.1');
+  await waitUntil('the request', () => desk.receivedRequests.length > 0);
+  const stopped = stopNode(node);
+  await caller.closed;
+  expect(caller.received).toMatch(/^HTTP\/1.1 200 OK\r\n(.*\r\n)*connection: close\r\n/i);
+  await stopped;
 });
 
 // Guards against a late request that is sent although the stop would cut it, and against refusing
