--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   callFront,
   createStoreConfiguration,
@@ -185,3 +186,48 @@
   expect(deadlineMs).toBeLessThan(2_000);
   await stopped;
 });
+
+/** Kinds of requests, with a limit that is longer than the grace. */
+const KINDS = ['lookup', 'credit', 'report', 'label'];
+
+const MOMENT_SHARES = [0, 0.1, 0.25, 0.5, 0.75, 0.9, 1];
+
+// Guards against a late request that is read and gets no answer, or runs after it was refused. An
+// open stream keeps the node running and one connection of each caller open beyond the start.
+test('a stop answers what arrives at any moment on new and kept connections', async () => {
+  const graceMs = 2_000;
+  const node = await startNode(graceMs / 1_000);
+  const open = callFront(node, '/slow-report/a', { method: 'POST', headers: LONG_HEADERS });
+  const cut = open.catch(() => 'cut');
+  const slow = findEngine('slow-writers');
+  await waitUntil('the open stream', () => slow.executedRequestIds.length > 0);
+  const createCallers = (): ReadonlyArray<readonly [string, RawCaller]> =>
+    KINDS.map((kind) => [kind, new RawCaller(node)]);
+  const kept = MOMENT_SHARES.map(createCallers);
+  await Promise.all(kept.flat().map(async ([, caller]) => caller.waitUntilConnected()));
+  const stopped = stopNode(node);
+  const startedMs = performance.now();
+  const sent = MOMENT_SHARES.map(async (share, index) => {
+    await sleep(Math.max(0, startedMs + share * graceMs - performance.now()));
+    const callers = [...kept[index]!, ...createCallers()];
+    const requests = callers.map(([kind, caller]) => ({
+      caller,
+      requestId: caller.isClosed ? 'unsent' : caller.send(`GET /${kind}/a HTTP/1.1`),
+    }));
+    await Promise.all(callers.map(async ([, caller]) => caller.closed));
+    return requests;
+  });
+  const outcomes = (await Promise.all(sent)).flat();
+  await stopped;
+  expect(await cut).toBe('cut');
+  const executed = fixture.engines.flatMap((engine) => engine.executedRequestIds);
+  outcomes.forEach(({ caller: { received }, requestId }) => {
+    const runs = executed.filter((id) => id === requestId).length;
+    if (runs > 0) expect(received).toMatch(/^HTTP\/1.1 200 /);
+    else expect(received).toMatch(/^$|^HTTP\/1.1 503 [^]*"run":"not-run"/);
+    expect(runs).toBeLessThanOrEqual(1);
+    const wasRead = node.lines.some((line) => line.requestId === requestId);
+    if (wasRead) expect(received).not.toBe('');
+  });
+  expect(outcomes.filter(({ caller: { received } }) => received.includes(' 503 '))).not.toEqual([]);
+});
