Send no late retry in a stop, and close connections after the last answers

Cause: retries, hedges and requests held at the node did not look at the time that is left in a stop. A request that arrived on a kept connection after the last running one had ended could be sent to an endpoint and was cut by the dispose that followed; a response counted as finished when it was in the write buffer.

Change: RetryPolicy and the send after a hold ask NodeDrain. From the end of the drain on every arrival is refused at once, and the listener closes its connections once all responses have been sent, at the latest at the exit deadline.

Evidence: 'a stop sends no hedge that does not end before the exit' saw 2 requests at the engines without the check in RetryPolicy, and 1 with it. The other two parts come from reading; a response of 250 kB to a caller that does not read was delivered whole on loopback before too, so no test shows them.

--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -17,6 +17,9 @@
 export class CallerExchange {
   readonly arrivedAtMs: number;
 
+  /** Resolves once the response has been sent, or its connection is closed. */
+  readonly closed: Promise<void>;
+
   private readonly disconnectController = new AbortController();
 
   private firstByteAtMs: number | undefined;
@@ -29,6 +32,9 @@
     private readonly clock: Clock,
   ) {
     this.arrivedAtMs = clock.nowMs();
+    this.closed = new Promise((resolve) => {
+      response.once('close', resolve);
+    });
     response.on('close', () => {
       if (!response.writableFinished) this.disconnectController.abort();
     });
--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -38,13 +38,19 @@
         this.openResponses.add(response);
         response.once('close', () => this.openResponses.delete(response));
         const exchange = new CallerExchange(request, response, this.kernel.clock);
-        const task = this.forwarder.serve(exchange);
+        const task = this.serve(exchange);
         this.running.add(task);
         void task.finally(() => this.running.delete(task));
       },
     );
   }
 
+  /** A response that is written to the buffer is not sent yet when the process exits. */
+  private async serve(exchange: CallerExchange): Promise<void> {
+    await this.forwarder.serve(exchange);
+    await exchange.closed;
+  }
+
   get runningCount(): number {
     return this.running.size;
   }
@@ -85,7 +91,9 @@
     timeout.stop();
   }
 
-  async close(): Promise<void> {
+  /** Closes the connections once the responses have been sent, at the latest at the deadline. */
+  async close(deadlineMs: number): Promise<void> {
+    await this.waitUntilIdle(deadlineMs);
     await closeServers([this.server]);
   }
 }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -68,7 +68,7 @@
     const deployment = kernel.get(Deployment);
     const migrator = new RunMigrator(kernel, placer, this.estimator);
     const sender = new EndpointSender(kernel, connections, placer, this.nodeDrain);
-    const retries = new RetryPolicy(kernel);
+    const retries = new RetryPolicy(kernel, this.nodeDrain);
     const crashes = new CrashReporter(kernel, this.health);
     this.forwarder = new RequestForwarder(kernel, {
       whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
@@ -79,6 +79,7 @@
         migrator,
         estimator: this.estimator,
         crashes,
+        drain: this.nodeDrain,
       }),
       retries,
       drain: this.nodeDrain,
@@ -129,7 +130,8 @@
   }
 
   override async dispose(): Promise<void> {
-    await this.listener.close();
+    // Requests may still arrive on open connections; they are refused at once.
+    await this.listener.close(this.nodeDrain.exitDeadlineMs);
   }
 }
 
--- a/src/plugins/forwarding/NodeDrain.ts
+++ b/src/plugins/forwarding/NodeDrain.ts
@@ -43,6 +43,11 @@
     return this.endController.signal;
   }
 
+  /** Monotonic time at which the process exits; in the past if no shutdown was announced. */
+  get exitDeadlineMs(): number {
+    return this.schedule?.exitDeadlineMs ?? -Infinity;
+  }
+
   /** Starts the shutdown; its schedule stays the same whatever is reconfigured afterwards. */
   start(): DrainSchedule {
     const { shutdownGraceMs } = this.kernel.get(Deployment).bounds;
--- a/src/plugins/forwarding/RetryPolicy.ts
+++ b/src/plugins/forwarding/RetryPolicy.ts
@@ -5,12 +5,16 @@
 import type { Kernel } from '../../kernel';
 import { Deployment, Members } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { NodeDrain } from './NodeDrain';
 
 /** @internal */
 export class RetryPolicy {
   private readonly budget: RetryBudget;
 
-  constructor(private readonly kernel: Kernel) {
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly drain: NodeDrain,
+  ) {
     this.budget = new RetryBudget(kernel.get(Deployment).bounds);
   }
 
@@ -24,6 +28,8 @@
     if (signal.aborted || !admitted.isReplayable || sentTo.length >= route.maxEndpoints) {
       return false;
     }
+    // A retry or a hedge late in a shutdown would be cut off.
+    if (this.drain.findRefusal(admitted)) return false;
     return this.takeFromBudget(work.service);
   }
 
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -14,6 +14,7 @@
 import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
 import { EventSplitter } from './EventSplitter';
 import { FORWARDING_OPTIONS } from './options';
+import type { NodeDrain } from './NodeDrain';
 import type { OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
@@ -52,6 +53,7 @@
   readonly migrator: RunMigrator;
   readonly estimator: OutputEstimator;
   readonly crashes: CrashReporter;
+  readonly drain: NodeDrain;
 }
 
 /** @internal */
@@ -99,7 +101,7 @@
         placed = isFirst
           ? await this.placeFirst(admitted)
           : this.parts.placer.place(admitted.work, excluded, 'retry');
-        this.checkQuarantine(admitted, placed);
+        this.checkBeforeSend(admitted, placed);
       } catch (thrown) {
         throw this.explainUnsent(admitted, thrown, lostReason);
       }
@@ -133,8 +135,9 @@
     return new ServingError('answer-lost', { detail: lostReason, clause, cause: thrown });
   }
 
-  private checkQuarantine(admitted: AdmittedRequest, placed: RequestReservation): void {
-    const refusal = this.guard.findRefusal(admitted);
+  /** A part may have been quarantined, or a shutdown begun, while the request was held. */
+  private checkBeforeSend(admitted: AdmittedRequest, placed: RequestReservation): void {
+    const refusal = this.guard.findRefusal(admitted) ?? this.parts.drain.findRefusal(admitted);
     if (!refusal) return;
     placed.release();
     throw refusal;
--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -27,8 +27,18 @@
   },
 ]);
 
+/** A hedge of this route begins 1.35 s after the request. */
+const PATIENT_ROUTE = {
+  ...ROUTE,
+  name: 'patient',
+  kind: 'safe',
+  service: 'slow-desk',
+  latencyGoalMs: 3_000,
+  maxAttempts: 2,
+};
+
 const CONFIGURATION = createStoreConfiguration({
-  routes: ROUTES.map((route) => ({ ...route, prefix: `/${route.name}/` })),
+  routes: [...ROUTES, PATIENT_ROUTE].map((route) => ({ ...route, prefix: `/${route.name}/` })),
   services: ['desk', 'slow-desk', 'writers', 'slow-writers'].map((name) => ({
     name,
     maxConnections: 40,
@@ -231,3 +241,17 @@
   });
   expect(outcomes.filter(({ caller: { received } }) => received.includes(' 503 '))).not.toEqual([]);
 });
+
+// Guards against a second copy of a request that begins so late in a stop that it is cut off.
+test('a stop sends no hedge that does not end before the exit', async () => {
+  const other = await fixture.addEngine('slow-desk', { instanceId: 'i-other' });
+  other.behaviour = 'silent';
+  const node = await fixture.addReadyNode(5, { shutdownGraceSeconds: 2 });
+  const call = callFront(node, '/patient/a', { headers: LONG_HEADERS });
+  const engines = [findEngine('slow-desk'), other];
+  const countReceived = (): number => engines.flatMap((engine) => engine.receivedRequests).length;
+  await waitUntil('the request', () => countReceived() > 0);
+  await stopNode(node);
+  expect((await call).status).toBe(502);
+  expect(countReceived()).toBe(1);
+});
