--- a/tests/ManagedProcess.ts
+++ b/tests/ManagedProcess.ts
@@ -92,6 +92,11 @@
     this.child.kill('SIGTERM');
   }
 
+  /** Makes the process read its settings again. */
+  reload(): void {
+    this.child.kill('SIGHUP');
+  }
+
   /** Suspends the process: its connections stay open, but it does not respond. */
   freeze(): void {
     this.child.kill('SIGSTOP');
