--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -139,6 +139,11 @@
     else this.response.end();
   }
 
+  /** Makes the connection close after the response, unless its head has been sent. */
+  closeAfterResponse(): void {
+    if (!this.response.headersSent) this.response.shouldKeepAlive = false;
+  }
+
   /** Destroys the connection, so that a truncated response can't look complete. */
   abort(kind: string): void {
     this.errorKind = kind;
--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -33,8 +33,8 @@
       kernel.clock,
     );
     this.server.on('request', (request, response) => {
-      response.shouldKeepAlive = response.shouldKeepAlive && this.kernel.state !== 'draining';
       const exchange = new CallerExchange(request, response, this.kernel.clock);
+      if (['draining', 'stopped'].includes(this.kernel.state)) exchange.closeAfterResponse();
       void this.table.run(exchange, async (running) => this.forwarder.serve(running));
     });
   }
@@ -50,22 +50,26 @@
     this.server.setIdleTimeout(idleTimeoutMs * FORWARDING_OPTIONS.callerIdleFactor);
   }
 
+  /** Closes connections after the responses that are still to be begun. */
+  closeAfterResponses(): void {
+    this.table.list().forEach(({ exchange }) => exchange.closeAfterResponse());
+  }
+
   /** Stops accepting connections and closes idle ones. */
   stopAccepting(): void {
     this.server.close();
     void this.server.closeIdle();
   }
 
-  /** Ends requests that still run with an error, and closes all connections. */
-  async close(): Promise<void> {
+  /**
+   * Closes the connections once the responses have been sent. Requests that run after the deadline
+   * are ended with an error.
+   */
+  async close(deadlineMs: number): Promise<void> {
     this.server.close();
+    await this.table.waitUntilEmpty(deadlineMs);
     this.table.endAll();
-    const timeout = new AbortController();
-    await Promise.race([
-      this.table.waitUntilEmpty(),
-      this.kernel.clock.sleep(FORWARDING_OPTIONS.stopAnswersMs, timeout.signal),
-    ]);
-    timeout.abort();
+    await this.table.waitUntilEmpty(this.kernel.clock.nowMs() + FORWARDING_OPTIONS.stopAnswersMs);
     await closeServers([this.server]);
   }
 }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -13,6 +13,7 @@
 import { FORWARDING_OPTIONS } from './options';
 import { OutputEstimator } from './OutputEstimator';
 import { LocalLoad } from './LocalLoad';
+import { NodeDrain } from './NodeDrain';
 import { RetryPolicy } from './RetryPolicy';
 import { RequestForwarder } from './RequestForwarder';
 import { RequestTable } from './RequestTable';
@@ -64,6 +65,8 @@
 
   private readonly table = new RequestTable(this.kernel);
 
+  private readonly nodeDrain = new NodeDrain(this.kernel, this.estimator, this.pace);
+
   private forwarder!: RequestForwarder;
 
   private listener!: CallerListener;
@@ -71,8 +74,8 @@
   override setUp(): void {
     const { kernel, connections, placer } = this;
     const deployment = kernel.get(Deployment);
-    const sender = new EndpointSender(kernel, connections, placer);
-    const retries = new RetryPolicy(kernel);
+    const sender = new EndpointSender(kernel, connections, placer, this.nodeDrain);
+    const retries = new RetryPolicy(kernel, this.nodeDrain);
     const crashes = new CrashReporter(kernel, this.health, this.departures);
     const opener = new SegmentOpener(placer, sender, crashes);
     const migrator = new RunMigrator(kernel, placer, this.estimator, opener);
@@ -87,9 +90,10 @@
         silence: new SilenceWatch(kernel, placer, retries, migrator, opener),
         estimator: this.estimator,
         crashes,
+        drain: this.nodeDrain,
       }),
       retries,
-      estimator: this.estimator,
+      drain: this.nodeDrain,
     });
     this.listener = new CallerListener(kernel, this.forwarder, this.table);
     deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
@@ -125,28 +129,30 @@
   }
 
   /**
-   * Accepts short requests for a limited time, then waits for running requests until shortly before
-   * the process is killed.
+   * Accepts requests that end in time and, for a part of the time, new connections; then waits for
+   * running requests. Those that still run shortly before the process is killed are answered with an
+   * error.
    */
   override async drain(): Promise<void> {
     const { clock, log } = this.kernel;
-    const { shutdownGraceMs } = this.kernel.get(Deployment).bounds;
-    const { drainAcceptMs, exitMarginMs } = FORWARDING_OPTIONS;
-    const exitDeadlineMs = clock.nowMs() + shutdownGraceMs - exitMarginMs;
-    this.forwarder.startDrain();
-    await clock.sleep(drainAcceptMs);
+    const { acceptDeadlineMs, answerDeadlineMs, exitDeadlineMs } = this.nodeDrain.start();
+    this.listener.closeAfterResponses();
+    await clock.sleep(acceptDeadlineMs - clock.nowMs());
     this.listener.stopAccepting();
-    const timeout = new AbortController();
-    await Promise.race([
-      this.table.waitUntilEmpty(),
-      clock.sleep(exitDeadlineMs - clock.nowMs(), timeout.signal),
-    ]);
-    timeout.abort();
-    log.info('forwarding drained', { cutRequests: this.table.list().length });
+    await this.table.waitUntilEmpty(answerDeadlineMs);
+    const remaining = this.table.list();
+    this.nodeDrain.end();
+    remaining.forEach((request) => this.table.end(request, this.nodeDrain.explainEnd(request)));
+    await this.table.waitUntilEmpty(exitDeadlineMs);
+    log.info('forwarding drained', {
+      endedRequests: remaining.length,
+      cutRequests: this.table.list().length,
+    });
   }
 
   override async dispose(): Promise<void> {
-    await this.listener.close();
+    // Requests may still arrive on open connections; they are refused at once.
+    await this.listener.close(this.nodeDrain.exitDeadlineMs);
   }
 }
 
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -2,7 +2,7 @@
  * Serves each caller's request in a task of its own, from its arrival to the end of the response.
  */
 import { rejectOnAbort, ServingError, type EngineProfile, type Route } from '../../core';
-import { admitToRoute, admitWhileDraining, chooseService, findRoute } from '../../decisions';
+import { admitToRoute, chooseService, findRoute } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -14,7 +14,7 @@
 import { AdmittedRequest } from './AdmittedRequest';
 import type { CallerBody } from './CallerExchange';
 import { FORWARDING_OPTIONS } from './options';
-import type { EstimateInput, OutputEstimator } from './OutputEstimator';
+import type { DrainedRequest, NodeDrain } from './NodeDrain';
 import { QuarantineGuard } from './QuarantineGuard';
 import { createOverdueError, type RequestTable } from './RequestTable';
 import type { RetryPolicy } from './RetryPolicy';
@@ -31,13 +31,11 @@
   readonly whole: WholeDelivery;
   readonly stream: StreamDelivery;
   readonly retries: RetryPolicy;
-  readonly estimator: OutputEstimator;
+  readonly drain: NodeDrain;
 }
 
 /** @internal */
 export class RequestForwarder {
-  private drainingSinceMs: number | undefined;
-
   private readonly guard: QuarantineGuard;
 
   constructor(
@@ -47,11 +45,6 @@
     this.guard = new QuarantineGuard(kernel);
   }
 
-  /** Starts to drain: only short requests are accepted, for a limited time. */
-  startDrain(): void {
-    this.drainingSinceMs = this.kernel.clock.nowMs();
-  }
-
   async serve(running: RunningRequest): Promise<void> {
     const { exchange } = running;
     let admitted: AdmittedRequest | undefined;
@@ -72,6 +65,7 @@
 
   private async admit(running: RunningRequest, request: ServingRequest): Promise<AdmittedRequest> {
     const deployment = this.kernel.get(Deployment);
+    this.parts.drain.checkEnd();
     const body = await this.readBody(running);
     const verdict = admitToRoute(
       {
@@ -99,13 +93,17 @@
     const { prompt } = request;
     const input = { customer: holder?.customer, routeName: route.name, prompt };
     this.checkPromptSize(request, configuration.services.get(service)?.engine);
-    this.checkDrain(route, input);
     this.setDeadline(running, request, route);
+    const { deadlineMs } = running;
+    const candidate = { route, work: { ...input, service }, deadlineMs };
+    this.checkDrain(candidate);
     await this.waitUntilJoined(running, request);
     const isTrial = await rejectOnAbort(
       this.guard.admit(request.sharedPromptParts, `routes.${route.name}`),
       running.signal,
     );
+    // The node may have begun to drain while the request waited.
+    this.checkDrain(candidate);
     this.parts.retries.recordRequest(service);
     return new AdmittedRequest(
       running,
@@ -165,23 +163,9 @@
     }
   }
 
-  private checkDrain(route: Route, input: EstimateInput): void {
-    if (this.drainingSinceMs === undefined) return;
-    const verdict = admitWhileDraining(
-      {
-        delivery: route.delivery,
-        drainingForMs: this.kernel.clock.nowMs() - this.drainingSinceMs,
-        expectedTokens: this.parts.estimator.getRemaining(input, 0),
-        hasOtherNode: this.kernel
-          .get(Members)
-          .listLive()
-          .some(({ takesCallers }) => takesCallers),
-      },
-      FORWARDING_OPTIONS,
-    );
-    if (verdict.outcome === 'admit') return;
-    const { detail, retryAfterMs } = verdict;
-    throw new ServingError('draining', { detail, clause: `routes.${route.name}`, retryAfterMs });
+  private checkDrain(candidate: DrainedRequest): void {
+    const refusal = this.parts.drain.findRefusal(candidate);
+    if (refusal) throw refusal;
   }
 
   private async readBody({ exchange, signal }: RunningRequest): Promise<CallerBody> {
--- a/src/plugins/forwarding/RequestTable.ts
+++ b/src/plugins/forwarding/RequestTable.ts
@@ -6,7 +6,8 @@
  * answer. A request that would have ended without an answer gets an error here, and is logged and
  * counted.
  */
-import { ServingError } from '../../core';
+import { once } from 'node:events';
+import { ServingError, startDeadline } from '../../core';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -82,11 +83,17 @@
     });
   }
 
-  /** Resolves when no request is running. */
-  async waitUntilEmpty(): Promise<void> {
-    while (this.running.size > 0) {
-      await Promise.all([...this.running].map(async ({ exchange }) => exchange.closed));
+  /** Resolves when no request is running, or at a monotonic time. */
+  async waitUntilEmpty(deadlineMs: number): Promise<void> {
+    const leftMs = deadlineMs - this.kernel.clock.nowMs();
+    if (leftMs <= 0) return;
+    const timeout = startDeadline(leftMs);
+    const expired = once(timeout.signal, 'abort');
+    while (this.running.size > 0 && !timeout.signal.aborted) {
+      const closed = this.list().map(async ({ exchange }) => exchange.closed);
+      await Promise.race([Promise.all(closed), expired]);
     }
+    timeout.stop();
   }
 
   private async runTask(
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -62,10 +62,6 @@
   joinCheckIntervalMs: 20,
   /** `Retry-After` while no node accepts callers, for example when all of them restart. */
   noNodeRetryAfterMs: 1_000,
-  /** Estimated output tokens up to which a draining node still accepts a generation. */
-  drainMaxTokens: 150,
-  /** How long after the stop signal short requests are still accepted. */
-  drainAcceptMs: 2_500,
   /** Time in which a request is answered at the latest while no route is known for it. */
   unroutedTimeoutMs: 30_000,
   /** Interval at which running requests are checked against their deadlines. */
@@ -74,8 +70,17 @@
   overdueMarginMs: 100,
   /** Time in which the system takes the last answers of a node that stops. */
   stopAnswersMs: 150,
-  /** How long before the process would be killed it exits by itself. */
-  exitMarginMs: 350,
+  /** Multiple of its expected duration that has to be left for a request of a draining node. */
+  drainDurationMargin: 2,
+  /** Part of the grace period in which a draining node accepts new connections. */
+  drainAcceptShare: 0.3125,
+  maxDrainAcceptMs: 2_500,
+  /** Part of the grace period, at its end, in which running requests are answered with an error. */
+  answerMarginShare: 0.1,
+  maxAnswerMarginMs: 600,
+  /** Part of the grace period by which the process exits before it would be killed. */
+  exitMarginShare: 0.05,
+  maxExitMarginMs: 350,
   /** Interval at which callers' connections are checked against the header timeout. */
   callerCheckIntervalMs: 500,
   /** An idle connection of a caller is closed after its idle timeout times this factor. */
--- a/tests/idleConnections.test.ts
+++ b/tests/idleConnections.test.ts
@@ -84,7 +84,7 @@
   caller.send('/nowhere/a');
   expect(await caller.readStatus()).toBe(404);
   const drained = node.kernel.drain();
-  await sleep(FORWARDING_OPTIONS.drainAcceptMs - 200);
+  await sleep(FORWARDING_OPTIONS.maxDrainAcceptMs - 200);
   await new Promise(setImmediate);
   caller.send('/nowhere/b');
   const untilMs = performance.now() + 500;
