--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -67,8 +67,8 @@
 
   receivedRequests: ReadonlyArray<ReceivedRequest> = [];
 
-  /** Ids of the requests that were executed, in order. */
-  executedRequestIds: ReadonlyArray<string> = [];
+  /** Requests that were executed, in order. */
+  executedRequests: ReadonlyArray<ReceivedRequest> = [];
 
   /** Handles of the KV cache copies that other engines sent here. */
   readonly copies = new Set<string>();
@@ -133,10 +133,12 @@
 
   /** Stalls all streams and new requests for a time, then goes on with them. */
   goSilentFor(silentMs: number): void {
+    if (this.behaviour !== 'silent') {
+      this.awake = new Promise((resolve) => {
+        this.endSilence = resolve;
+      });
+    }
     this.behaviour = 'silent';
-    this.awake = new Promise((resolve) => {
-      this.endSilence = resolve;
-    });
     setTimeout(() => this.wake(), silentMs).unref();
   }
 
@@ -147,6 +149,10 @@
     this.endSilence();
   }
 
+  get executedRequestIds(): ReadonlyArray<string> {
+    return this.executedRequests.map(({ requestId }) => requestId);
+  }
+
   /** Number of runs whose connection is open. */
   get runningCount(): number {
     return this.running.size;
@@ -194,7 +200,7 @@
     if (!this.takeCopy(headers)) {
       return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
     }
-    this.executedRequestIds = [...this.executedRequestIds, requestId];
+    this.executedRequests = [...this.executedRequests, received];
     const responseRequestId = this.behaviour === 'crossed' ? 'another-request' : requestId;
     const head: Record<string, string> = { [REQUEST_ID_HEADER]: responseRequestId };
     if (this.behaviour !== 'unsigned') head[SEAL_HEADER] = `seal-${this.options.instanceId}`;
