--- a/tests/configurationStreams.test.ts
+++ b/tests/configurationStreams.test.ts
@@ -72,7 +72,9 @@
     { route: 'label', backups: true, disturbance } as const,
   ])
   // Without a backup and without a new run, a crash ends a stream whatever the configuration.
-  .filter(({ route, backups, disturbance }) => disturbance !== 'crash' || backups || route === 'label');
+  .filter(
+    ({ route, backups, disturbance }) => disturbance !== 'crash' || backups || route === 'label',
+  );
 
 function disturb(engine: PlatformEngine, disturbance: Disturbance): void {
   if (disturbance === 'silence') engine.goSilentFor(1_500);
--- a/tests/silenceRuns.test.ts
+++ b/tests/silenceRuns.test.ts
@@ -15,7 +15,7 @@
   type FrontNode,
 } from './FrontFixture';
 
-const FIRST_SEED = Number(process.env.SILENCE_FIRST_SEED ?? 1);
+const FIRST_SEED = Number(process.env.SILENCE_FIRST_SEED ?? 3);
 const SEEDS = Number(process.env.SILENCE_SEEDS ?? 2);
 const STREAMS_PER_SEED = 16;
 const EVENTS = 150;
@@ -53,12 +53,13 @@
   hasBackup: fc.boolean(),
   hasOtherEngine: fc.oneof({ weight: 4, arbitrary: fc.constant(true) }, fc.constant(false)),
   refusesCopies: fc.boolean(),
-  continuationDelayMs: fc.constantFrom(0, 50, 150, 290, 310, 1_200),
+  continuationDelayMs: fc.constantFrom(0, 50, 200, 280, 320, 1_200),
   silences: fc.array(
     fc.record({
       engine: fc.oneof({ weight: 3, arbitrary: fc.constant(0) }, fc.constant(1)),
       atMs: fc.integer({ min: 50, max: 1_200 }),
-      forMs: fc.integer({ min: 300, max: 2_600 }),
+      // Many silences end while an attempt to take the run over is open.
+      forMs: fc.oneof(fc.integer({ min: 300, max: 2_600 }), fc.integer({ min: 1_100, max: 1_600 })),
     }),
     { minLength: 1, maxLength: 3 },
   ),
