--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -90,13 +90,14 @@
     progress: StreamProgress,
     ended: Exclude<SegmentEnd, { readonly end: 'complete' }>,
   ): Promise<StreamSegment> {
+    const { takeover } = segment;
     // The engine is lost, so an attempt that is still open is the best continuation.
-    segment.takeover?.commit();
+    takeover?.commit();
     if (ended.end === 'broken') await this.reportBroken(admitted, segment, ended.outputSinceMs);
-    const successor = await segment.takeover?.successor;
-    if (successor) {
+    const successor = await takeover?.successor;
+    if (takeover && successor) {
       void segment.abandonMigration();
-      this.kernel.get(ServingMetrics).countContinuation(segment.takeover?.kind ?? 'from-copy');
+      this.kernel.get(ServingMetrics).countContinuation(takeover.kind);
       return successor;
     }
     const reason = ended.end === 'broken' ? ended.reason : 'The run was taken over and lost.';
