Show in a failing test that a leaving engine's run depends on its backup alone

What callers see: a stream is cut when its leaving engine ends and the backup's engine has no copy any more (503). Cause: RunMigrator doesn't migrate a run that has a backup; whether the copy is there shows only once the engine is gone.

--- a/tests/silentEngines.test.ts
+++ b/tests/silentEngines.test.ts
@@ -238,3 +238,16 @@
   expect(second.executedRequestIds).toHaveLength(refusesCopies ? 0 : 1);
   if (!refusesCopies) await waitUntil('the close', () => first.runningCount === 0);
 });
+
+// Guards against a stream that is cut when its leaving engine ends, as only then it turns out that
+// its backup is gone, although the run could have been migrated before.
+test('a run on a leaving engine is migrated when its backup is gone', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { answer, primary, other } = await startReplicatedStream('report');
+  other.copies.clear();
+  const id = primary === fixture.engines[0] ? 'i-1' : 'i-2';
+  fixture.store.put(`servers/${id}`, primary.createEntry('writers', { state: 'draining' }));
+  await sleep(800);
+  primary.crash();
+  expect((await answer).text).toBe(WHOLE_STREAM);
+});
