--- a/tests/drain.test.ts
+++ b/tests/drain.test.ts
@@ -255,3 +255,34 @@
   expect((await call).status).toBe(502);
   expect(countReceived()).toBe(1);
 });
+
+// Guards against a connection that stays open behind a stream, as the head of the stream had been
+// sent before the stop, and on which later requests get no answer.
+test.each(KINDS)(
+  'a connection that outlives its stream in a stop gets an answer to %s',
+  async (kind) => {
+    const node = await startNode(2);
+    const writers = findEngine('writers');
+    Object.assign(writers, {
+      options: { instanceId: 'i-writers', events: 70, eventIntervalMs: 15 },
+    });
+    const open = callFront(node, '/slow-report/a', { method: 'POST', headers: LONG_HEADERS });
+    const cut = open.catch(() => 'cut');
+    const caller = new RawCaller(node);
+    caller.send('GET /report/a HTTP/1.1', ['X-Bramleyvane-Deadline-Ms: 30000']);
+    await waitUntil('the head of the stream', () => caller.received.includes('id: 1'));
+    const stopped = stopNode(node);
+    await waitUntil('the end of the stream', () => caller.received.endsWith('0\r\n\r\n'));
+    const offset = caller.received.length;
+    expect(caller.isClosed).toBe(false);
+    const requestId = caller.send(`GET /${kind}/a HTTP/1.1`, ['X-Bramleyvane-Deadline-Ms: 200']);
+    await caller.closed;
+    const runs = fixture.engines.flatMap((engine) =>
+      engine.executedRequestIds.filter((id) => id === requestId),
+    );
+    const answer = caller.received.slice(offset);
+    expect(answer).toMatch(runs.length > 0 ? /^HTTP\/1.1 (200|504) / : /^HTTP\/1.1 503 /);
+    await stopped;
+    expect(await cut).toBe('cut');
+  },
+);
