Relay entries without the fields that nobody reads

An entry may hold a megabyte of unknown fields beside the ones that are read. It was relayed as it was published, with all others in one message; from reading, ten such entries exceed the largest frame of 8 MiB, and the link to the follower would close with each reply.

Evidence: 'an entry is relayed without unknown fields': an entry with one such field of 900,000 characters made changes of 901,133 characters before, and less than 3,000 now. The relayed text is encoded from what was read, whose names are at most 200 characters.

--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -58,10 +58,11 @@
     return { kind: 'configuration', configuration: decodeConfiguration(text), value };
   }
   if (!key.startsWith(endpointPrefix)) return undefined;
+  const endpoint = decodeEndpoint(key.slice(endpointPrefix.length), text);
   return {
     kind: 'endpoint',
-    backEnd: decodeEndpoint(key.slice(endpointPrefix.length), text),
-    value,
+    backEnd: endpoint.backEnd,
+    value: { ...value, text: endpoint.text },
   };
 }
 
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -160,10 +160,16 @@
   return endpointIdSchema.safeParse(id).success;
 }
 
+export interface DecodedEndpoint {
+  readonly backEnd: BackEnd;
+  /** The entry without fields that are not used; an unknown field may be of any size. */
+  readonly text: string;
+}
+
 /** @throws ZodError, SyntaxError. */
-export function decodeEndpoint(id: string, text: string): BackEnd {
-  const decoded = endpointSchema.parse(JSON.parse(text));
-  return {
+export function decodeEndpoint(id: string, entryText: string): DecodedEndpoint {
+  const decoded = endpointSchema.parse(JSON.parse(entryText));
+  const backEnd = {
     endpointId: endpointIdSchema.parse(id),
     service: decoded.service,
     address: decoded.address,
@@ -173,4 +179,5 @@
     warmUpMs: Math.max(0, decoded.coldRemainingMs),
     startedAtWallMs: decoded.born,
   };
+  return { backEnd, text: JSON.stringify(decoded) };
 }
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -209,3 +209,12 @@
   const { status } = await callFront(node, '/lookup/a', { headers });
   expect(status).toBe(200);
 });
+
+// Guards against replies to other nodes that exceed the size of a frame because of fields that nobody
+// reads.
+test('an entry is relayed without unknown fields', async () => {
+  const value = encode(entryText({ odd: 'x'.repeat(900_000) }));
+  const [changes = []] = await readBetweenGood({ key: 'servers/i-2', value });
+  expect(listEndpoints(changes)).toEqual(['i-1', 'i-2', 'i-3']);
+  expect(JSON.stringify(changes).length).toBeLessThan(3_000);
+});
