--- a/stand-ins/MetadataStore.ts
+++ b/stand-ins/MetadataStore.ts
@@ -32,6 +32,9 @@
 
   behaviour: StoreBehaviour = 'answer';
 
+  /** Body of all answers, as of a faulty store. */
+  oddBody: string | undefined;
+
   calls = 0;
 
   private history: ReadonlyArray<StoreEvent> = [];
@@ -88,7 +91,7 @@
     if (this.behaviour === 'unavailable') return context.body(null, 503);
     if (this.behaviour === 'reset') resetConnection(context.env.incoming);
     if (this.behaviour !== 'answer') return new Promise<Response>(() => {});
-    return createResponse();
+    return this.oddBody === undefined ? createResponse() : context.body(this.oddBody, 200);
   }
 
   private range(context: StandInContext): Response {
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -218,3 +218,28 @@
   expect(listEndpoints(changes)).toEqual(['i-1', 'i-2', 'i-3']);
   expect(JSON.stringify(changes).length).toBeLessThan(3_000);
 });
+
+const ODD_ANSWERS = [
+  ['no JSON', 'odd'],
+  ['another type', '[]'],
+  ['no events', '{"items":7,"events":7,"storeRevision":9}'],
+  ['a huge position', '{"items":[],"events":[],"storeRevision":1e308}'],
+  ['a fractional position', '{"items":[],"events":[],"storeRevision":9.5}'],
+  ['a nested position', `{"items":[],"events":[],"storeRevision":${nested}}`],
+] as const;
+
+// Guards against a node that stops following the store after an answer that can't be read, or takes
+// its position for one beyond all later ones.
+test.each(ODD_ANSWERS)('follows the store after an answer with %s', async (_name, body) => {
+  fixture = await FrontFixture.start();
+  fixture.store.put('op/config', createStoreConfiguration());
+  await fixture.addEngine('desk', { instanceId: 'i-1' });
+  const { kernel, lines } = await fixture.addReadyNode(1);
+  fixture.store.oddBody = body;
+  fixture.store.put('op/config', createStoreConfiguration({ version: 6 }));
+  await waitUntil('the loss', () => lines.some(({ event }) => event === 'source lost'));
+  fixture.store.oddBody = undefined;
+  const deployment = kernel.get(Deployment);
+  await waitUntil('the version', () => deployment.configuration?.version === 6);
+  expect(deployment.listAssignable('desk')).toHaveLength(1);
+});
