Take an empty watch for proof only when it has waited

A watch that the store answered at once, without a change, confirmed the configuration up to the end of the wait that was asked for: the age fell below 0, the next wait grew with it beyond what a timer holds, and the calls followed each other without a pause. A key that was removed meanwhile would have been served. A store may cut a waiting watch.

Evidence: 'an empty answer before the wait is over proves nothing ahead': after one second of such answers the age was below 0 and 40 calls or more had been made before; both hold now.

An empty answer counts for the wait only when it comes at most 20 ms before its end; otherwise for the time of the call, and the next watch follows after the retry interval.

--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -85,7 +85,7 @@
 
   private async watch(signal: AbortSignal): Promise<void> {
     const { log } = this.kernel;
-    const { watchTimeoutMarginMs } = DEPLOYMENT_OPTIONS;
+    const { watchTimeoutMarginMs, watchEarlyMarginMs } = DEPLOYMENT_OPTIONS;
     const thresholds = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
     const waitMs = Math.round(
       this.addJitter(
@@ -107,9 +107,21 @@
     const isCurrent = this.applyAnswer(changes, false);
     const isUnchanged = changes.changes.length === 0;
     this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
-    if (isCurrent) this.store.confirm(isUnchanged ? sentAt.nowMs + waitMs : sentAt.nowMs, sentAt);
-    if (isUnchanged) return;
-    await this.kernel.clock.sleep(FRESHNESS_OPTIONS.batchDelayMs, signal);
+    const { clock } = this.kernel;
+    const endsAtMs = sentAt.nowMs + waitMs;
+    const waitedUntilMs = Math.min(clock.nowMs(), endsAtMs);
+    // An empty answer that comes early was given at an unknown time, and not for want of changes.
+    const hasWaited = isUnchanged && waitedUntilMs >= endsAtMs - watchEarlyMarginMs;
+    if (isCurrent) this.store.confirm(hasWaited ? waitedUntilMs : sentAt.nowMs, sentAt);
+    if (!isUnchanged) await clock.sleep(FRESHNESS_OPTIONS.batchDelayMs, signal);
+    else await this.pauseAfterEarlyAnswer(endsAtMs, signal);
+  }
+
+  /** Waits before the next watch when one has ended long before its time. */
+  private async pauseAfterEarlyAnswer(endsAtMs: number, signal: AbortSignal): Promise<void> {
+    const remainingMs = endsAtMs - this.kernel.clock.nowMs();
+    const pauseMs = Math.min(remainingMs, this.addJitter(DEPLOYMENT_OPTIONS.retryIntervalMs));
+    if (pauseMs > 0) await this.kernel.clock.sleep(pauseMs, signal);
   }
 
   /**
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -13,6 +13,8 @@
   sweepIntervalMs: 250,
   /** Time beyond its wait after which a watch times out. */
   watchTimeoutMarginMs: 600,
+  /** Time by which a watch may end before its wait does, by the inaccuracy of timers. */
+  watchEarlyMarginMs: 20,
   /** Timeout of a full read. */
   readTimeoutMs: 1_500,
   /** Retry interval while the source fails. */
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises';
 import { StoreSource } from '../src/platform/StoreSource';
 import { MetadataStore } from '../stand-ins/MetadataStore';
 import { Deployment, type PublishedChange } from '../src/services';
@@ -243,3 +244,22 @@
   await waitUntil('the version', () => deployment.configuration?.version === 6);
   expect(deployment.listAssignable('desk')).toHaveLength(1);
 });
+
+/** Far more than the calls of a node that pauses between useless answers. */
+const MAX_CALLS = 40;
+
+// Guards against a watch that the store answers at once without a change: each such answer counted as
+// proof for the time that was asked for, so that the age fell far below 0, and the next call followed
+// without a pause.
+test('an empty answer before the wait is over proves nothing ahead', async () => {
+  fixture = await FrontFixture.start();
+  fixture.store.put('op/config', createStoreConfiguration());
+  await fixture.addEngine('desk', { instanceId: 'i-1' });
+  const { kernel } = await fixture.addReadyNode(1);
+  const callsBefore = fixture.store.calls;
+  fixture.store.oddBody = '{"items":[],"events":[],"storeRevision":3}';
+  await sleep(1_000);
+  const ageMs = kernel.get(Deployment).getConfirmedAgeMs();
+  const isPaced = fixture.store.calls - callsBefore < MAX_CALLS;
+  expect({ isAhead: ageMs < 0, isPaced }).toEqual({ isAhead: false, isPaced: true });
+});
