Show the return of the store from an older copy in failing tests

Change: the stand-in of the store restores an earlier copy, counts its eras in Store-Era and answers 410 to a watch from a revision that it does not have.

--- a/stand-ins/MetadataStore.ts
+++ b/stand-ins/MetadataStore.ts
@@ -13,6 +13,12 @@
   readonly deleted?: true;
 }
 
+/** What the store held at one time, from which it can be restored. @public */
+export interface StoreCopy {
+  readonly history: ReadonlyArray<StoreEvent>;
+  readonly revision: number;
+}
+
 /** How the store responds to calls. @public */
 export type StoreBehaviour = 'answer' | 'reset' | 'unavailable' | 'silent';
 
@@ -32,6 +38,8 @@
 
   private compactedRevision = 0;
 
+  private era = 1;
+
   private readonly changed = new ChangeSignal();
 
   static async start(): Promise<MetadataStore> {
@@ -54,6 +62,18 @@
     this.compactedRevision = this.revision;
   }
 
+  createCopy(): StoreCopy {
+    return { history: this.history, revision: this.revision };
+  }
+
+  /** Loses what was written since the copy, and gives its revisions out again in a new era. */
+  restore({ history, revision }: StoreCopy): void {
+    this.history = history;
+    this.revision = revision;
+    this.era += 1;
+    this.changed.notify();
+  }
+
   protected override mount(app: StandInApp): void {
     app.get('/api/kv-range', async (context) => this.respond(context, () => this.range(context)));
     app.get('/api/kv-watch', async (context) =>
@@ -72,10 +92,15 @@
     createResponse: () => Response | Promise<Response>,
   ): Promise<Response> {
     this.calls += 1;
-    if (this.behaviour === 'unavailable') return context.body(null, 503);
     if (this.behaviour === 'reset') resetConnection(context.env.incoming);
-    if (this.behaviour !== 'answer') return new Promise<Response>(() => {});
-    return createResponse();
+    if (this.behaviour === 'reset' || this.behaviour === 'silent') {
+      return new Promise<Response>(() => {});
+    }
+    const isUnavailable = this.behaviour === 'unavailable';
+    const response = isUnavailable ? context.body(null, 503) : await createResponse();
+    // Set last: the store may have been restored while a watch waited.
+    response.headers.set('Store-Era', String(this.era));
+    return response;
   }
 
   private range(context: StandInContext): Response {
@@ -93,7 +118,9 @@
     const { prefix = '', after = '0', waitMs = '0' } = context.req.query();
     const deadlineMs = performance.now() + Number(waitMs);
     for (;;) {
-      if (Number(after) < this.compactedRevision) return context.json({ error: 'compacted' }, 410);
+      if (Number(after) < this.compactedRevision || Number(after) > this.revision) {
+        return context.json({ error: 'not in the history' }, 410);
+      }
       const events = this.history.filter(
         ({ key, revision }) => revision > Number(after) && key.startsWith(prefix),
       );
