Pause after every read of the source that failed or was of no use

Cause: only an exception led to a pause; a 410, a stale answer and an empty one that came before the end of its wait did not. The latter also counted as a confirmation up to that end.

Ruled out: the wait of the watch bounds nothing, as the store answers 410 at once.

Change: a read has an outcome, and after one of no use the task pauses: shortly after the first in a row, then at least a retry interval from read to read. Only a watch that succeeds ends the row. The line of a stale answer is written once in a row; such reads count as 'useless' in the metrics. ScriptedSource of SourceTask.test.ts returned watches before their wait, which no longer confirms its end; it waits now, and the bounds of its test are unchanged.

--- a/src/decisions/freshness.ts
+++ b/src/decisions/freshness.ts
@@ -27,6 +27,8 @@
    * together. It must be well below the 1 to 2 s of notice that a leaving engine gives.
    */
   batchDelayMs: 80,
+  /** Shortest pause after a read that failed or was of no use. */
+  minReadPauseMs: 50,
 } as const;
 
 /** @public */
@@ -75,3 +77,18 @@
   if (confirmedAgeMs > watchTimeoutMs * 2) return 0;
   return Math.max(FRESHNESS_OPTIONS.minWatchTimeoutMs, watchTimeoutMs - confirmedAgeMs);
 }
+
+/**
+ * Returns the pause after a read that failed or was of no use. The interval counts from the start
+ * of that read, so that one that timed out is repeated soon.
+ * @param uselessReads how many of them came in a row, including this one.
+ */
+export function computeReadPauseMs(
+  uselessReads: number,
+  readForMs: number,
+  retryIntervalMs: number,
+): number {
+  const { minReadPauseMs } = FRESHNESS_OPTIONS;
+  if (uselessReads <= 1) return minReadPauseMs;
+  return Math.max(minReadPauseMs, retryIntervalMs - readForMs);
+}
--- a/src/plugins/deployment/SourceTask.test.ts
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -1,4 +1,4 @@
-import type { ServingBounds } from '../../core';
+import type { Clock, ServingBounds } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
 import {
   DeploymentSource,
@@ -8,13 +8,17 @@
   type PublishedChanges,
 } from '../../services';
 import { DeploymentStore } from './DeploymentStore';
+import { DEPLOYMENT_OPTIONS } from './options';
 import { SourceTask } from './SourceTask';
 
-/** Returns the given answers in order; later calls never settle. */
+/** Returns the given answers in order, a watch after its wait; later calls never settle. */
 class ScriptedSource extends DeploymentSource {
   private answers: ReadonlyArray<PublishedChanges>;
 
-  constructor(answers: ReadonlyArray<PublishedChanges>) {
+  constructor(
+    private readonly clock: Clock,
+    answers: ReadonlyArray<PublishedChanges>,
+  ) {
     super();
     this.answers = answers;
   }
@@ -27,7 +31,8 @@
     return this.next();
   }
 
-  async readChanges(): Promise<PublishedChanges> {
+  async readChanges(_position: unknown, waitMs: number): Promise<PublishedChanges> {
+    await this.clock.sleep(waitMs);
     return this.next();
   }
 
@@ -38,14 +43,49 @@
   }
 }
 
+const STEP_MS = 10;
+
+/** `history-gone`: every watch, while full reads succeed; `stale`: these as well. */
+type UselessKind = 'failing' | 'history-gone' | 'stale' | 'empty';
+
 const bounds = { revocationWithinMs: 5_000 } as ServingBounds;
 
-/** Returns the confirmed age 4 s after the source has given all its answers. */
-async function runAnswers(positions: ReadonlyArray<number>): Promise<number> {
-  const kernel = new TestKernel([]);
+/** Answers each call of a kind in the same way, at once. */
+class UselessSource extends DeploymentSource {
+  calls = 0;
+
+  private readonly answer: PublishedChanges | undefined;
+
+  constructor(private readonly kind: UselessKind) {
+    super();
+    this.answer = { changes: [], position: kind === 'stale' ? 7 : 9 };
+  }
+
+  decode(): PublishedChange | undefined {
+    return undefined;
+  }
+
+  async readAll(): Promise<PublishedChanges> {
+    this.calls += 1;
+    if (this.kind === 'failing') throw new Error('refused');
+    return this.answer!;
+  }
+
+  async readChanges(): Promise<PublishedChanges | undefined> {
+    this.calls += 1;
+    if (this.kind === 'failing') throw new Error('refused');
+    return this.kind === 'empty' ? this.answer : undefined;
+  }
+}
+
+interface RunningTask {
+  readonly store: DeploymentStore;
+  readonly end: AbortController;
+}
+
+function startTask(kernel: TestKernel, source: DeploymentSource): RunningTask {
   const store = new DeploymentStore(kernel, bounds, new Map());
-  const answers = positions.map((position) => ({ changes: [], position }));
-  kernel.provide(DeploymentSource, new ScriptedSource(answers));
+  kernel.provide(DeploymentSource, source);
   kernel.provide(ServingMetrics, { countSourceCall: () => {} } as unknown as ServingMetrics);
   kernel.provide(Members, {
     readsSource: () => true,
@@ -53,10 +93,25 @@
   } as unknown as Members);
   const end = new AbortController();
   void new SourceTask(kernel, store).run(end.signal);
-  await new Promise((resolve) => {
-    setTimeout(resolve, 20);
-  });
-  kernel.manualClock.advance(4_000);
+  return { store, end };
+}
+
+/** Advances the clock in steps, between which the tasks run. */
+async function advance({ manualClock }: TestKernel, forMs: number): Promise<void> {
+  for (let timeMs = 0; timeMs < forMs; timeMs += STEP_MS) {
+    await new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+    manualClock.advance(STEP_MS);
+  }
+}
+
+/** Returns the confirmed age 4 s after the source has given all its answers. */
+async function runAnswers(positions: ReadonlyArray<number>): Promise<number> {
+  const answers = positions.map((position) => ({ changes: [], position }));
+  const kernel = new TestKernel([]);
+  const { store, end } = startTask(kernel, new ScriptedSource(kernel.clock, answers));
+  await advance(kernel, 4_000);
   const ageMs = store.getConfirmedAgeMs();
   end.abort();
   return ageMs;
@@ -69,3 +124,22 @@
   expect(await runAnswers([9, 7])).toBe(ageMs);
   expect(await runAnswers([9, 9])).toBeLessThan(ageMs);
 });
+
+// Guards against a loop that calls the source without a pause while no answer is of use.
+test.each<UselessKind>(['failing', 'history-gone', 'stale', 'empty'])(
+  'calls a %s source at most once in a retry interval',
+  async (kind) => {
+    const source = new UselessSource(kind);
+    const kernel = new TestKernel([]);
+    const { store, end } = startTask(kernel, source);
+    store.markCompleteTo(9);
+    await advance(kernel, 10_000);
+    end.abort();
+    const { retryIntervalMs, jitterShare } = DEPLOYMENT_OPTIONS;
+    const intervals = 10_000 / (retryIntervalMs * (1 - jitterShare));
+    // A full read that succeeds is followed by a watch at once.
+    const readsInInterval = kind === 'history-gone' ? 2 : 1;
+    expect(source.calls).toBeLessThanOrEqual((intervals + 2) * readsInInterval);
+    expect(source.calls).toBeGreaterThan(20);
+  },
+);
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -8,6 +8,7 @@
 import { startDeadline } from '../../core';
 import {
   computeFreshnessThresholds,
+  computeReadPauseMs,
   computeWatchTimeoutMs,
   FRESHNESS_OPTIONS,
 } from '../../decisions';
@@ -16,11 +17,17 @@
 import type { DeploymentStore } from './DeploymentStore';
 import { DEPLOYMENT_OPTIONS } from './options';
 
+/** `continued`: a watch succeeded; `useless`: nothing was learned, or the read failed. */
+type ReadOutcome = 'continued' | 'read-anew' | 'useless';
+
 /** @internal */
 export class SourceTask {
   /** Whether the source no longer has the changes after what this node knows. */
   private isHistoryGone = false;
 
+  /** Reads of no use since the last watch that succeeded. */
+  private uselessReads = 0;
+
   private readonly startedAtMs: number;
 
   constructor(
@@ -31,26 +38,43 @@
   }
 
   async run(signal: AbortSignal): Promise<void> {
-    const { clock } = this.kernel;
     while (!signal.aborted) {
-      if (!this.mustRead()) {
-        await clock.sleep(DEPLOYMENT_OPTIONS.roleCheckIntervalMs, signal);
-        continue;
-      }
-      const startedAtMs = clock.nowMs();
-      try {
-        const needsAll = this.isHistoryGone || this.store.completeToRevision === 0;
-        await (needsAll ? this.readAll(signal) : this.watch(signal));
-      } catch (thrown) {
-        if (signal.aborted) return;
-        const reason = thrown instanceof Error ? thrown.message : String(thrown);
-        this.store.markSourceUnavailable(reason);
-        this.kernel.get(ServingMetrics).countSourceCall('failed');
-        // The interval starts with the call: a quick failure waits for the rest of it, and a timeout
-        // is retried at once.
-        const retryIntervalMs = this.chooseRetryIntervalMs();
-        await clock.sleep(startedAtMs + this.addJitter(retryIntervalMs) - clock.nowMs(), signal);
-      }
+      if (this.mustRead()) await this.readPaced(signal);
+      else await this.kernel.clock.sleep(DEPLOYMENT_OPTIONS.roleCheckIntervalMs, signal);
+    }
+  }
+
+  /**
+   * Reads once, and waits after a read that was of no use, whatever the reason. In a row of such
+   * reads only the first is repeated after the short pause; the others start at least a retry
+   * interval apart. The row ends with a watch that succeeds, as full reads alone may alternate with
+   * watches that are refused.
+   */
+  private async readPaced(signal: AbortSignal): Promise<void> {
+    const { clock } = this.kernel;
+    const startedAtMs = clock.nowMs();
+    const outcome = await this.read(signal);
+    if (outcome === 'continued') this.uselessReads = 0;
+    if (outcome !== 'useless') return;
+    this.uselessReads += 1;
+    const pauseMs = computeReadPauseMs(
+      this.uselessReads,
+      clock.nowMs() - startedAtMs,
+      this.addJitter(this.chooseRetryIntervalMs()),
+    );
+    await clock.sleep(this.addJitter(pauseMs), signal);
+  }
+
+  private async read(signal: AbortSignal): Promise<ReadOutcome> {
+    try {
+      const needsAll = this.isHistoryGone || this.store.completeToRevision === 0;
+      return await (needsAll ? this.readAll(signal) : this.watch(signal));
+    } catch (thrown) {
+      if (signal.aborted) return 'useless';
+      const reason = thrown instanceof Error ? thrown.message : String(thrown);
+      this.store.markSourceUnavailable(reason);
+      this.kernel.get(ServingMetrics).countSourceCall('failed');
+      return 'useless';
     }
   }
 
@@ -70,46 +94,56 @@
     return this.kernel.get(Members).readsSource() ? retryIntervalMs : memberRetryIntervalMs;
   }
 
-  private async readAll(signal: AbortSignal): Promise<void> {
+  private async readAll(signal: AbortSignal): Promise<ReadOutcome> {
     const sentAt = this.store.readClocks();
     const source = this.kernel.get(DeploymentSource);
     const limit = startDeadline(DEPLOYMENT_OPTIONS.readTimeoutMs, signal);
     try {
-      const isCurrent = this.applyAnswer(await source.readAll(limit.signal), true);
-      if (isCurrent) this.store.confirm(sentAt.nowMs, sentAt);
+      if (!this.applyAnswer(await source.readAll(limit.signal), true)) return this.countUseless();
+      this.store.confirm(sentAt.nowMs, sentAt);
       this.kernel.get(ServingMetrics).countSourceCall('changes');
+      return 'read-anew';
     } finally {
       limit.stop();
     }
   }
 
-  private async watch(signal: AbortSignal): Promise<void> {
-    const { log } = this.kernel;
-    const { watchTimeoutMarginMs } = DEPLOYMENT_OPTIONS;
-    const thresholds = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
-    const waitMs = Math.round(
-      this.addJitter(
-        computeWatchTimeoutMs(
-          this.store.getConfirmedAgeMs(),
-          thresholds,
-          this.kernel.get(Members).readsForOthers(),
-        ),
-      ),
-    );
+  private async watch(signal: AbortSignal): Promise<ReadOutcome> {
+    const { clock, log } = this.kernel;
+    const waitMs = this.chooseWaitMs();
     const sentAt = this.store.readClocks();
-    const changes = await this.readChanges(waitMs, waitMs + watchTimeoutMarginMs, signal);
-    if (!changes) {
+    const timeoutMs = waitMs + DEPLOYMENT_OPTIONS.watchTimeoutMarginMs;
+    const answer = await this.readChanges(waitMs, timeoutMs, signal);
+    if (!answer) {
       log.info('source no longer has the history', { position: this.store.completeToRevision });
       this.kernel.get(ServingMetrics).countSourceCall('history-gone');
       this.isHistoryGone = true;
-      return;
+      return 'useless';
     }
-    const isCurrent = this.applyAnswer(changes, false);
-    const isUnchanged = changes.changes.length === 0;
+    if (!this.applyAnswer(answer, false)) return this.countUseless();
+    const isUnchanged = answer.changes.length === 0;
+    const waitedMs = clock.nowMs() - sentAt.nowMs;
+    const hasWaited = waitedMs + DEPLOYMENT_OPTIONS.earlyAnswerToleranceMs >= waitMs;
+    this.store.confirm(isUnchanged && hasWaited ? sentAt.nowMs + waitMs : sentAt.nowMs, sentAt);
+    if (isUnchanged && !hasWaited) return this.countUseless();
     this.kernel.get(ServingMetrics).countSourceCall(isUnchanged ? 'no-change' : 'changes');
-    if (isCurrent) this.store.confirm(isUnchanged ? sentAt.nowMs + waitMs : sentAt.nowMs, sentAt);
-    if (isUnchanged) return;
-    await this.kernel.clock.sleep(FRESHNESS_OPTIONS.batchDelayMs, signal);
+    if (!isUnchanged || waitMs === 0) await clock.sleep(FRESHNESS_OPTIONS.batchDelayMs, signal);
+    return 'continued';
+  }
+
+  private chooseWaitMs(): number {
+    const thresholds = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
+    const readsForOthers = this.kernel.get(Members).readsForOthers();
+    const confirmedAgeMs = this.store.getConfirmedAgeMs();
+    return Math.round(
+      this.addJitter(computeWatchTimeoutMs(confirmedAgeMs, thresholds, readsForOthers)),
+    );
+  }
+
+  /** Counts an answer that neither changed nor confirmed what this node knows. */
+  private countUseless(): ReadOutcome {
+    this.kernel.get(ServingMetrics).countSourceCall('useless');
+    return 'useless';
   }
 
   /**
@@ -118,7 +152,9 @@
    */
   private applyAnswer({ changes, position }: PublishedChanges, isComplete: boolean): boolean {
     const isCurrent = position >= this.store.completeToRevision;
-    if (!isCurrent) this.kernel.log.warn('stale answer from the source', { position });
+    if (!isCurrent && this.uselessReads === 0) {
+      this.kernel.log.warn('stale answer from the source', { position });
+    }
     changes.forEach((change) => this.store.applyChange(change, isComplete));
     if (isComplete) {
       const listed = changes.flatMap((change) =>
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -15,6 +15,8 @@
   watchTimeoutMarginMs: 600,
   /** Timeout of a full read. */
   readTimeoutMs: 1_500,
+  /** Time before the end of its wait at which a watch may return without counting as early. */
+  earlyAnswerToleranceMs: 10,
   /** Retry interval while the source fails. */
   retryIntervalMs: 250,
   /** Interval of attempts at the source by a node that others read for. */
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -18,8 +18,8 @@
 /** How a stream continued after its engine was lost or left; `cut` if it did not. @public */
 export type ContinuationOutcome = 'from-copy' | 'new-run' | 'cut';
 
-/** @public */
-export type SourceCallOutcome = 'changes' | 'no-change' | 'history-gone' | 'failed';
+/** `useless`: a stale answer, or an empty one before the end of its wait. @public */
+export type SourceCallOutcome = 'changes' | 'no-change' | 'history-gone' | 'useless' | 'failed';
 
 /** @public */
 export abstract class ServingMetrics {
