Order what the store says by its era, then its revision

Cause: revisions were compared without the era. Every answer of the restored store was older than the node's position, so it confirmed nothing; once the revisions had caught up, the watch went on from a position that stood for something else.

Ruled out: configurations themselves, which are ordered by their version.

Change: a position has an era and a revision and one order. The source tells the highest era of any answer, errors too; a node that hears of a newer one, from the source or another node, ends its watch and reads everything anew. Answers and relayed copies of an older era are not applied and confirm nothing. A full read whose pages straddle an era starts over. Entries missing from the first read of an era get the time of those that expired during an outage. A follower takes over such an entry with its time, so that its copy is complete as well. The digest of the endpoints leaves out those that have left, which nodes drop at different times. One log line and one count for each change of the era.

--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -11,6 +11,7 @@
 export type * from './ServingConfiguration';
 export * from './ServingError';
 export * from './Settings';
+export * from './SourcePosition';
 export * from './Vm';
 export * from './errorKinds';
 export * from './ids';
--- a/src/platform/StoreSource.ts
+++ b/src/platform/StoreSource.ts
@@ -3,7 +3,7 @@
  */
 import { Agent, request } from 'undici';
 import * as z from 'zod';
-import { ServingError } from '../core';
+import { NO_POSITION, ServingError, type SourcePosition } from '../core';
 import {
   DeploymentSource,
   type PublishedChange,
@@ -11,7 +11,7 @@
   type PublishedValue,
 } from '../services';
 import { decodeConfiguration, decodeEndpoint, decodeEndpointId } from './storeValues';
-import { PATHS, STORE_KEYS } from './wireNames';
+import { HEADER_NAMES, PATHS, STORE_KEYS } from './wireNames';
 
 const OK = 200;
 const GONE = 410;
@@ -47,11 +47,11 @@
   };
 }
 
-function decodeRemoval(key: string, revision: number): PublishedChange | undefined {
+function decodeRemoval(key: string, position: SourcePosition): PublishedChange | undefined {
   const { endpointPrefix } = STORE_KEYS;
   if (!key.startsWith(endpointPrefix)) return undefined;
   const endpointId = decodeEndpointId(key.slice(endpointPrefix.length));
-  return { kind: 'endpoint-removed', endpointId, revision };
+  return { kind: 'endpoint-removed', endpointId, position };
 }
 
 /** Returns an `unreadable` change with the reason when decoding fails. */
@@ -67,24 +67,42 @@
   }
 }
 
-function decodeEvent(event: StoreEvent): ReadonlyArray<PublishedChange> {
+function decodeEvent(event: StoreEvent, era: number): ReadonlyArray<PublishedChange> {
   const { key, revision } = event;
+  const position = { era, revision };
   const change = decodeSafely(key, () =>
     'value' in event
-      ? decodeValue({ key, text: Buffer.from(event.value, 'base64').toString('utf8'), revision })
-      : decodeRemoval(key, revision),
+      ? decodeValue({ key, text: Buffer.from(event.value, 'base64').toString('utf8'), position })
+      : decodeRemoval(key, position),
   );
   return change ? [change] : [];
 }
 
+interface StoreAnswer {
+  readonly era: number;
+  readonly body: unknown;
+}
+
+/** A store that has never been restored may state no era, which then is 0. */
+function parseEra(header: string | string[] | undefined): number {
+  const era = Number(header);
+  return Number.isSafeInteger(era) && era > 0 ? era : 0;
+}
+
 /** @internal */
 export class StoreSource extends DeploymentSource {
   private agent = new Agent({ pipelining: 1 });
 
+  private highestEra = 0;
+
   constructor(private readonly baseUrl: string) {
     super();
   }
 
+  get newestEra(): number {
+    return this.highestEra;
+  }
+
   decode(value: PublishedValue): PublishedChange | undefined {
     return decodeSafely(value.key, () => decodeValue(value));
   }
@@ -93,48 +111,55 @@
     const changes: PublishedChange[] = [];
     // Pages are not a consistent snapshot: the watch starts at the revision of the first page, so
     // that changes between pages are not missed.
-    let position: number | undefined;
+    let position: SourcePosition | undefined;
     for (const prefix of [STORE_KEYS.configuration, STORE_KEYS.endpointPrefix]) {
       let after: string | undefined;
       for (let hasMore = true; hasMore;) {
         const query = { prefix, ...(after === undefined ? {} : { after }) };
-        const page = rangeSchema.parse(await this.call(PATHS.storeRange, query, signal));
-        changes.push(...page.items.flatMap(decodeEvent));
-        position ??= page.storeRevision;
+        const { era, body } = await this.call(PATHS.storeRange, query, signal);
+        const page = rangeSchema.parse(body);
+        position ??= { era, revision: page.storeRevision };
+        if (era !== position.era) {
+          throw new ServingError('endpoint-failed', { detail: 'The era changed between pages.' });
+        }
+        changes.push(...page.items.flatMap((item) => decodeEvent(item, era)));
         after = page.items.at(-1)?.key;
         hasMore = page.hasMore && after !== undefined;
       }
     }
-    return { changes, position: position ?? 0 };
+    return { changes, position: position ?? NO_POSITION };
   }
 
   async readChanges(
-    position: number,
+    position: SourcePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<PublishedChanges | undefined> {
-    const query = { prefix: '', after: String(position), waitMs: String(waitMs) };
-    const body = await this.call(PATHS.storeWatch, query, signal);
+    const query = { prefix: '', after: String(position.revision), waitMs: String(waitMs) };
+    const { era, body } = await this.call(PATHS.storeWatch, query, signal);
     if (body === undefined) return undefined;
     const { events, storeRevision } = watchSchema.parse(body);
-    return { changes: events.flatMap(decodeEvent), position: storeRevision };
+    const changes = events.flatMap((event) => decodeEvent(event, era));
+    return { changes, position: { era, revision: storeRevision } };
   }
 
-  /** Returns the response body; undefined when that part of the history is no longer available. */
+  /** Returns the era and the body; no body when that part of the history is no longer available. */
   private async call(
     path: string,
     query: Readonly<Record<string, string>>,
     signal: AbortSignal,
-  ): Promise<unknown> {
+  ): Promise<StoreAnswer> {
     try {
       const response = await request(`${this.baseUrl}${path}?${new URLSearchParams(query)}`, {
         dispatcher: this.agent,
         signal,
       });
+      const era = parseEra(response.headers[HEADER_NAMES.storeEra.toLowerCase()]);
+      this.highestEra = Math.max(this.highestEra, era);
       const text = await response.body.text();
-      if (response.statusCode === GONE) return undefined;
+      if (response.statusCode === GONE) return { era, body: undefined };
       if (response.statusCode !== OK) throw new Error(`the store returned ${response.statusCode}`);
-      return JSON.parse(text);
+      return { era, body: JSON.parse(text) };
     } catch (thrown) {
       // A connection that has lost a response delivers no more responses, so it is replaced.
       void this.agent.destroy();
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -19,6 +19,8 @@
   /** `ip:port/handle` of a KV cache copy. */
   continueFrom: 'Kv-From',
   backUpTo: 'X-Bramleyvane-Kv-Backup',
+  /** Of the store: rises when it comes back from an older copy. */
+  storeEra: 'Store-Era',
 } as const;
 
 /** Headers that only the system may set on requests to engines; a caller's are removed. */
--- a/src/plugins/deployment/DeploymentGauges.ts
+++ b/src/plugins/deployment/DeploymentGauges.ts
@@ -1,13 +1,14 @@
 /**
  * Gauges of the configuration and of the endpoints.
  */
-import { GaugeSource, type Deployment, type GaugeReading } from '../../services';
+import { GaugeSource, type GaugeReading } from '../../services';
+import type { DeploymentStore } from './DeploymentStore';
 
 const MS_PER_SECOND = 1_000;
 
 /** @internal */
 export class DeploymentGauges extends GaugeSource {
-  constructor(private readonly deployment: Deployment) {
+  constructor(private readonly deployment: DeploymentStore) {
     super();
   }
 
@@ -27,6 +28,16 @@
         help: 'Time since the configuration was last confirmed; infinite when that is unknown.',
         value: this.deployment.getConfirmedAgeMs() / MS_PER_SECOND,
       },
+      {
+        name: 'source_era',
+        help: 'Era of the source up to which every change is known.',
+        value: this.deployment.completeTo.era,
+      },
+      {
+        name: 'source_revision',
+        help: 'Revision in that era up to which every change is known.',
+        value: this.deployment.completeTo.revision,
+      },
     ];
   }
 
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -1,10 +1,11 @@
 import fc from 'fast-check';
-import type { BackEnd, EndpointId, ServingBounds } from '../../core';
+import type { BackEnd, EndpointId, ServingBounds, SourcePosition } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
 import { DeploymentStore } from './DeploymentStore';
 
 const bounds = { revocationWithinMs: 4_000 } as ServingBounds;
-const value = { key: 'endpoint', text: '{}', revision: 7 };
+const at = (revision: number, era = 1): SourcePosition => ({ era, revision });
+const value = { key: 'endpoint', text: '{}', position: at(7) };
 
 const engine: BackEnd = {
   endpointId: 'i-1' as EndpointId,
@@ -37,7 +38,7 @@
   const { kernel, store } = createStore();
   const sentAt = store.readClocks();
   store.confirm(sentAt.nowMs, sentAt);
-  const watch = store.watchForSuspension();
+  const watch = store.watchForInterruption();
   kernel.manualClock.suspend(3_000);
   expect(store.getConfirmedAgeMs()).toBe(Infinity);
   store.sweep();
@@ -55,7 +56,7 @@
   store.confirm(sentAt.nowMs, sentAt);
   store.applyEndpoint(engine, value);
   store.markSourceUnavailable('refused');
-  store.removeEndpoint(engine.endpointId, 8);
+  store.removeEndpoint(engine.endpointId, at(8));
   kernel.manualClock.advance(10_000);
   store.sweep();
   expect(store.listAssignable('writers')).toHaveLength(1);
@@ -75,8 +76,8 @@
   const left: BackEnd[] = [];
   store.onLeaving((backEnd) => left.push(backEnd));
   store.applyEndpoint(engine, value);
-  store.applyDeparture(engine.endpointId, 8);
-  store.applyDeparture(engine.endpointId, 8);
+  store.applyDeparture(engine.endpointId, at(8));
+  store.applyDeparture(engine.endpointId, at(8));
   expect(left).toHaveLength(1);
   expect(store.listAssignable('writers')).toHaveLength(0);
 });
@@ -86,11 +87,11 @@
 test('an older state of an endpoint is ignored', () => {
   const { store } = createStore();
   store.applyEndpoint(engine, value);
-  store.removeEndpoint(engine.endpointId, 9);
-  store.applyEndpoint(engine, { ...value, revision: 8 });
+  store.removeEndpoint(engine.endpointId, at(9));
+  store.applyEndpoint(engine, { ...value, position: at(8) });
   expect(store.listAssignable('writers')).toHaveLength(0);
-  store.applyEndpoint(engine, { ...value, revision: 10 });
-  store.applyDeparture(engine.endpointId, 9);
+  store.applyEndpoint(engine, { ...value, position: at(10) });
+  store.applyDeparture(engine.endpointId, at(9));
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
@@ -98,7 +99,7 @@
 // still lists.
 test('an unknown endpoint older than the full read is ignored', () => {
   const { store } = createStore();
-  store.markCompleteTo(7);
+  store.markCompleteTo(at(7));
   store.applyEndpoint(engine, value);
   expect(store.listAll()).toHaveLength(0);
 });
@@ -108,10 +109,10 @@
 function deliver(store: DeploymentStore, state: EndpointState, revision: number): void {
   const isLeaving = state === 'leaving';
   if (state === 'ready' || isLeaving) {
-    store.applyEndpoint({ ...engine, isLeaving }, { ...value, revision });
+    store.applyEndpoint({ ...engine, isLeaving }, { ...value, position: at(revision) });
   }
-  if (state === 'removed') store.removeEndpoint(engine.endpointId, revision);
-  if (state === 'departed') store.applyDeparture(engine.endpointId, revision);
+  if (state === 'removed') store.removeEndpoint(engine.endpointId, at(revision));
+  if (state === 'departed') store.applyDeparture(engine.endpointId, at(revision));
 }
 
 // Guards against a state that depends on the order in which the source, stale reads and other nodes
@@ -137,7 +138,7 @@
   fc.assert(
     fc.property(states, (deliveries) => {
       const { store } = createStore();
-      store.applyEndpoint(engine, { ...value, revision: 1 });
+      store.applyEndpoint(engine, { ...value, position: at(1) });
       deliveries.forEach((delivery) => deliver(store, delivery.state, delivery.revision));
       const newest = deliveries.reduce((a, b) => (b.revision > a.revision ? b : a));
       const isAssignable = store.listAssignable('writers').length === 1;
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -1,21 +1,27 @@
 /**
  * The node's in-memory copy of the configuration and of the endpoint list.
  *
- * A configuration is replaced only by a newer version. An endpoint that was removed from the list,
+ * A configuration is replaced only by a newer version, whatever the era. A version that the source
+ * lost when it came back from an older copy stays in force until a higher one is published. An endpoint that was removed from the list,
  * or that announced that it is leaving, gets no new work but stays in the store for a while, because
  * requests may still be running on it.
  */
-import type {
-  BackEnd,
-  Deadline,
-  EndpointId,
-  ServingBounds,
-  ServingConfiguration,
+import {
+  chooseLater,
+  isEarlier,
+  NO_POSITION,
+  type BackEnd,
+  type Deadline,
+  type EndpointId,
+  type ServingBounds,
+  type ServingConfiguration,
+  type SourcePosition,
 } from '../../core';
 import { computeConfirmedAgeMs, type ClockReading, type Confirmation } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
+  ServingMetrics,
   type KnownBackEnd,
   type PublishedChange,
   type PublishedValue,
@@ -39,14 +45,17 @@
   /** The endpoints as they were published, for relaying to other nodes. */
   private readonly publishedEndpoints = new Map<EndpointId, PublishedValue>();
 
-  /** Revision of the newest known change of each endpoint, including its removal. */
-  private readonly revisions = new Map<EndpointId, number>();
+  /** Position of the newest known change of each endpoint, including its removal. */
+  private readonly positions = new Map<EndpointId, SourcePosition>();
+
+  private latestComplete: SourcePosition = NO_POSITION;
 
-  private latestCompleteRevision = 0;
+  private highestEra = 0;
 
   private confirmation: Confirmation | undefined;
 
-  private readonly suspensionWatches = new Set<AbortController>();
+  /** Of calls that end when the confirmed age becomes unknown, or a newer era is heard of. */
+  private readonly interruptions = new Set<AbortController>();
 
   private readonly changeWaiters = new Set<AbortController>();
 
@@ -80,17 +89,57 @@
     return this.unavailableReason !== undefined;
   }
 
-  /** Revision up to which this node knows every change. */
-  get completeToRevision(): number {
-    return this.latestCompleteRevision;
+  /** Position up to which this node knows every change. */
+  get completeTo(): SourcePosition {
+    return this.latestComplete;
+  }
+
+  markCompleteTo(position: SourcePosition): void {
+    this.latestComplete = chooseLater(this.latestComplete, position);
   }
 
-  markCompleteTo(revision: number): void {
-    this.latestCompleteRevision = Math.max(this.latestCompleteRevision, revision);
+  /** Highest era of the source that this node has heard of, from the source or another node. */
+  get newestEra(): number {
+    return this.highestEra;
+  }
+
+  /** Whether the source has come back from an older copy since this node read from it. */
+  get isEraOver(): boolean {
+    return this.highestEra > this.latestComplete.era;
+  }
+
+  /** A newer era ends the calls that continue from a position in the older one. */
+  hearOfEra(era: number): void {
+    if (era <= this.highestEra) return;
+    this.highestEra = era;
+    this.interrupt();
+  }
+
+  /**
+   * Begins to apply everything that is published in a newer era. Entries that are missing from it
+   * may be written again, so they are kept as after an outage.
+   * @returns whether the era is newer than that of the known position.
+   */
+  enterEra(era: number): boolean {
+    const { latestComplete: before } = this;
+    if (era <= before.era) return false;
+    this.hearOfEra(era);
+    this.latestComplete = { era, revision: 0 };
+    if (before.revision === 0) return true;
+    this.kernel.log.warn('source era changed', {
+      before,
+      era,
+      version: this.current?.version,
+      endpoints: this.endpoints.size,
+      confirmedAgeMs: Math.round(this.getConfirmedAgeMs()),
+    });
+    this.kernel.get(ServingMetrics).countSourceEra();
+    this.restartGrace();
+    return true;
   }
 
-  getRevision(endpointId: EndpointId): number {
-    return this.revisions.get(endpointId) ?? 0;
+  getPosition(endpointId: EndpointId): SourcePosition {
+    return this.positions.get(endpointId) ?? NO_POSITION;
   }
 
   getValue(endpointId: EndpointId): PublishedValue | undefined {
@@ -137,7 +186,7 @@
   applyChange(change: PublishedChange, isComplete: boolean): void {
     if (change.kind === 'configuration') this.setConfiguration(change.configuration, change.value);
     if (change.kind === 'endpoint') this.applyEndpoint(change.backEnd, change.value);
-    if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.revision);
+    if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.position);
     if (change.kind === 'unreadable') {
       const { key, reason } = change;
       this.kernel.log.warn('published value ignored', { key, reason, isComplete });
@@ -167,9 +216,9 @@
   /** Ignores states older than the known one, which stale reads and other nodes may deliver. */
   applyEndpoint(backEnd: BackEnd, value: PublishedValue): void {
     const before = this.endpoints.get(backEnd.endpointId);
-    if (value.revision < this.getRevision(backEnd.endpointId)) return;
-    // Every change up to the complete revision is known, so an unknown endpoint was removed by then.
-    if (!before && value.revision <= this.latestCompleteRevision) return;
+    if (isEarlier(value.position, this.getPosition(backEnd.endpointId))) return;
+    // Every change up to the complete position is known, so an unknown endpoint was removed by then.
+    if (!before && !isEarlier(this.latestComplete, value.position)) return;
     this.expiredEntries.delete(backEnd.endpointId);
     const isRestarted = before !== undefined && before.startedAtWallMs !== backEnd.startedAtWallMs;
     if (before && isRestarted && backEnd.startedAtWallMs < before.startedAtWallMs) return;
@@ -182,7 +231,7 @@
     };
     this.endpoints.set(backEnd.endpointId, known);
     this.publishedEndpoints.set(backEnd.endpointId, value);
-    this.revisions.set(backEnd.endpointId, value.revision);
+    this.positions.set(backEnd.endpointId, value.position);
     if (!before || isRestarted || before.leavingSinceMs !== known.leavingSinceMs) {
       this.logChange(known, isRestarted ? 'restarted' : 'listed');
     }
@@ -192,28 +241,34 @@
     }
   }
 
-  /** @param revision of the removal, or of the full read in which the endpoint was missing. */
-  removeEndpoint(endpointId: EndpointId, revision: number): void {
-    const known = this.endpoints.get(endpointId);
-    if (!known || revision < this.getRevision(endpointId)) return;
-    this.revisions.set(endpointId, revision);
-    if (known.leavingSinceMs !== undefined) return;
+  /** @param position of the removal, or of the full read in which the endpoint was missing. */
+  removeEndpoint(endpointId: EndpointId, position: SourcePosition): void {
     const { expiredEntryGraceMs } = DEPLOYMENT_OPTIONS;
     const removedAtMs = this.sourceRecoveredAtMs + expiredEntryGraceMs;
-    if (this.unavailableReason === undefined && this.kernel.clock.nowMs() >= removedAtMs) {
-      this.markLeaving(known, 'entry removed');
-    } else if (!this.expiredEntries.has(endpointId)) {
-      this.expiredEntries.set(endpointId, removedAtMs);
-      this.logChange(known, 'entry expired while the source was unavailable');
+    if (this.unavailableReason !== undefined || this.kernel.clock.nowMs() < removedAtMs) {
+      this.expireEntry(endpointId, position, removedAtMs);
+      return;
     }
+    const known = this.updatePosition(endpointId, position);
+    if (known && known.leavingSinceMs === undefined) this.markLeaving(known, 'entry removed');
+  }
+
+  /** Keeps an endpoint whose entry is missing for the time in which it may be written again. */
+  expireEntry(
+    endpointId: EndpointId,
+    position: SourcePosition,
+    removedAtMs = this.kernel.clock.nowMs() + DEPLOYMENT_OPTIONS.expiredEntryGraceMs,
+  ): void {
+    const known = this.updatePosition(endpointId, position);
+    if (!known || known.leavingSinceMs !== undefined || this.expiredEntries.has(endpointId)) return;
+    this.expiredEntries.set(endpointId, removedAtMs);
+    this.logChange(known, 'entry expired while the source was unavailable');
   }
 
   /** Applies the report of another node that the endpoint is leaving or gone. */
-  applyDeparture(endpointId: EndpointId, revision: number): void {
-    const known = this.endpoints.get(endpointId);
-    if (!known || revision < this.getRevision(endpointId)) return;
-    this.revisions.set(endpointId, revision);
-    if (known.leavingSinceMs !== undefined) return;
+  applyDeparture(endpointId: EndpointId, position: SourcePosition): void {
+    const known = this.updatePosition(endpointId, position);
+    if (!known || known.leavingSinceMs !== undefined) return;
     this.expiredEntries.delete(endpointId);
     this.markLeaving(known, 'reported as leaving by another node');
   }
@@ -230,17 +285,12 @@
    * during the call is detected.
    */
   confirm(asOfMs: number, sentAt: ClockReading): void {
-    const { clock, log } = this.kernel;
     if (this.unavailableReason !== undefined) {
-      log.info('source regained', { reason: this.unavailableReason });
+      const { era, revision } = this.latestComplete;
+      const reason = this.unavailableReason;
+      this.kernel.log.info('source regained', { reason, era, revision });
       this.unavailableReason = undefined;
-      this.sourceRecoveredAtMs = clock.nowMs();
-      this.expiredEntries.forEach((_, endpointId) =>
-        this.expiredEntries.set(
-          endpointId,
-          this.sourceRecoveredAtMs + DEPLOYMENT_OPTIONS.expiredEntryGraceMs,
-        ),
-      );
+      this.restartGrace();
     }
     this.confirmRelayed(asOfMs, sentAt);
   }
@@ -257,16 +307,17 @@
   markSourceUnavailable(reason: string): void {
     if (this.unavailableReason === undefined) {
       const confirmedAgeMs = Math.round(this.getConfirmedAgeMs());
-      this.kernel.log.warn('source lost', { reason, confirmedAgeMs });
+      const { era, revision } = this.latestComplete;
+      this.kernel.log.warn('source lost', { reason, confirmedAgeMs, era, revision });
     }
     this.unavailableReason = reason;
   }
 
-  /** Aborts when the confirmed age becomes unknown, as after a suspension of the machine. */
-  watchForSuspension(): Deadline {
+  /** Aborts after a suspension of the machine, or when a newer era of the source is heard of. */
+  watchForInterruption(): Deadline {
     const watch = new AbortController();
-    this.suspensionWatches.add(watch);
-    return { signal: watch.signal, stop: () => this.suspensionWatches.delete(watch) };
+    this.interruptions.add(watch);
+    return { signal: watch.signal, stop: () => this.interruptions.delete(watch) };
   }
 
   /** Marks expired entries as leaving and evicts endpoints that left long ago. */
@@ -277,8 +328,7 @@
         confirmedAsOfMs: this.confirmation.asOfMs,
       });
       this.confirmation = undefined;
-      this.suspensionWatches.forEach((watch) => watch.abort());
-      this.suspensionWatches.clear();
+      this.interrupt();
     }
     if (this.unavailableReason === undefined) {
       [...this.expiredEntries]
@@ -299,10 +349,35 @@
       .forEach(({ endpointId }) => {
         this.endpoints.delete(endpointId);
         this.publishedEndpoints.delete(endpointId);
-        this.revisions.delete(endpointId);
+        this.positions.delete(endpointId);
       });
   }
 
+  private interrupt(): void {
+    this.interruptions.forEach((watch) => watch.abort());
+    this.interruptions.clear();
+  }
+
+  /** Gives all expired entries the full time to be written again. */
+  private restartGrace(): void {
+    this.sourceRecoveredAtMs = this.kernel.clock.nowMs();
+    const removedAtMs = this.sourceRecoveredAtMs + DEPLOYMENT_OPTIONS.expiredEntryGraceMs;
+    this.expiredEntries.forEach((_, endpointId) =>
+      this.expiredEntries.set(endpointId, removedAtMs),
+    );
+  }
+
+  /** Returns the known endpoint, unless a later change of it is known. */
+  private updatePosition(
+    endpointId: EndpointId,
+    position: SourcePosition,
+  ): KnownBackEnd | undefined {
+    const known = this.endpoints.get(endpointId);
+    if (!known || isEarlier(position, this.getPosition(endpointId))) return undefined;
+    this.positions.set(endpointId, position);
+    return known;
+  }
+
   private markLeaving(known: KnownBackEnd, reason: string): void {
     const leaving = { ...known, leavingSinceMs: this.kernel.clock.nowMs() };
     this.endpoints.set(known.endpointId, leaving);
--- a/src/plugins/deployment/RelayHandler.ts
+++ b/src/plugins/deployment/RelayHandler.ts
@@ -13,11 +13,16 @@
   return leavingSinceMs !== undefined;
 }
 
-/** Equal on two nodes that know the same revisions of the same endpoints. @internal */
+/** Equal on two nodes that know the same states of the same endpoints. @internal */
 export function digestEndpoints(store: DeploymentStore): number {
   const states = store
     .listAll()
-    .map((backEnd) => `${backEnd.endpointId} ${store.getRevision(backEnd.endpointId)}`);
+    // Nodes drop endpoints that have left at different times.
+    .filter((backEnd) => !isLeaving(backEnd))
+    .map(({ endpointId }) => {
+      const { era, revision } = store.getPosition(endpointId);
+      return `${endpointId} ${era} ${revision}`;
+    });
   return hashText(states.sort().join('\n'));
 }
 
@@ -33,22 +38,24 @@
 
   async handle(_from: Peer, request: RelayRequest): Promise<RelayReply> {
     const { store } = this;
+    store.hearOfEra(request.newestEra);
     if (!this.hasNews(request)) await store.waitForChange(request.waitMs);
-    const { completeToRevision } = store;
+    const { completeTo, newestEra } = store;
     const confirmedAgeMs = store.getConfirmedAgeMs();
     const { maxRelayAgeMs } = computeFreshnessThresholds(store.bounds.revocationWithinMs);
-    if (confirmedAgeMs > maxRelayAgeMs) return { completeToRevision };
+    if (confirmedAgeMs > maxRelayAgeMs) return { completeTo, newestEra };
     const isNewer = this.hasNewerConfiguration(request);
     return {
       confirmedAgeMs,
-      completeToRevision,
+      completeTo,
+      newestEra,
       configuration: isNewer ? store.configurationValue : undefined,
       endpoints:
         digestEndpoints(store) === request.endpointsDigest
           ? undefined
           : store.listAll().map((backEnd) => ({
               endpointId: backEnd.endpointId,
-              revision: store.getRevision(backEnd.endpointId),
+              position: store.getPosition(backEnd.endpointId),
               value: isLeaving(backEnd) ? undefined : store.getValue(backEnd.endpointId),
             })),
     };
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -6,7 +6,7 @@
  * later than the request. Its data is therefore complete up to the time of the request minus that
  * age.
  */
-import type { VmId } from '../../core';
+import { isEarlier, type SourcePosition, type VmId } from '../../core';
 import { computeFreshnessThresholds, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
@@ -20,11 +20,16 @@
 import type { DeploymentStore } from './DeploymentStore';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { digestEndpoints, RELAY_MESSAGE_TYPE } from './RelayHandler';
-import { relayReplySchema, type RelayReply, type RelayRequest } from './relayMessages';
+import {
+  relayReplySchema,
+  type RelayedEndpoint,
+  type RelayReply,
+  type RelayRequest,
+} from './relayMessages';
 
 /** Whether an entry expired while the source was unavailable, and may still be renewed. */
-function isExpired({ value, revision }: NonNullable<RelayReply['endpoints']>[number]): boolean {
-  return value !== undefined && value.revision < revision;
+function isExpired({ value, position }: RelayedEndpoint): boolean {
+  return value !== undefined && isEarlier(value.position, position);
 }
 
 /** @internal */
@@ -114,6 +119,7 @@
     const sentAt = this.store.readClocks();
     const request: RelayRequest = {
       configurationVersion: this.store.configuration?.version ?? 0,
+      newestEra: this.store.newestEra,
       endpointsDigest: digestEndpoints(this.store),
       waitMs,
     };
@@ -135,27 +141,36 @@
    */
   private applyReply(reply: RelayReply, sentAt: ClockReading): boolean {
     const { store } = this;
-    const { configuration, confirmedAgeMs, endpoints, completeToRevision } = reply;
+    const { configuration, confirmedAgeMs, endpoints = [], completeTo } = reply;
+    store.hearOfEra(reply.newestEra);
     if (confirmedAgeMs === undefined) return false;
     // The confirmation covers the other node's configuration, so it is void if that can't be decoded.
     if (configuration && this.applyValue(configuration)?.kind !== 'configuration') return false;
-    if (endpoints) this.applyEndpoints(endpoints, completeToRevision);
-    if (!endpoints?.some(isExpired)) store.markCompleteTo(completeToRevision);
+    if (completeTo.era < store.newestEra) return false;
+    const isNewEra = store.enterEra(completeTo.era);
+    if (isNewEra || reply.endpoints) this.applyEndpoints(endpoints, completeTo, isNewEra);
+    store.markCompleteTo(completeTo);
     store.confirmRelayed(sentAt.nowMs - confirmedAgeMs, sentAt);
     return true;
   }
 
+  /** @param isNewEra whether missing endpoints may not have registered yet since the era began. */
   private applyEndpoints(
-    endpoints: NonNullable<RelayReply['endpoints']>,
-    completeToRevision: number,
+    endpoints: ReadonlyArray<RelayedEndpoint>,
+    completeTo: SourcePosition,
+    isNewEra: boolean,
   ): void {
-    endpoints.forEach(({ endpointId, revision, value }) => {
+    const { store } = this;
+    endpoints.forEach((endpoint) => {
+      const { endpointId, position, value } = endpoint;
       if (value) this.applyValue(value);
-      else this.store.applyDeparture(endpointId, revision);
+      else store.applyDeparture(endpointId, position);
+      if (isExpired(endpoint)) store.expireEntry(endpointId, position);
+    });
+    store.listMissingFrom(endpoints.map(({ endpointId }) => endpointId)).forEach((endpointId) => {
+      if (isNewEra) store.removeEndpoint(endpointId, completeTo);
+      else store.applyDeparture(endpointId, completeTo);
     });
-    this.store
-      .listMissingFrom(endpoints.map(({ endpointId }) => endpointId))
-      .forEach((endpointId) => this.store.applyDeparture(endpointId, completeToRevision));
   }
 
   private applyValue(value: PublishedValue): PublishedChange | undefined {
--- a/src/plugins/deployment/SourceTask.test.ts
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -1,4 +1,4 @@
-import type { Clock, ServingBounds } from '../../core';
+import type { Clock, ServingBounds, SourcePosition } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
 import {
   DeploymentSource,
@@ -13,6 +13,8 @@
 
 /** Returns the given answers in order, a watch after its wait; later calls never settle. */
 class ScriptedSource extends DeploymentSource {
+  readonly newestEra = 1;
+
   private answers: ReadonlyArray<PublishedChanges>;
 
   constructor(
@@ -45,6 +47,8 @@
 
 const STEP_MS = 10;
 
+const at = (revision: number): SourcePosition => ({ era: 1, revision });
+
 /** `history-gone`: every watch, while full reads succeed; `stale`: these as well. */
 type UselessKind = 'failing' | 'history-gone' | 'stale' | 'empty';
 
@@ -52,13 +56,15 @@
 
 /** Answers each call of a kind in the same way, at once. */
 class UselessSource extends DeploymentSource {
+  readonly newestEra = 1;
+
   calls = 0;
 
   private readonly answer: PublishedChanges | undefined;
 
   constructor(private readonly kind: UselessKind) {
     super();
-    this.answer = { changes: [], position: kind === 'stale' ? 7 : 9 };
+    this.answer = { changes: [], position: at(kind === 'stale' ? 7 : 9) };
   }
 
   decode(): PublishedChange | undefined {
@@ -107,8 +113,8 @@
 }
 
 /** Returns the confirmed age 4 s after the source has given all its answers. */
-async function runAnswers(positions: ReadonlyArray<number>): Promise<number> {
-  const answers = positions.map((position) => ({ changes: [], position }));
+async function runAnswers(revisions: ReadonlyArray<number>): Promise<number> {
+  const answers = revisions.map((revision) => ({ changes: [], position: at(revision) }));
   const kernel = new TestKernel([]);
   const { store, end } = startTask(kernel, new ScriptedSource(kernel.clock, answers));
   await advance(kernel, 4_000);
@@ -132,7 +138,7 @@
     const source = new UselessSource(kind);
     const kernel = new TestKernel([]);
     const { store, end } = startTask(kernel, source);
-    store.markCompleteTo(9);
+    store.markCompleteTo(at(9));
     await advance(kernel, 10_000);
     end.abort();
     const { retryIntervalMs, jitterShare } = DEPLOYMENT_OPTIONS;
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -5,7 +5,7 @@
  * A watch that returns no changes proves that nothing changed while it waited, so it confirms the
  * store up to the end of the wait rather than its start.
  */
-import { startDeadline } from '../../core';
+import { isEarlier, startDeadline } from '../../core';
 import {
   computeFreshnessThresholds,
   computeReadPauseMs,
@@ -66,18 +66,29 @@
   }
 
   private async read(signal: AbortSignal): Promise<ReadOutcome> {
+    const { newestEra } = this.store;
     try {
-      const needsAll = this.isHistoryGone || this.store.completeToRevision === 0;
-      return await (needsAll ? this.readAll(signal) : this.watch(signal));
+      return await (this.needsAll() ? this.readAll(signal) : this.watch(signal));
     } catch (thrown) {
       if (signal.aborted) return 'useless';
+      // The call was ended here to read everything in the newer era.
+      if (this.store.newestEra > newestEra) return 'useless';
       const reason = thrown instanceof Error ? thrown.message : String(thrown);
       this.store.markSourceUnavailable(reason);
       this.kernel.get(ServingMetrics).countSourceCall('failed');
       return 'useless';
+    } finally {
+      this.store.hearOfEra(this.kernel.get(DeploymentSource).newestEra);
+      // What was of no use in the older era doesn't delay the first read of the newer one.
+      if (this.store.newestEra > newestEra) this.uselessReads = 0;
     }
   }
 
+  private needsAll(): boolean {
+    const { completeTo, isEraOver } = this.store;
+    return this.isHistoryGone || isEraOver || completeTo.revision === 0;
+  }
+
   /** Whether this node is a reader, or what its readers confirmed is too old. */
   private mustRead(): boolean {
     const { relayAfterMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
@@ -115,7 +126,7 @@
     const timeoutMs = waitMs + DEPLOYMENT_OPTIONS.watchTimeoutMarginMs;
     const answer = await this.readChanges(waitMs, timeoutMs, signal);
     if (!answer) {
-      log.info('source no longer has the history', { position: this.store.completeToRevision });
+      log.info('source no longer has the history', { ...this.store.completeTo });
       this.kernel.get(ServingMetrics).countSourceCall('history-gone');
       this.isHistoryGone = true;
       return 'useless';
@@ -147,42 +158,51 @@
   }
 
   /**
-   * Applies an answer and returns whether it is at least as recent as what this node has read. An
-   * older answer is stale: newer values in it are applied, but it confirms nothing.
+   * Applies an answer and returns whether it is at least as recent as what this node knows. An older
+   * one in the same era is stale: newer values in it are applied, but it confirms nothing. One of an
+   * older era is not applied, nor is a watch that was answered in a newer era than it continues.
    */
   private applyAnswer({ changes, position }: PublishedChanges, isComplete: boolean): boolean {
-    const isCurrent = position >= this.store.completeToRevision;
+    const { store } = this;
+    const isOfEra =
+      position.era >= store.newestEra && (isComplete || position.era === store.completeTo.era);
+    const isCurrent = isOfEra && !isEarlier(position, store.completeTo);
     if (!isCurrent && this.uselessReads === 0) {
-      this.kernel.log.warn('stale answer from the source', { position });
+      this.kernel.log.warn('stale answer from the source', {
+        ...position,
+        known: store.completeTo,
+      });
     }
-    changes.forEach((change) => this.store.applyChange(change, isComplete));
+    if (!isOfEra) return false;
+    if (isComplete) store.enterEra(position.era);
+    changes.forEach((change) => store.applyChange(change, isComplete));
     if (isComplete) {
       const listed = changes.flatMap((change) =>
         change.kind === 'endpoint' ? [change.backEnd.endpointId] : [],
       );
-      this.store
+      store
         .listMissingFrom(listed)
-        .forEach((endpointId) => this.store.removeEndpoint(endpointId, position));
+        .forEach((endpointId) => store.removeEndpoint(endpointId, position));
       this.isHistoryGone = false;
     }
-    this.store.markCompleteTo(position);
+    store.markCompleteTo(position);
     return isCurrent;
   }
 
-  /** Ends the call at its timeout, or earlier when a suspension of the machine is detected. */
+  /** Ends the call at its timeout, or earlier when it is interrupted. */
   private async readChanges(
     waitMs: number,
     timeoutMs: number,
     signal: AbortSignal,
   ): Promise<PublishedChanges | undefined> {
-    const suspension = this.store.watchForSuspension();
-    const limit = startDeadline(timeoutMs, signal, suspension.signal);
+    const interruption = this.store.watchForInterruption();
+    const limit = startDeadline(timeoutMs, signal, interruption.signal);
     try {
       const source = this.kernel.get(DeploymentSource);
-      return await source.readChanges(this.store.completeToRevision, waitMs, limit.signal);
+      return await source.readChanges(this.store.completeTo, waitMs, limit.signal);
     } finally {
       limit.stop();
-      suspension.stop();
+      interruption.stop();
     }
   }
 
--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -7,10 +7,12 @@
 /** Longest wait that a node may ask for. */
 const MAX_WAIT_MS = 5_000;
 
-const revisionSchema = z.number().min(0);
+const eraSchema = z.number().int().min(0);
+
+const positionSchema = z.object({ era: eraSchema, revision: z.number().min(0) }).readonly();
 
 const valueSchema = z
-  .object({ key: z.string(), text: z.string(), revision: revisionSchema })
+  .object({ key: z.string(), text: z.string(), position: positionSchema })
   .readonly();
 
 /** What the requesting node already has. @internal */
@@ -18,7 +20,9 @@
   .object({
     /** 0 when it has none. */
     configurationVersion: z.number().min(0),
-    /** Digest of its endpoints and their revisions. */
+    /** Highest era of the source that it has heard of. */
+    newestEra: eraSchema,
+    /** Digest of its endpoints and the positions of their last changes. */
     endpointsDigest: z.number(),
     /** How long the answer may wait for a change. */
     waitMs: z.number().min(0).max(MAX_WAIT_MS).default(0),
@@ -30,19 +34,23 @@
   .object({
     endpointId: endpointIdSchema,
     /** Of the newest change known to the answering node, including a removal. */
-    revision: revisionSchema,
+    position: positionSchema,
     /** As it was published; absent when the endpoint leaves or has left. */
     value: valueSchema.optional(),
   })
   .readonly();
 
+export type RelayedEndpoint = z.infer<typeof relayedEndpointSchema>;
+
 /** What the answering node has beyond that. @internal */
 export const relayReplySchema = z
   .object({
     /** Age of its confirmation at the time of the answer; absent when that age is too high. */
     confirmedAgeMs: z.number().min(0).optional(),
-    /** Revision up to which the answering node knows every change. */
-    completeToRevision: revisionSchema,
+    /** Highest era of the source that the answering node has heard of. */
+    newestEra: eraSchema,
+    /** Position up to which it knows every change. */
+    completeTo: positionSchema,
     /** Absent unless it is newer than that of the requesting node. */
     configuration: valueSchema.optional(),
     /** All known endpoints; absent when the digests are equal. */
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -115,6 +115,12 @@
     ['outcome'],
   );
 
+  private readonly sourceEras = this.createCounter(
+    'source_eras',
+    'Times that the configuration source came back from an older copy.',
+    [],
+  );
+
   private readonly gauges = new Map<string, Gauge>();
 
   /** @param readGauges called for each rendering of the metrics. */
@@ -167,6 +173,10 @@
     this.sourceCalls.inc({ outcome });
   }
 
+  countSourceEra(): void {
+    this.sourceEras.inc();
+  }
+
   async render(): Promise<{ readonly contentType: string; readonly text: string }> {
     this.setGauges();
     return { contentType: this.registry.contentType, text: await this.registry.metrics() };
--- a/src/services/DeploymentSource.ts
+++ b/src/services/DeploymentSource.ts
@@ -1,14 +1,14 @@
 /**
  * The read-only source of the configuration and the list of endpoints.
  */
-import type { BackEnd, EndpointId, ServingConfiguration } from '../core';
+import type { BackEnd, EndpointId, ServingConfiguration, SourcePosition } from '../core';
 
 /** A value as published, which is forwarded to nodes that cannot reach the source. @public */
 export interface PublishedValue {
   readonly key: string;
   readonly text: string;
-  /** Position of its last change in the publisher's history; later changes have higher ones. */
-  readonly revision: number;
+  /** Of its last change, as read from the source in that era. */
+  readonly position: SourcePosition;
 }
 
 /** One value that was published or removed. @public */
@@ -22,7 +22,7 @@
   | {
       readonly kind: 'endpoint-removed';
       readonly endpointId: EndpointId;
-      readonly revision: number;
+      readonly position: SourcePosition;
     }
   /** A value that cannot be parsed and is ignored. */
   | { readonly kind: 'unreadable'; readonly key: string; readonly reason: string };
@@ -31,24 +31,30 @@
 export interface PublishedChanges {
   readonly changes: ReadonlyArray<PublishedChange>;
   /** Position in the publisher's history at which the next read continues. */
-  readonly position: number;
+  readonly position: SourcePosition;
 }
 
 /** @public */
 export abstract class DeploymentSource {
+  /** Highest era that any answer has shown, including errors. */
+  abstract readonly newestEra: number;
+
   /** Parses a value that another node has forwarded; undefined for a key that is not used. */
   abstract decode(value: PublishedValue): PublishedChange | undefined;
 
-  /** Reads everything. @throws ServingError `endpoint-failed`. */
+  /**
+   * Reads everything, in one era.
+   * @throws ServingError `endpoint-failed`, also when the era changes meanwhile.
+   */
   abstract readAll(signal: AbortSignal): Promise<PublishedChanges>;
 
   /**
-   * Waits up to `waitMs` for changes after a position.
+   * Waits up to `waitMs` for changes after a position. The answer may be of another era.
    * @returns undefined when that part of the history is no longer available.
    * @throws ServingError `endpoint-failed`.
    */
   abstract readChanges(
-    position: number,
+    position: SourcePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<PublishedChanges | undefined>;
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -51,6 +51,9 @@
   /** Counts one call of the source of the configuration. */
   abstract countSourceCall(outcome: SourceCallOutcome): void;
 
+  /** Counts one change of the source's era. */
+  abstract countSourceEra(): void;
+
   /** Returns all metrics in the Prometheus text format, with its content type. */
   abstract render(): Promise<{ readonly contentType: string; readonly text: string }>;
 }
