Keep an engine out that left before the source came back from a copy

Cause: an entry of the newer era replaces any state of the older one, and a node that starts after the return can't know of the departure.

Ruled out: taking no entry with a known start until it changes, which would keep out engines that the copy rightly lists.

Change: a node remembers departures with the start of the process. An entry of the same process counts as registered anew if its revision is above that of the departure, or above the lowest revision that any node saw in the era; otherwise it is held back until that is known. Once the era has changed, nodes share the departures of older eras and the lowest position with their states, so that all agree. A new node asks others for a first copy before it reads the source, readers too, so that it gets versions and departures that the source has lost.

--- /dev/null
+++ b/src/decisions/departures.ts
@@ -0,0 +1,34 @@
+/**
+ * Order of an endpoint's entry and its departure when the source has come back from an older copy,
+ * which lists endpoints as ready that have left since.
+ */
+import type { SourcePosition } from '../core';
+
+/** A state of an endpoint as published, or its departure. @public */
+export interface EndpointEvent {
+  /** Wall time at which the endpoint's process started. */
+  readonly startedAtWallMs: number;
+  readonly position: SourcePosition;
+}
+
+/**
+ * Whether an entry was written after a departure, by a new process or by the same one. Across eras,
+ * the revisions of an entry and of a departure are comparable only if both are in the history that
+ * the eras share. An entry with a higher revision than the departure is later in any case; one above
+ * the lowest revision seen in its era was written in that era; any other may be from the copy.
+ * @param eraStart lowest position seen in the newest era.
+ */
+export function isRegisteredAnew(
+  entry: EndpointEvent,
+  departure: EndpointEvent,
+  eraStart: SourcePosition,
+): boolean {
+  if (entry.startedAtWallMs !== departure.startedAtWallMs) {
+    return entry.startedAtWallMs > departure.startedAtWallMs;
+  }
+  const { era, revision } = entry.position;
+  if (era < departure.position.era) return false;
+  if (revision > departure.position.revision) return true;
+  const isLater = era > departure.position.era;
+  return isLater && era === eraStart.era && revision > eraStart.revision;
+}
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -9,6 +9,7 @@
 export * from './chooseExchangePartners';
 export * from './confirmation';
 export * from './crashEvidence';
+export * from './departures';
 export * from './freshness';
 export * from './describeDecision';
 export * from './describeLogLine';
--- /dev/null
+++ b/src/plugins/deployment/DepartureMemory.ts
@@ -0,0 +1,129 @@
+/**
+ * Departures of endpoints, remembered for as long as the source may come back from a copy that was
+ * made before them, and entries of such a copy, which are held back.
+ */
+import {
+  chooseLater,
+  isEarlier,
+  NO_POSITION,
+  type BackEnd,
+  type EndpointId,
+  type SourcePosition,
+} from '../../core';
+import { isRegisteredAnew, type EndpointEvent } from '../../decisions';
+import type { PublishedValue } from '../../services';
+import { DEPLOYMENT_OPTIONS } from './options';
+
+/** @internal */
+export interface Departure extends EndpointEvent {
+  readonly endpointId: EndpointId;
+  readonly atMs: number;
+}
+
+/** @internal */
+export interface HeldEntry {
+  readonly backEnd: BackEnd;
+  readonly value: PublishedValue;
+}
+
+function isLater(a: EndpointEvent, b: EndpointEvent): boolean {
+  if (a.startedAtWallMs !== b.startedAtWallMs) return a.startedAtWallMs > b.startedAtWallMs;
+  return isEarlier(b.position, a.position);
+}
+
+/** @internal */
+export class DepartureMemory {
+  private readonly departures = new Map<EndpointId, Departure>();
+
+  private readonly heldEntries = new Map<EndpointId, HeldEntry>();
+
+  private lowestOfEra: SourcePosition = NO_POSITION;
+
+  private contentRevision = 0;
+
+  /** Grows with each change that other nodes have to know; 0 while the source kept its era. */
+  get revision(): number {
+    return this.contentRevision;
+  }
+
+  /** Lowest position that any node saw in the newest era. */
+  get eraStart(): SourcePosition {
+    return this.lowestOfEra;
+  }
+
+  /** Returns the departures that the source may have lost with an era, newest last. */
+  listFromBefore(era: number): ReadonlyArray<Departure> {
+    return [...this.departures.values()]
+      .filter(({ position }) => position.era < era)
+      .slice(-DEPLOYMENT_OPTIONS.maxSharedDepartures);
+  }
+
+  isSuppressed({ endpointId, startedAtWallMs }: BackEnd, position: SourcePosition): boolean {
+    const departure = this.departures.get(endpointId);
+    if (!departure) return false;
+    return !isRegisteredAnew({ startedAtWallMs, position }, departure, this.lowestOfEra);
+  }
+
+  /** Keeps the later of two departures of an endpoint. */
+  record(departure: Departure, newestEra: number): void {
+    const { endpointId, position } = departure;
+    const before = this.departures.get(endpointId);
+    if (before && !isLater(departure, before)) return;
+    this.departures.delete(endpointId);
+    this.departures.set(endpointId, departure);
+    if (position.era < newestEra) this.markChanged();
+  }
+
+  /** Applies a removal of an endpoint that may have departed before. */
+  recordRemoval(endpointId: EndpointId, position: SourcePosition): void {
+    const before = this.departures.get(endpointId);
+    if (!before) return;
+    this.heldEntries.delete(endpointId);
+    this.departures.set(endpointId, {
+      ...before,
+      position: chooseLater(before.position, position),
+    });
+  }
+
+  /** The endpoint has registered anew. */
+  forget(endpointId: EndpointId): void {
+    this.departures.delete(endpointId);
+    this.heldEntries.delete(endpointId);
+  }
+
+  /** Keeps an entry that may be from the copy, until it is known whether it was written anew. */
+  hold(entry: HeldEntry): void {
+    const { endpointId } = entry.backEnd;
+    const before = this.heldEntries.get(endpointId);
+    if (before && isEarlier(entry.value.position, before.value.position)) return;
+    this.heldEntries.set(endpointId, entry);
+  }
+
+  /** Other nodes have to know of a newer era. */
+  beginEra(): void {
+    this.heldEntries.clear();
+    this.markChanged();
+  }
+
+  /** Returns the entries that turn out to be written in the era, as a lower position was seen. */
+  noteEraStart(position: SourcePosition): ReadonlyArray<HeldEntry> {
+    const { era, revision } = this.lowestOfEra;
+    if (position.era < era || (position.era === era && position.revision >= revision)) return [];
+    this.lowestOfEra = position;
+    if (this.contentRevision > 0) this.markChanged();
+    return [...this.heldEntries.values()].filter(
+      ({ backEnd, value }) => !this.isSuppressed(backEnd, value.position),
+    );
+  }
+
+  forgetOld(nowMs: number): void {
+    const oldestMs = nowMs - DEPLOYMENT_OPTIONS.departureMemoryMs;
+    [...this.departures.values()]
+      .filter(({ atMs }) => atMs < oldestMs)
+      .forEach(({ endpointId }) => this.forget(endpointId));
+  }
+
+  private markChanged(): void {
+    this.contentRevision += 1;
+  }
+}
--- a/src/plugins/deployment/DeploymentPlugin.ts
+++ b/src/plugins/deployment/DeploymentPlugin.ts
@@ -9,12 +9,14 @@
   PeerHandler,
   ReadinessCheck,
   SeedAddresses,
+  SharedState,
 } from '../../services';
 import { DeploymentStore } from './DeploymentStore';
 import { DeploymentGauges } from './DeploymentGauges';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { RelayHandler } from './RelayHandler';
 import { RelayTask } from './RelayTask';
+import { SharedDepartures } from './SharedDepartures';
 import { SourceTask } from './SourceTask';
 
 class ConfigurationReadiness extends ReadinessCheck {
@@ -49,6 +51,7 @@
     this.store = new DeploymentStore(this.kernel, bounds, new Map(Object.entries(regions)));
     this.kernel.provide(Deployment, this.store);
     this.kernel.provide(PeerHandler, new RelayHandler(this.store));
+    this.kernel.provide(SharedState, new SharedDepartures(this.store, this.kernel.clock));
     this.kernel.provide(GaugeSource, new DeploymentGauges(this.store));
     this.kernel.provide(ReadinessCheck, new ConfigurationReadiness(this.store));
     this.kernel.provide(SeedAddresses, new ConfiguredSeedAddresses(settingsStore));
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import type { BackEnd, EndpointId, ServingBounds, SourcePosition } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
+import type { Departure } from './DepartureMemory';
 import { DeploymentStore } from './DeploymentStore';
 
 const bounds = { revocationWithinMs: 4_000 } as ServingBounds;
@@ -18,6 +19,11 @@
   startedAtWallMs: 1,
 };
 
+function departAt(position: SourcePosition): Departure {
+  const { endpointId, startedAtWallMs } = engine;
+  return { endpointId, startedAtWallMs, position, atMs: 0 };
+}
+
 function createStore(): { readonly kernel: TestKernel; readonly store: DeploymentStore } {
   const kernel = new TestKernel([]);
   return { kernel, store: new DeploymentStore(kernel, bounds, new Map()) };
@@ -76,8 +82,8 @@
   const left: BackEnd[] = [];
   store.onLeaving((backEnd) => left.push(backEnd));
   store.applyEndpoint(engine, value);
-  store.applyDeparture(engine.endpointId, at(8));
-  store.applyDeparture(engine.endpointId, at(8));
+  store.applyDeparture(departAt(at(8)));
+  store.applyDeparture(departAt(at(8)));
   expect(left).toHaveLength(1);
   expect(store.listAssignable('writers')).toHaveLength(0);
 });
@@ -91,7 +97,7 @@
   store.applyEndpoint(engine, { ...value, position: at(8) });
   expect(store.listAssignable('writers')).toHaveLength(0);
   store.applyEndpoint(engine, { ...value, position: at(10) });
-  store.applyDeparture(engine.endpointId, at(9));
+  store.applyDeparture(departAt(at(9)));
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
@@ -112,7 +118,7 @@
     store.applyEndpoint({ ...engine, isLeaving }, { ...value, position: at(revision) });
   }
   if (state === 'removed') store.removeEndpoint(engine.endpointId, at(revision));
-  if (state === 'departed') store.applyDeparture(engine.endpointId, at(revision));
+  if (state === 'departed') store.applyDeparture(departAt(at(revision)));
 }
 
 // Guards against a state that depends on the order in which the source, stale reads and other nodes
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -4,7 +4,8 @@
  * A configuration is replaced only by a newer version, whatever the era. A version that the source
  * lost when it came back from an older copy stays in force until a higher one is published. An endpoint that was removed from the list,
  * or that announced that it is leaving, gets no new work but stays in the store for a while, because
- * requests may still be running on it.
+ * requests may still be running on it. When the source comes back from a copy that lists it as ready,
+ * it stays out until it has registered anew.
  */
 import {
   chooseLater,
@@ -17,7 +18,12 @@
   type ServingConfiguration,
   type SourcePosition,
 } from '../../core';
-import { computeConfirmedAgeMs, type ClockReading, type Confirmation } from '../../decisions';
+import {
+  computeConfirmedAgeMs,
+  isRegisteredAnew,
+  type ClockReading,
+  type Confirmation,
+} from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -26,6 +32,7 @@
   type PublishedChange,
   type PublishedValue,
 } from '../../services';
+import { DepartureMemory, type Departure } from './DepartureMemory';
 import { DEPLOYMENT_OPTIONS } from './options';
 
 type LeavingListener = (backEnd: KnownBackEnd) => void;
@@ -38,6 +45,8 @@
   /** Entries that expired while the source was unavailable, and when each counts as removed. */
   private readonly expiredEntries = new Map<EndpointId, number>();
 
+  readonly departures = new DepartureMemory();
+
   private current: ServingConfiguration | undefined;
 
   private publishedConfiguration: PublishedValue | undefined;
@@ -111,7 +120,9 @@
   /** A newer era ends the calls that continue from a position in the older one. */
   hearOfEra(era: number): void {
     if (era <= this.highestEra) return;
+    const isFirst = this.latestComplete.revision === 0;
     this.highestEra = era;
+    if (!isFirst) this.departures.beginEra();
     this.interrupt();
   }
 
@@ -138,6 +149,13 @@
     return true;
   }
 
+  /** Notes a position of the source, and applies entries that it shows to be written in its era. */
+  noteEraStart(position: SourcePosition): void {
+    this.departures
+      .noteEraStart(position)
+      .forEach(({ backEnd, value }) => this.applyEndpoint(backEnd, value));
+  }
+
   getPosition(endpointId: EndpointId): SourcePosition {
     return this.positions.get(endpointId) ?? NO_POSITION;
   }
@@ -194,9 +212,9 @@
   }
 
   /** Known endpoints that are missing from a list. */
-  listMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<EndpointId> {
+  listMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<KnownBackEnd> {
     const listedIds = new Set(listed);
-    return [...this.endpoints.keys()].filter((endpointId) => !listedIds.has(endpointId));
+    return this.listAll().filter(({ endpointId }) => !listedIds.has(endpointId));
   }
 
   setConfiguration(configuration: ServingConfiguration, value: PublishedValue): void {
@@ -219,6 +237,11 @@
     if (isEarlier(value.position, this.getPosition(backEnd.endpointId))) return;
     // Every change up to the complete position is known, so an unknown endpoint was removed by then.
     if (!before && !isEarlier(this.latestComplete, value.position)) return;
+    if (this.departures.isSuppressed(backEnd, value.position)) {
+      this.departures.hold({ backEnd, value });
+      return;
+    }
+    this.departures.forget(backEnd.endpointId);
     this.expiredEntries.delete(backEnd.endpointId);
     const isRestarted = before !== undefined && before.startedAtWallMs !== backEnd.startedAtWallMs;
     if (before && isRestarted && backEnd.startedAtWallMs < before.startedAtWallMs) return;
@@ -235,6 +258,7 @@
     if (!before || isRestarted || before.leavingSinceMs !== known.leavingSinceMs) {
       this.logChange(known, isRestarted ? 'restarted' : 'listed');
     }
+    if (known.leavingSinceMs !== undefined) this.recordDeparture(known);
     if (before && isRestarted) this.notifyLeaving(before);
     else if (known.leavingSinceMs !== undefined && wasLeaving === undefined) {
       this.notifyLeaving(known);
@@ -249,6 +273,7 @@
       this.expireEntry(endpointId, position, removedAtMs);
       return;
     }
+    this.departures.recordRemoval(endpointId, position);
     const known = this.updatePosition(endpointId, position);
     if (known && known.leavingSinceMs === undefined) this.markLeaving(known, 'entry removed');
   }
@@ -266,9 +291,22 @@
   }
 
   /** Applies the report of another node that the endpoint is leaving or gone. */
-  applyDeparture(endpointId: EndpointId, position: SourcePosition): void {
-    const known = this.updatePosition(endpointId, position);
-    if (!known || known.leavingSinceMs !== undefined) return;
+  applyDeparture(departure: Departure): void {
+    const { endpointId } = departure;
+    const known = this.endpoints.get(endpointId);
+    const position = this.getPosition(endpointId);
+    const { startedAtWallMs = 0 } = known ?? {};
+    const { eraStart } = this.departures;
+    if (known && isRegisteredAnew({ startedAtWallMs, position }, departure, eraStart)) return;
+    this.departures.record(departure, this.highestEra);
+    if (!known) return;
+    const value = this.publishedEndpoints.get(endpointId);
+    if (value && departure.position.era < value.position.era) {
+      this.departures.hold({ backEnd: known, value });
+    }
+    // An entry of a newer era that is held back doesn't raise the position of the departure.
+    this.positions.set(endpointId, departure.position);
+    if (known.leavingSinceMs !== undefined) return;
     this.expiredEntries.delete(endpointId);
     this.markLeaving(known, 'reported as leaving by another node');
   }
@@ -323,6 +361,7 @@
   /** Marks expired entries as leaving and evicts endpoints that left long ago. */
   sweep(): void {
     const nowMs = this.kernel.clock.nowMs();
+    this.departures.forgetOld(nowMs);
     if (this.confirmation && !Number.isFinite(this.getConfirmedAgeMs())) {
       this.kernel.log.warn('wall clock ran ahead of the monotonic clock', {
         confirmedAsOfMs: this.confirmation.asOfMs,
@@ -381,10 +420,17 @@
   private markLeaving(known: KnownBackEnd, reason: string): void {
     const leaving = { ...known, leavingSinceMs: this.kernel.clock.nowMs() };
     this.endpoints.set(known.endpointId, leaving);
+    this.recordDeparture(leaving);
     this.logChange(leaving, reason);
     this.notifyLeaving(leaving);
   }
 
+  private recordDeparture({ endpointId, startedAtWallMs }: KnownBackEnd): void {
+    const position = this.getPosition(endpointId);
+    const atMs = this.kernel.clock.nowMs();
+    this.departures.record({ endpointId, startedAtWallMs, position, atMs }, this.highestEra);
+  }
+
   private notifyLeaving(backEnd: KnownBackEnd): void {
     this.leavingListeners.forEach((listener) => listener(backEnd));
   }
--- a/src/plugins/deployment/RelayHandler.ts
+++ b/src/plugins/deployment/RelayHandler.ts
@@ -40,15 +40,17 @@
     const { store } = this;
     store.hearOfEra(request.newestEra);
     if (!this.hasNews(request)) await store.waitForChange(request.waitMs);
-    const { completeTo, newestEra } = store;
+    const { completeTo, newestEra, departures } = store;
+    const { eraStart } = departures;
     const confirmedAgeMs = store.getConfirmedAgeMs();
     const { maxRelayAgeMs } = computeFreshnessThresholds(store.bounds.revocationWithinMs);
-    if (confirmedAgeMs > maxRelayAgeMs) return { completeTo, newestEra };
+    if (confirmedAgeMs > maxRelayAgeMs) return { completeTo, newestEra, eraStart };
     const isNewer = this.hasNewerConfiguration(request);
     return {
       confirmedAgeMs,
       completeTo,
       newestEra,
+      eraStart,
       configuration: isNewer ? store.configurationValue : undefined,
       endpoints:
         digestEndpoints(store) === request.endpointsDigest
@@ -56,6 +58,7 @@
           : store.listAll().map((backEnd) => ({
               endpointId: backEnd.endpointId,
               position: store.getPosition(backEnd.endpointId),
+              startedAtWallMs: backEnd.startedAtWallMs,
               value: isLeaving(backEnd) ? undefined : store.getValue(backEnd.endpointId),
             })),
     };
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -76,7 +76,10 @@
 
   /** Asks any node if this one can't reach the source. */
   private async replaceSource(signal: AbortSignal): Promise<void> {
-    await this.kernel.clock.sleep(this.intervalMs, signal);
+    // A node without a configuration asks others before it reads the source.
+    const isStarting = !this.store.configuration;
+    const pauseMs = isStarting ? DEPLOYMENT_OPTIONS.readerPauseMs : this.intervalMs;
+    await this.kernel.clock.sleep(pauseMs, signal);
     if (signal.aborted) return;
     const member = this.isNeeded() ? this.chooseMember() : undefined;
     if (member) this.adjustInterval(member, await this.requestFrom(member.vmId, 0));
@@ -143,6 +146,7 @@
     const { store } = this;
     const { configuration, confirmedAgeMs, endpoints = [], completeTo } = reply;
     store.hearOfEra(reply.newestEra);
+    store.noteEraStart(reply.eraStart);
     if (confirmedAgeMs === undefined) return false;
     // The confirmation covers the other node's configuration, so it is void if that can't be decoded.
     if (configuration && this.applyValue(configuration)?.kind !== 'configuration') return false;
@@ -161,15 +165,17 @@
     isNewEra: boolean,
   ): void {
     const { store } = this;
+    const atMs = this.kernel.clock.nowMs();
     endpoints.forEach((endpoint) => {
-      const { endpointId, position, value } = endpoint;
+      const { endpointId, position, startedAtWallMs, value } = endpoint;
       if (value) this.applyValue(value);
-      else store.applyDeparture(endpointId, position);
+      else store.applyDeparture({ endpointId, startedAtWallMs, position, atMs });
       if (isExpired(endpoint)) store.expireEntry(endpointId, position);
     });
-    store.listMissingFrom(endpoints.map(({ endpointId }) => endpointId)).forEach((endpointId) => {
+    const missing = store.listMissingFrom(endpoints.map(({ endpointId }) => endpointId));
+    missing.forEach(({ endpointId, startedAtWallMs }) => {
       if (isNewEra) store.removeEndpoint(endpointId, completeTo);
-      else store.applyDeparture(endpointId, completeTo);
+      else store.applyDeparture({ endpointId, startedAtWallMs, position: completeTo, atMs });
     });
   }
 
--- a/src/plugins/deployment/SourceTask.test.ts
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -96,6 +96,7 @@
   kernel.provide(Members, {
     readsSource: () => true,
     readsForOthers: () => false,
+    listLive: () => [],
   } as unknown as Members);
   const end = new AbortController();
   void new SourceTask(kernel, store).run(end.signal);
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -92,10 +92,14 @@
   /** Whether this node is a reader, or what its readers confirmed is too old. */
   private mustRead(): boolean {
     const { relayAfterMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
-    if (this.kernel.get(Members).readsSource()) return true;
+    const members = this.kernel.get(Members);
     const startedForMs = this.kernel.clock.nowMs() - this.startedAtMs;
-    // After a restart of all nodes, nobody has a copy yet.
-    if (!this.store.configuration) return startedForMs > DEPLOYMENT_OPTIONS.firstCopyWaitMs;
+    // Other nodes may know versions and departures that the source has lost. After a restart of all
+    // nodes, nobody has a copy yet.
+    if (!this.store.configuration && startedForMs <= DEPLOYMENT_OPTIONS.firstCopyWaitMs) {
+      return members.readsSource() && members.listLive().length === 0;
+    }
+    if (!this.store.configuration || members.readsSource()) return true;
     // The readers get the same time after the start as after a confirmation.
     return Math.min(startedForMs, this.store.getConfirmedAgeMs()) > relayAfterMs;
   }
@@ -174,7 +178,10 @@
       });
     }
     if (!isOfEra) return false;
-    if (isComplete) store.enterEra(position.era);
+    if (isComplete) {
+      store.enterEra(position.era);
+      store.noteEraStart(position);
+    }
     changes.forEach((change) => store.applyChange(change, isComplete));
     if (isComplete) {
       const listed = changes.flatMap((change) =>
@@ -182,7 +189,7 @@
       );
       store
         .listMissingFrom(listed)
-        .forEach((endpointId) => store.removeEndpoint(endpointId, position));
+        .forEach(({ endpointId }) => store.removeEndpoint(endpointId, position));
       this.isHistoryGone = false;
     }
     store.markCompleteTo(position);
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -9,6 +9,10 @@
   expiredEntryGraceMs: 2_100,
   /** How long a departed endpoint is kept, for the requests that still run on it. */
   departedRetentionMs: 30_000,
+  /** How long a departure is remembered: the source may come back from a copy of this age. */
+  departureMemoryMs: 600_000,
+  /** Departures that a node tells others after a change of the source's era; the newest. */
+  maxSharedDepartures: 2_000,
   /** Interval of the checks of expired and departed entries, and of the clocks. */
   sweepIntervalMs: 250,
   /** Time beyond its wait after which a watch times out. */
--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -9,7 +9,8 @@
 
 const eraSchema = z.number().int().min(0);
 
-const positionSchema = z.object({ era: eraSchema, revision: z.number().min(0) }).readonly();
+/** @internal */
+export const positionSchema = z.object({ era: eraSchema, revision: z.number().min(0) }).readonly();
 
 const valueSchema = z
   .object({ key: z.string(), text: z.string(), position: positionSchema })
@@ -35,6 +36,8 @@
     endpointId: endpointIdSchema,
     /** Of the newest change known to the answering node, including a removal. */
     position: positionSchema,
+    /** Start of its process, by which a departure is told from a new registration. */
+    startedAtWallMs: z.number(),
     /** As it was published; absent when the endpoint leaves or has left. */
     value: valueSchema.optional(),
   })
@@ -51,6 +54,8 @@
     newestEra: eraSchema,
     /** Position up to which it knows every change. */
     completeTo: positionSchema,
+    /** Lowest position that was seen in the newest era. */
+    eraStart: positionSchema,
     /** Absent unless it is newer than that of the requesting node. */
     configuration: valueSchema.optional(),
     /** All known endpoints; absent when the digests are equal. */
