--- a/stand-ins/MetadataStore.ts
+++ b/stand-ins/MetadataStore.ts
@@ -32,6 +32,9 @@
 
   calls = 0;
 
+  /** Called at each call, before it is answered. */
+  onCall: () => void = () => {};
+
   private history: ReadonlyArray<StoreEvent> = [];
 
   private revision = 1;
@@ -92,6 +95,7 @@
     createResponse: () => Response | Promise<Response>,
   ): Promise<Response> {
     this.calls += 1;
+    this.onCall();
     if (this.behaviour === 'reset') resetConnection(context.env.incoming);
     if (this.behaviour === 'reset' || this.behaviour === 'silent') {
       return new Promise<Response>(() => {});
