--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -5,7 +5,7 @@
  * read becomes an `unreadable` change and leaves the items before and after it as they are.
  */
 import * as z from 'zod';
-import { describeFault } from '../core';
+import { describeFault, type SourcePosition } from '../core';
 import type { PublishedChange, PublishedValue } from '../services';
 import { decodeConfiguration, decodeEndpoint, isEndpointId } from './storeValues';
 import { STORE_KEYS } from './wireNames';
@@ -38,15 +38,16 @@
   return utf8.decode(bytes);
 }
 
-function createUnreadable(raw: unknown, thrown: unknown): PublishedChange {
+function createUnreadable(raw: unknown, era: number, thrown: unknown): PublishedChange {
   const key = keySchema.safeParse(raw).data?.key ?? UNKNOWN_KEY;
   const { endpointPrefix } = STORE_KEYS;
   const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
+  const revision = revisionOnlySchema.safeParse(raw).data?.revision;
   return {
     kind: 'unreadable',
     key: key.slice(0, MAX_KEY_CHARS),
     reason: describeFault(thrown),
-    revision: revisionOnlySchema.safeParse(raw).data?.revision,
+    position: revision === undefined ? undefined : { era, revision },
     endpointId: isEndpointId(id) ? id : undefined,
   };
 }
@@ -67,43 +68,45 @@
 }
 
 /** Returns undefined for a key that names no endpoint. */
-function decodeRemoval(key: string, revision: number): PublishedChange | undefined {
+function decodeRemoval(key: string, position: SourcePosition): PublishedChange | undefined {
   const { endpointPrefix } = STORE_KEYS;
   const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
-  return isEndpointId(id) ? { kind: 'endpoint-removed', endpointId: id, revision } : undefined;
+  return isEndpointId(id) ? { kind: 'endpoint-removed', endpointId: id, position } : undefined;
 }
 
 /** Returns an `unreadable` change with the reason when decoding fails. */
 function decodeSafely(
   raw: unknown,
+  era: number,
   decode: () => PublishedChange | undefined,
 ): PublishedChange | undefined {
   try {
     return decode();
   } catch (thrown) {
-    return createUnreadable(raw, thrown);
+    return createUnreadable(raw, era, thrown);
   }
 }
 
 /** Decodes a value that another node has relayed; undefined for a key that is not used. @internal */
 export function decodeValue(value: PublishedValue): PublishedChange | undefined {
-  return decodeSafely(value, () => decodeWritten(value));
+  const { era, revision } = value.position;
+  return decodeSafely({ ...value, revision }, era, () => decodeWritten(value));
 }
 
 /** Decodes an item of a range or an event of a watch; empty for a key that is not used. @internal */
-export function decodeItem(raw: unknown): ReadonlyArray<PublishedChange> {
-  const change = decodeSafely(raw, () => {
+export function decodeItem(raw: unknown, era: number): ReadonlyArray<PublishedChange> {
+  const change = decodeSafely(raw, era, () => {
     const item = itemSchema.safeParse(raw);
     if (item.success) {
       const { key, value, revision } = item.data;
       if (key !== STORE_KEYS.configuration && !key.startsWith(STORE_KEYS.endpointPrefix)) {
         return undefined;
       }
-      return decodeWritten({ key, text: decodeText(value), revision });
+      return decodeWritten({ key, text: decodeText(value), position: { era, revision } });
     }
     if (typeof raw === 'object' && raw !== null && 'value' in raw) throw item.error;
     const { key, revision } = removalSchema.parse(raw);
-    return decodeRemoval(key, revision);
+    return decodeRemoval(key, { era, revision });
   });
   return change ? [change] : [];
 }
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -1,11 +1,19 @@
 import fc from 'fast-check';
-import type { BackEnd, EndpointId, ServingBounds, ServingConfiguration } from '../../core';
+import type {
+  BackEnd,
+  EndpointId,
+  ServingBounds,
+  ServingConfiguration,
+  SourcePosition,
+} from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
 import type { PublishedChange } from '../../services';
+import type { Departure } from './DepartureMemory';
 import { DeploymentStore } from './DeploymentStore';
 
 const bounds = { revocationWithinMs: 4_000 } as ServingBounds;
-const value = { key: 'endpoint', text: '{}', revision: 7 };
+const at = (revision: number, era = 1): SourcePosition => ({ era, revision });
+const value = { key: 'endpoint', text: '{}', position: at(7) };
 
 const engine: BackEnd = {
   endpointId: 'i-1' as EndpointId,
@@ -18,16 +26,21 @@
   startedAtWallMs: 1,
 };
 
-function createUnreadable(revision: number | undefined): PublishedChange {
+function createUnreadable(position: SourcePosition | undefined): PublishedChange {
   return {
     kind: 'unreadable',
     key: 'servers/i-1',
     reason: 'odd',
-    revision,
+    position,
     endpointId: engine.endpointId,
   };
 }
 
+function departAt(position: SourcePosition): Departure {
+  const { endpointId, startedAtWallMs } = engine;
+  return { endpointId, startedAtWallMs, position, atMs: 0 };
+}
+
 function createStore(): { readonly kernel: TestKernel; readonly store: DeploymentStore } {
   const kernel = new TestKernel([]);
   return { kernel, store: new DeploymentStore(kernel, bounds, new Map()) };
@@ -48,7 +61,7 @@
   const { kernel, store } = createStore();
   const sentAt = store.readClocks();
   store.confirm(sentAt.nowMs, sentAt);
-  const watch = store.watchForSuspension();
+  const watch = store.watchForInterruption();
   kernel.manualClock.suspend(3_000);
   expect(store.getConfirmedAgeMs()).toBe(Infinity);
   store.sweep();
@@ -66,7 +79,7 @@
   store.confirm(sentAt.nowMs, sentAt);
   store.applyEndpoint(engine, value);
   store.markSourceUnavailable('refused');
-  store.removeEndpoint(engine.endpointId, 8);
+  store.removeEndpoint(engine.endpointId, at(8));
   kernel.manualClock.advance(10_000);
   store.sweep();
   expect(store.listAssignable('writers')).toHaveLength(1);
@@ -86,8 +99,8 @@
   const left: BackEnd[] = [];
   store.onLeaving((backEnd) => left.push(backEnd));
   store.applyEndpoint(engine, value);
-  store.applyDeparture(engine.endpointId, 8);
-  store.applyDeparture(engine.endpointId, 8);
+  store.applyDeparture(departAt(at(8)));
+  store.applyDeparture(departAt(at(8)));
   expect(left).toHaveLength(1);
   expect(store.listAssignable('writers')).toHaveLength(0);
 });
@@ -97,11 +110,11 @@
 test('an older state of an endpoint is ignored', () => {
   const { store } = createStore();
   store.applyEndpoint(engine, value);
-  store.removeEndpoint(engine.endpointId, 9);
-  store.applyEndpoint(engine, { ...value, revision: 8 });
+  store.removeEndpoint(engine.endpointId, at(9));
+  store.applyEndpoint(engine, { ...value, position: at(8) });
   expect(store.listAssignable('writers')).toHaveLength(0);
-  store.applyEndpoint(engine, { ...value, revision: 10 });
-  store.applyDeparture(engine.endpointId, 9);
+  store.applyEndpoint(engine, { ...value, position: at(10) });
+  store.applyDeparture(departAt(at(9)));
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
@@ -109,7 +122,7 @@
 // still lists.
 test('an unknown endpoint older than the full read is ignored', () => {
   const { store } = createStore();
-  store.markCompleteTo(7);
+  store.markCompleteTo(at(7));
   store.applyEndpoint(engine, value);
   expect(store.listAll()).toHaveLength(0);
 });
@@ -121,11 +134,11 @@
   const left: BackEnd[] = [];
   store.onLeaving((backEnd) => left.push(backEnd));
   store.applyEndpoint(engine, value);
-  store.applyChange(createUnreadable(8), false);
-  store.applyChange(createUnreadable(8), true);
+  store.applyChange(createUnreadable(at(8)), false);
+  store.applyChange(createUnreadable(at(8)), true);
   expect(store.listAssignable('writers')).toHaveLength(0);
   expect(left).toHaveLength(1);
-  store.applyEndpoint(engine, { ...value, revision: 9 });
+  store.applyEndpoint(engine, { ...value, position: at(9) });
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
@@ -134,7 +147,7 @@
 test.each([7, 6, undefined])('an unreadable copy of revision %s changes nothing', (revision) => {
   const { store } = createStore();
   store.applyEndpoint(engine, value);
-  store.applyChange(createUnreadable(revision), false);
+  store.applyChange(createUnreadable(revision === undefined ? undefined : at(revision)), false);
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
@@ -142,7 +155,10 @@
 test('an unreadable value costs one log line for each revision', () => {
   const { kernel, store } = createStore();
   [8, 8, 9, 8, undefined, undefined].forEach((revision, index) =>
-    store.applyChange(createUnreadable(revision), index % 2 === 0),
+    store.applyChange(
+      createUnreadable(revision === undefined ? undefined : at(revision)),
+      index % 2 === 0,
+    ),
   );
   const lines = kernel.logLines.filter(({ event }) => event === 'published value ignored');
   expect(lines.map(({ revision }) => revision)).toEqual([8, 9, undefined]);
@@ -162,7 +178,7 @@
   store.onLeaving(({ endpointId }) => heard.push(endpointId));
   store.setConfiguration({ version: 1, routes: [] } as unknown as ServingConfiguration, value);
   store.applyEndpoint(engine, value);
-  store.applyDeparture(engine.endpointId, 8);
+  store.applyDeparture(departAt(at(8)));
   expect(heard).toEqual(['configuration 1', 'i-1']);
   expect(kernel.logLines.filter(({ event }) => event === 'listener failed')).toHaveLength(2);
 });
@@ -172,11 +188,11 @@
 function deliver(store: DeploymentStore, state: EndpointState, revision: number): void {
   const isLeaving = state === 'leaving';
   if (state === 'ready' || isLeaving) {
-    store.applyEndpoint({ ...engine, isLeaving }, { ...value, revision });
+    store.applyEndpoint({ ...engine, isLeaving }, { ...value, position: at(revision) });
   }
-  if (state === 'removed') store.removeEndpoint(engine.endpointId, revision);
-  if (state === 'departed') store.applyDeparture(engine.endpointId, revision);
-  if (state === 'unreadable') store.applyChange(createUnreadable(revision), false);
+  if (state === 'removed') store.removeEndpoint(engine.endpointId, at(revision));
+  if (state === 'departed') store.applyDeparture(departAt(at(revision)));
+  if (state === 'unreadable') store.applyChange(createUnreadable(at(revision)), false);
 }
 
 // Guards against a state that depends on the order in which the source, stale reads and other nodes
@@ -202,7 +218,7 @@
   fc.assert(
     fc.property(states, (deliveries) => {
       const { store } = createStore();
-      store.applyEndpoint(engine, { ...value, revision: 1 });
+      store.applyEndpoint(engine, { ...value, position: at(1) });
       deliveries.forEach((delivery) => deliver(store, delivery.state, delivery.revision));
       const newest = deliveries.reduce((a, b) => (b.revision > a.revision ? b : a));
       const isAssignable = store.listAssignable('writers').length === 1;
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -1,25 +1,38 @@
 /**
  * The node's in-memory copy of the configuration and of the endpoint list.
  *
- * A configuration is replaced only by a newer version. An endpoint that was removed from the list,
+ * A configuration is replaced only by a newer version, whatever the era. A version that the source
+ * lost when it came back from an older copy stays in force until a higher one is published. An endpoint that was removed from the list,
  * or that announced that it is leaving, gets no new work but stays in the store for a while, because
- * requests may still be running on it.
+ * requests may still be running on it. When the source comes back from a copy that lists it as ready,
+ * it stays out until it has registered anew.
  */
-import type {
-  BackEnd,
-  Deadline,
-  EndpointId,
-  ServingBounds,
-  ServingConfiguration,
+import {
+  chooseLater,
+  isEarlier,
+  NO_POSITION,
+  type BackEnd,
+  type Deadline,
+  type EndpointId,
+  type ServingBounds,
+  type ServingConfiguration,
+  type SourcePosition,
 } from '../../core';
-import { computeConfirmedAgeMs, type ClockReading, type Confirmation } from '../../decisions';
+import {
+  computeConfirmedAgeMs,
+  isRegisteredAnew,
+  type ClockReading,
+  type Confirmation,
+} from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
+  ServingMetrics,
   type KnownBackEnd,
   type PublishedChange,
   type PublishedValue,
 } from '../../services';
+import { DepartureMemory, type Departure } from './DepartureMemory';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { ReportedValues } from './ReportedValues';
 
@@ -33,6 +46,8 @@
   /** Entries that expired while the source was unavailable, and when each counts as removed. */
   private readonly expiredEntries = new Map<EndpointId, number>();
 
+  readonly departures = new DepartureMemory();
+
   private current: ServingConfiguration | undefined;
 
   private publishedConfiguration: PublishedValue | undefined;
@@ -40,16 +55,19 @@
   /** The endpoints as they were published, for relaying to other nodes. */
   private readonly publishedEndpoints = new Map<EndpointId, PublishedValue>();
 
-  /** Revision of the newest known change of each endpoint, including its removal. */
-  private readonly revisions = new Map<EndpointId, number>();
+  /** Position of the newest known change of each endpoint, including its removal. */
+  private readonly positions = new Map<EndpointId, SourcePosition>();
 
   private readonly reportedValues = new ReportedValues();
 
-  private latestCompleteRevision = 0;
+  private latestComplete: SourcePosition = NO_POSITION;
+
+  private highestEra = 0;
 
   private confirmation: Confirmation | undefined;
 
-  private readonly suspensionWatches = new Set<AbortController>();
+  /** Of calls that end when the confirmed age becomes unknown, or a newer era is heard of. */
+  private readonly interruptions = new Set<AbortController>();
 
   private readonly changeWaiters = new Set<AbortController>();
 
@@ -83,17 +101,66 @@
     return this.unavailableReason !== undefined;
   }
 
-  /** Revision up to which this node knows every change. */
-  get completeToRevision(): number {
-    return this.latestCompleteRevision;
+  /** Position up to which this node knows every change. */
+  get completeTo(): SourcePosition {
+    return this.latestComplete;
+  }
+
+  markCompleteTo(position: SourcePosition): void {
+    this.latestComplete = chooseLater(this.latestComplete, position);
+  }
+
+  /** Highest era of the source that this node has heard of, from the source or another node. */
+  get newestEra(): number {
+    return this.highestEra;
   }
 
-  markCompleteTo(revision: number): void {
-    this.latestCompleteRevision = Math.max(this.latestCompleteRevision, revision);
+  /** Whether the source has come back from an older copy since this node read from it. */
+  get isEraOver(): boolean {
+    return this.highestEra > this.latestComplete.era;
   }
 
-  getRevision(endpointId: EndpointId): number {
-    return this.revisions.get(endpointId) ?? 0;
+  /** A newer era ends the calls that continue from a position in the older one. */
+  hearOfEra(era: number): void {
+    if (era <= this.highestEra) return;
+    const isFirst = this.latestComplete.revision === 0;
+    this.highestEra = era;
+    if (!isFirst) this.departures.beginEra();
+    this.interrupt();
+  }
+
+  /**
+   * Begins to apply everything that is published in a newer era. Entries that are missing from it
+   * may be written again, so they are kept as after an outage.
+   * @returns whether the era is newer than that of the known position.
+   */
+  enterEra(era: number): boolean {
+    const { latestComplete: before } = this;
+    if (era <= before.era) return false;
+    this.hearOfEra(era);
+    this.latestComplete = { era, revision: 0 };
+    if (before.revision === 0) return true;
+    this.kernel.log.warn('source era changed', {
+      before,
+      era,
+      version: this.current?.version,
+      endpoints: this.endpoints.size,
+      confirmedAgeMs: Math.round(this.getConfirmedAgeMs()),
+    });
+    this.kernel.get(ServingMetrics).countSourceEra();
+    this.restartGrace();
+    return true;
+  }
+
+  /** Notes a position of the source, and applies entries that it shows to be written in its era. */
+  noteEraStart(position: SourcePosition): void {
+    this.departures
+      .noteEraStart(position)
+      .forEach(({ backEnd, value }) => this.applyEndpoint(backEnd, value));
+  }
+
+  getPosition(endpointId: EndpointId): SourcePosition {
+    return this.positions.get(endpointId) ?? NO_POSITION;
   }
 
   getValue(endpointId: EndpointId): PublishedValue | undefined {
@@ -140,20 +207,20 @@
   applyChange(change: PublishedChange, isComplete: boolean): void {
     if (change.kind === 'configuration') this.setConfiguration(change.configuration, change.value);
     if (change.kind === 'endpoint') this.applyEndpoint(change.backEnd, change.value);
-    if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.revision);
+    if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.position);
     if (change.kind === 'unreadable') {
-      const { key, reason, revision, endpointId } = change;
+      const { key, reason, position, endpointId } = change;
       if (this.reportedValues.add(change)) {
-        this.kernel.log.warn('published value ignored', { key, revision, reason, isComplete });
+        this.kernel.log.warn('published value ignored', { key, ...position, reason, isComplete });
       }
-      if (endpointId !== undefined) this.applyUnreadable(endpointId, revision);
+      if (endpointId !== undefined && position) this.applyUnreadable(endpointId, position);
     }
   }
 
   /** Known endpoints that are missing from a list. */
-  listMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<EndpointId> {
+  listMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<KnownBackEnd> {
     const listedIds = new Set(listed);
-    return [...this.endpoints.keys()].filter((endpointId) => !listedIds.has(endpointId));
+    return this.listAll().filter(({ endpointId }) => !listedIds.has(endpointId));
   }
 
   setConfiguration(configuration: ServingConfiguration, value: PublishedValue): void {
@@ -173,9 +240,14 @@
   /** Ignores states older than the known one, which stale reads and other nodes may deliver. */
   applyEndpoint(backEnd: BackEnd, value: PublishedValue): void {
     const before = this.endpoints.get(backEnd.endpointId);
-    if (value.revision < this.getRevision(backEnd.endpointId)) return;
-    // Every change up to the complete revision is known, so an unknown endpoint was removed by then.
-    if (!before && value.revision <= this.latestCompleteRevision) return;
+    if (isEarlier(value.position, this.getPosition(backEnd.endpointId))) return;
+    // Every change up to the complete position is known, so an unknown endpoint was removed by then.
+    if (!before && !isEarlier(this.latestComplete, value.position)) return;
+    if (this.departures.isSuppressed(backEnd, value.position)) {
+      this.departures.hold({ backEnd, value });
+      return;
+    }
+    this.departures.forget(backEnd.endpointId);
     this.expiredEntries.delete(backEnd.endpointId);
     const isRestarted = before !== undefined && before.startedAtWallMs !== backEnd.startedAtWallMs;
     if (before && isRestarted && backEnd.startedAtWallMs < before.startedAtWallMs) return;
@@ -188,41 +260,58 @@
     };
     this.endpoints.set(backEnd.endpointId, known);
     this.publishedEndpoints.set(backEnd.endpointId, value);
-    this.revisions.set(backEnd.endpointId, value.revision);
+    this.positions.set(backEnd.endpointId, value.position);
     if (!before || isRestarted || before.leavingSinceMs !== known.leavingSinceMs) {
       this.logChange(known, isRestarted ? 'restarted' : 'listed');
     }
+    if (known.leavingSinceMs !== undefined) this.recordDeparture(known);
     if (before && isRestarted) this.notifyLeaving(before);
     else if (known.leavingSinceMs !== undefined && wasLeaving === undefined) {
       this.notifyLeaving(known);
     }
   }
 
-  /** @param revision of the removal, or of the full read in which the endpoint was missing. */
-  removeEndpoint(endpointId: EndpointId, revision: number): void {
-    const known = this.endpoints.get(endpointId);
-    if (!known || revision < this.getRevision(endpointId)) return;
-    this.revisions.set(endpointId, revision);
-    if (known.leavingSinceMs !== undefined) return;
+  /** @param position of the removal, or of the full read in which the endpoint was missing. */
+  removeEndpoint(endpointId: EndpointId, position: SourcePosition): void {
     const { expiredEntryGraceMs } = DEPLOYMENT_OPTIONS;
     const removedAtMs = this.sourceRecoveredAtMs + expiredEntryGraceMs;
-    if (this.unavailableReason === undefined && this.kernel.clock.nowMs() >= removedAtMs) {
-      this.markLeaving(known, 'entry removed');
-    } else if (!this.expiredEntries.has(endpointId)) {
-      this.expiredEntries.set(endpointId, removedAtMs);
-      this.logChange(known, 'entry expired while the source was unavailable');
+    if (this.unavailableReason !== undefined || this.kernel.clock.nowMs() < removedAtMs) {
+      this.expireEntry(endpointId, position, removedAtMs);
+      return;
     }
+    this.departures.recordRemoval(endpointId, position);
+    const known = this.updatePosition(endpointId, position);
+    if (known && known.leavingSinceMs === undefined) this.markLeaving(known, 'entry removed');
   }
 
-  /** Applies the report of another node that the endpoint is leaving or gone. */
-  applyDeparture(
+  /** Keeps an endpoint whose entry is missing for the time in which it may be written again. */
+  expireEntry(
     endpointId: EndpointId,
-    revision: number,
-    reason = 'reported as leaving by another node',
+    position: SourcePosition,
+    removedAtMs = this.kernel.clock.nowMs() + DEPLOYMENT_OPTIONS.expiredEntryGraceMs,
   ): void {
+    const known = this.updatePosition(endpointId, position);
+    if (!known || known.leavingSinceMs !== undefined || this.expiredEntries.has(endpointId)) return;
+    this.expiredEntries.set(endpointId, removedAtMs);
+    this.logChange(known, 'entry expired while the source was unavailable');
+  }
+
+  /** Applies the report of another node that the endpoint is leaving or gone. */
+  applyDeparture(departure: Departure, reason = 'reported as leaving by another node'): void {
+    const { endpointId } = departure;
     const known = this.endpoints.get(endpointId);
-    if (!known || revision < this.getRevision(endpointId)) return;
-    this.revisions.set(endpointId, revision);
+    const position = this.getPosition(endpointId);
+    const { startedAtWallMs = 0 } = known ?? {};
+    const { eraStart } = this.departures;
+    if (known && isRegisteredAnew({ startedAtWallMs, position }, departure, eraStart)) return;
+    this.departures.record(departure, this.highestEra);
+    if (!known) return;
+    const value = this.publishedEndpoints.get(endpointId);
+    if (value && departure.position.era < value.position.era) {
+      this.departures.hold({ backEnd: known, value });
+    }
+    // An entry of a newer era that is held back doesn't raise the position of the departure.
+    this.positions.set(endpointId, departure.position);
     if (known.leavingSinceMs !== undefined) return;
     this.expiredEntries.delete(endpointId);
     this.markLeaving(known, reason);
@@ -240,17 +329,12 @@
    * during the call is detected.
    */
   confirm(asOfMs: number, sentAt: ClockReading): void {
-    const { clock, log } = this.kernel;
     if (this.unavailableReason !== undefined) {
-      log.info('source regained', { reason: this.unavailableReason });
+      const { era, revision } = this.latestComplete;
+      const reason = this.unavailableReason;
+      this.kernel.log.info('source regained', { reason, era, revision });
       this.unavailableReason = undefined;
-      this.sourceRecoveredAtMs = clock.nowMs();
-      this.expiredEntries.forEach((_, endpointId) =>
-        this.expiredEntries.set(
-          endpointId,
-          this.sourceRecoveredAtMs + DEPLOYMENT_OPTIONS.expiredEntryGraceMs,
-        ),
-      );
+      this.restartGrace();
     }
     this.confirmRelayed(asOfMs, sentAt);
   }
@@ -267,28 +351,29 @@
   markSourceUnavailable(reason: string): void {
     if (this.unavailableReason === undefined) {
       const confirmedAgeMs = Math.round(this.getConfirmedAgeMs());
-      this.kernel.log.warn('source lost', { reason, confirmedAgeMs });
+      const { era, revision } = this.latestComplete;
+      this.kernel.log.warn('source lost', { reason, confirmedAgeMs, era, revision });
     }
     this.unavailableReason = reason;
   }
 
-  /** Aborts when the confirmed age becomes unknown, as after a suspension of the machine. */
-  watchForSuspension(): Deadline {
+  /** Aborts after a suspension of the machine, or when a newer era of the source is heard of. */
+  watchForInterruption(): Deadline {
     const watch = new AbortController();
-    this.suspensionWatches.add(watch);
-    return { signal: watch.signal, stop: () => this.suspensionWatches.delete(watch) };
+    this.interruptions.add(watch);
+    return { signal: watch.signal, stop: () => this.interruptions.delete(watch) };
   }
 
   /** Marks expired entries as leaving and evicts endpoints that left long ago. */
   sweep(): void {
     const nowMs = this.kernel.clock.nowMs();
+    this.departures.forgetOld(nowMs);
     if (this.confirmation && !Number.isFinite(this.getConfirmedAgeMs())) {
       this.kernel.log.warn('wall clock ran ahead of the monotonic clock', {
         confirmedAsOfMs: this.confirmation.asOfMs,
       });
       this.confirmation = undefined;
-      this.suspensionWatches.forEach((watch) => watch.abort());
-      this.suspensionWatches.clear();
+      this.interrupt();
     }
     if (this.unavailableReason === undefined) {
       [...this.expiredEntries]
@@ -309,26 +394,61 @@
       .forEach(({ endpointId }) => {
         this.endpoints.delete(endpointId);
         this.publishedEndpoints.delete(endpointId);
-        this.revisions.delete(endpointId);
+        this.positions.delete(endpointId);
       });
   }
 
   /**
-   * An entry that can't be read names no endpoint to use, so it counts as removed. At the revision of
+   * An entry that can't be read names no endpoint to use, so it counts as removed. At the position of
    * the known state it is a damaged copy of that state.
    */
-  private applyUnreadable(endpointId: EndpointId, revision = 0): void {
-    if (revision <= this.getRevision(endpointId)) return;
-    this.applyDeparture(endpointId, revision, 'entry unreadable');
+  private applyUnreadable(endpointId: EndpointId, position: SourcePosition): void {
+    const known = this.endpoints.get(endpointId);
+    if (!isEarlier(this.getPosition(endpointId), position) || !known) return;
+    const { startedAtWallMs } = known;
+    const atMs = this.kernel.clock.nowMs();
+    this.applyDeparture({ endpointId, startedAtWallMs, position, atMs }, 'entry unreadable');
+  }
+
+  private interrupt(): void {
+    this.interruptions.forEach((watch) => watch.abort());
+    this.interruptions.clear();
+  }
+
+  /** Gives all expired entries the full time to be written again. */
+  private restartGrace(): void {
+    this.sourceRecoveredAtMs = this.kernel.clock.nowMs();
+    const removedAtMs = this.sourceRecoveredAtMs + DEPLOYMENT_OPTIONS.expiredEntryGraceMs;
+    this.expiredEntries.forEach((_, endpointId) =>
+      this.expiredEntries.set(endpointId, removedAtMs),
+    );
+  }
+
+  /** Returns the known endpoint, unless a later change of it is known. */
+  private updatePosition(
+    endpointId: EndpointId,
+    position: SourcePosition,
+  ): KnownBackEnd | undefined {
+    const known = this.endpoints.get(endpointId);
+    if (!known || isEarlier(position, this.getPosition(endpointId))) return undefined;
+    this.positions.set(endpointId, position);
+    return known;
   }
 
   private markLeaving(known: KnownBackEnd, reason: string): void {
     const leaving = { ...known, leavingSinceMs: this.kernel.clock.nowMs() };
     this.endpoints.set(known.endpointId, leaving);
+    this.recordDeparture(leaving);
     this.logChange(leaving, reason);
     this.notifyLeaving(leaving);
   }
 
+  private recordDeparture({ endpointId, startedAtWallMs }: KnownBackEnd): void {
+    const position = this.getPosition(endpointId);
+    const atMs = this.kernel.clock.nowMs();
+    this.departures.record({ endpointId, startedAtWallMs, position, atMs }, this.highestEra);
+  }
+
   private notifyLeaving(backEnd: KnownBackEnd): void {
     this.notifyListeners(this.leavingListeners, backEnd);
   }
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -6,7 +6,7 @@
  * later than the request. Its data is therefore complete up to the time of the request minus that
  * age.
  */
-import { describeFault, type VmId } from '../../core';
+import { describeFault, isEarlier, type SourcePosition, type VmId } from '../../core';
 import { computeFreshnessThresholds, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { DeploymentSource, Members, Peers, type KnownMember } from '../../services';
@@ -19,6 +19,7 @@
   relayedValueSchema,
   receivedReplySchema,
   type ReceivedReply,
+  type RelayedEndpoint,
   type RelayRequest,
 } from './relayMessages';
 
@@ -29,9 +30,8 @@
 const NOT_OF_ITS_KEY = 'is not the value of its key';
 
 /** Whether an entry expired while the source was unavailable, and may still be renewed. */
-function isExpired(item: unknown): boolean {
-  const { value, revision = 0 } = relayedEndpointSchema.safeParse(item).data ?? {};
-  return value !== undefined && value.revision < revision;
+function isExpired({ value, position }: RelayedEndpoint): boolean {
+  return value !== undefined && isEarlier(value.position, position);
 }
 
 /** @internal */
@@ -80,7 +80,10 @@
 
   /** Asks any node if this one can't reach the source. */
   private async replaceSource(signal: AbortSignal): Promise<void> {
-    await this.kernel.clock.sleep(this.intervalMs, signal);
+    // A node without a configuration asks others before it reads the source.
+    const isStarting = !this.store.configuration;
+    const pauseMs = isStarting ? DEPLOYMENT_OPTIONS.readerPauseMs : this.intervalMs;
+    await this.kernel.clock.sleep(pauseMs, signal);
     if (signal.aborted) return;
     const member = this.isNeeded() ? this.chooseMember() : undefined;
     if (member) this.adjustInterval(member, await this.requestFrom(member.vmId, 0));
@@ -123,6 +126,7 @@
     const sentAt = this.store.readClocks();
     const request: RelayRequest = {
       configurationVersion: this.store.configuration?.version ?? 0,
+      newestEra: this.store.newestEra,
       endpointsDigest: digestEndpoints(this.store),
       waitMs,
     };
@@ -144,15 +148,21 @@
    */
   private applyReply(reply: ReceivedReply, sentAt: ClockReading): boolean {
     const { store } = this;
-    const { configuration, confirmedAgeMs, endpoints, completeToRevision } = reply;
+    const { configuration, confirmedAgeMs, endpoints, completeTo } = reply;
+    store.hearOfEra(reply.newestEra);
+    store.noteEraStart(reply.eraStart);
     this.isReplyReadable = true;
     if (confirmedAgeMs === undefined) return false;
     const hasConfiguration = configuration === undefined || this.applyConfiguration(configuration);
-    const isComplete = !endpoints || this.applyEndpoints(endpoints, completeToRevision);
+    this.isReplyReadable = hasConfiguration;
+    if (completeTo.era < store.newestEra) return false;
+    const isNewEra = store.enterEra(completeTo.era);
+    const hasEndpoints = isNewEra || endpoints !== undefined;
+    const isComplete = !hasEndpoints || this.applyEndpoints(endpoints ?? [], completeTo, isNewEra);
     this.isReplyReadable = hasConfiguration && isComplete;
     // The confirmation covers the other node's configuration, so it is void if that can't be decoded.
     if (!hasConfiguration) return false;
-    if (isComplete && !endpoints?.some(isExpired)) store.markCompleteTo(completeToRevision);
+    if (isComplete) store.markCompleteTo(completeTo);
     store.confirmRelayed(sentAt.nowMs - confirmedAgeMs, sentAt);
     return true;
   }
@@ -167,15 +177,25 @@
     return isRead;
   }
 
-  /** Returns whether all items could be read; the others are applied in any case. */
-  private applyEndpoints(items: ReadonlyArray<unknown>, completeToRevision: number): boolean {
+  /**
+   * Returns whether all items could be read; the others are applied in any case.
+   * @param isNewEra whether missing endpoints may not have registered yet since the era began.
+   */
+  private applyEndpoints(
+    items: ReadonlyArray<unknown>,
+    completeTo: SourcePosition,
+    isNewEra: boolean,
+  ): boolean {
+    const { store } = this;
+    const atMs = this.kernel.clock.nowMs();
     const results = items.map((item) => this.applyEndpoint(item));
     const listed = items.flatMap(
       (item) => relayedEndpointIdSchema.safeParse(item).data?.endpointId ?? [],
     );
-    this.store
-      .listMissingFrom(listed)
-      .forEach((endpointId) => this.store.applyDeparture(endpointId, completeToRevision));
+    store.listMissingFrom(listed).forEach(({ endpointId, startedAtWallMs }) => {
+      if (isNewEra) store.removeEndpoint(endpointId, completeTo);
+      else store.applyDeparture({ endpointId, startedAtWallMs, position: completeTo, atMs });
+    });
     return results.every(Boolean);
   }
 
@@ -186,9 +206,10 @@
       this.reportUnreadable(`${RELAYED_ENDPOINT} ${id}`, error);
       return false;
     }
-    const { endpointId, revision, value } = relayed;
+    const { endpointId, startedAtWallMs, position, value } = relayed;
     if (!value) {
-      this.store.applyDeparture(endpointId, revision);
+      const atMs = this.kernel.clock.nowMs();
+      this.store.applyDeparture({ endpointId, startedAtWallMs, position, atMs });
       return true;
     }
     const change = this.kernel.get(DeploymentSource).decode(value);
@@ -198,13 +219,14 @@
       return false;
     }
     this.store.applyChange(change, false);
+    if (isExpired(relayed)) this.store.expireEntry(endpointId, position);
     return true;
   }
 
-  /** Such a part has no revision that could be trusted, so it changes nothing. */
+  /** Such a part has no position that could be trusted, so it changes nothing. */
   private reportUnreadable(key: string, fault: unknown): void {
     const reason = describeFault(fault);
-    const change = { key, reason, revision: undefined, endpointId: undefined };
+    const change = { key, reason, position: undefined, endpointId: undefined };
     this.store.applyChange({ kind: 'unreadable', ...change }, false);
   }
 }
--- a/src/plugins/deployment/ReportedValues.ts
+++ b/src/plugins/deployment/ReportedValues.ts
@@ -15,8 +15,8 @@
   private readonly reported = new Set<string>();
 
   /** Returns whether this revision of the value is reported for the first time. */
-  add({ key, revision }: UnreadableValue): boolean {
-    const id = `${revision} ${key}`;
+  add({ key, position }: UnreadableValue): boolean {
+    const id = `${position?.era} ${position?.revision} ${key}`;
     if (this.reported.has(id)) return false;
     this.reported.add(id);
     const [oldest] = this.reported;
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -9,14 +9,18 @@
   expiredEntryGraceMs: 2_100,
   /** How long a departed endpoint is kept, for the requests that still run on it. */
   departedRetentionMs: 30_000,
+  /** How long a departure is remembered: the source may come back from a copy of this age. */
+  departureMemoryMs: 600_000,
+  /** Departures that a node tells others after a change of the source's era; the newest. */
+  maxSharedDepartures: 2_000,
   /** Interval of the checks of expired and departed entries, and of the clocks. */
   sweepIntervalMs: 250,
   /** Time beyond its wait after which a watch times out. */
   watchTimeoutMarginMs: 600,
-  /** Time by which a watch may end before its wait does, by the inaccuracy of timers. */
-  watchEarlyMarginMs: 20,
   /** Timeout of a full read. */
   readTimeoutMs: 1_500,
+  /** Time before the end of its wait at which a watch may return without counting as early. */
+  earlyAnswerToleranceMs: 10,
   /** Retry interval while the source fails. */
   retryIntervalMs: 250,
   /** Interval of attempts at the source by a node that others read for. */
--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -7,11 +7,14 @@
 /** Longest wait that a node may ask for. */
 const MAX_WAIT_MS = 5_000;
 
-const revisionSchema = z.int().min(0);
+const eraSchema = z.int().min(0);
+
+/** @internal */
+export const positionSchema = z.object({ era: eraSchema, revision: z.int().min(0) }).readonly();
 
 /** A published value, as another node has received it. @internal */
 export const relayedValueSchema = z
-  .object({ key: z.string(), text: z.string(), revision: revisionSchema })
+  .object({ key: z.string(), text: z.string(), position: positionSchema })
   .readonly();
 
 /** What the requesting node already has. @internal */
@@ -19,7 +22,9 @@
   .object({
     /** 0 when it has none. */
     configurationVersion: z.number().min(0),
-    /** Digest of its endpoints and their revisions. */
+    /** Highest era of the source that it has heard of. */
+    newestEra: eraSchema,
+    /** Digest of its endpoints and the positions of their last changes. */
     endpointsDigest: z.number(),
     /** How long the answer may wait for a change. */
     waitMs: z.number().min(0).max(MAX_WAIT_MS).default(0),
@@ -32,7 +37,9 @@
   .object({
     endpointId: endpointIdSchema,
     /** Of the newest change known to the answering node, including a removal. */
-    revision: revisionSchema,
+    position: positionSchema,
+    /** Start of its process, by which a departure is told from a new registration. */
+    startedAtWallMs: z.number(),
     /** As it was published; absent when the endpoint leaves or has left. */
     value: relayedValueSchema.optional(),
   })
@@ -41,11 +48,17 @@
 /** What names the endpoint of an item, also of one that can't be read otherwise. @internal */
 export const relayedEndpointIdSchema = z.object({ endpointId: endpointIdSchema });
 
+export type RelayedEndpoint = z.infer<typeof relayedEndpointSchema>;
+
 const relayReplySchema = z.object({
   /** Age of its confirmation at the time of the answer; absent when that age is too high. */
   confirmedAgeMs: z.number().min(0).optional(),
-  /** Revision up to which the answering node knows every change. */
-  completeToRevision: revisionSchema,
+  /** Highest era of the source that the answering node has heard of. */
+  newestEra: eraSchema,
+  /** Position up to which it knows every change. */
+  completeTo: positionSchema,
+  /** Lowest position that was seen in the newest era. */
+  eraStart: positionSchema,
   /** Absent unless it is newer than that of the requesting node. */
   configuration: relayedValueSchema.optional(),
   /** All known endpoints; absent when the digests are equal. */
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -22,8 +22,8 @@
  */
 export type ContinuationOutcome = 'from-copy' | 'new-run' | 'stayed' | 'cut';
 
-/** @public */
-export type SourceCallOutcome = 'changes' | 'no-change' | 'history-gone' | 'failed';
+/** `useless`: a stale answer, or an empty one before the end of its wait. @public */
+export type SourceCallOutcome = 'changes' | 'no-change' | 'history-gone' | 'useless' | 'failed';
 
 /**
  * Why a request had no answer when it should have had one. `task ended`: its task ended without one.
@@ -67,6 +67,9 @@
   /** Counts one call of the source of the configuration. */
   abstract countSourceCall(outcome: SourceCallOutcome): void;
 
+  /** Counts one change of the source's era. */
+  abstract countSourceEra(): void;
+
   /** Returns all metrics in the Prometheus text format, with its content type. */
   abstract render(): Promise<{ readonly contentType: string; readonly text: string }>;
 }
--- a/tests/oddEntries.test.ts
+++ b/tests/oddEntries.test.ts
@@ -54,7 +54,7 @@
   store.put('servers/i-3', ENTRY);
   const source = new StoreSource(store.url);
   const full = await source.readAll(signal);
-  const watched = await source.readChanges(1, 0, signal);
+  const watched = await source.readChanges({ era: 1, revision: 1 }, 0, signal);
   return [full.changes, watched?.changes ?? []];
 }
 
--- a/tests/oddEntriesFuzz.test.ts
+++ b/tests/oddEntriesFuzz.test.ts
@@ -129,7 +129,9 @@
 
   readAll(items: ReadonlyArray<unknown>): void {
     const sentAt = this.store.readClocks();
-    items.flatMap(decodeItem).forEach((change) => this.store.applyChange(change, false));
+    items
+      .flatMap((item) => decodeItem(item, 0))
+      .forEach((change) => this.store.applyChange(change, false));
     this.store.confirm(sentAt.nowMs, sentAt);
   }
 
@@ -145,7 +147,7 @@
         calls += 1;
         if (calls > replies) return new Promise(() => {});
         // Asks for everything each time.
-        const request = { configurationVersion: 0, endpointsDigest: -1, waitMs: 0 };
+        const request = { configurationVersion: 0, newestEra: 0, endpointsDigest: -1, waitMs: 0 };
         return change(await handler.handle({} as Peer, request));
       },
     } as unknown as Peers);
--- a/tests/oddRelays.test.ts
+++ b/tests/oddRelays.test.ts
@@ -12,22 +12,28 @@
 
 type Fields = Readonly<Record<string, unknown>>;
 
+const at = (revision: unknown): Fields => ({ era: 0, revision });
+
 function createRelayed(id: string, revision: number, changes: Fields = {}): Fields {
   const entry = { service: 'desk', address: '127.0.0.1:80', zone: 'z', slots: 4, state: 'ready' };
   const text = JSON.stringify({ ...entry, ...changes });
-  return { endpointId: id, revision, value: { key: `servers/${id}`, text, revision } };
+  const position = at(revision);
+  const value = { key: `servers/${id}`, text, position };
+  return { endpointId: id, startedAtWallMs: 0, position, value };
 }
 
 const CONFIGURATION = {
   key: 'op/config',
   text: JSON.stringify(createStoreConfiguration()),
-  revision: 2,
+  position: at(2),
 };
 
 function createReply(endpoints: ReadonlyArray<unknown>, changes: Fields = {}): Fields {
   return {
     confirmedAgeMs: 0,
-    completeToRevision: POSITION,
+    newestEra: 0,
+    completeTo: at(POSITION),
+    eraStart: at(1),
     configuration: CONFIGURATION,
     endpoints,
     ...changes,
@@ -77,10 +83,10 @@
   ['a number', 7],
   ['null', null],
   ['an odd id', createRelayed('I 2', 11)],
-  ['an odd revision', { ...createRelayed('i-2', 11), revision: 'x' }],
-  ['a huge revision', { ...createRelayed('i-2', 11), revision: 1e308 }],
-  ['a value of another type', { endpointId: 'i-2', revision: 11, value: 7 }],
-  ['an odd text', { endpointId: 'i-2', revision: 11, value: { key: 'servers/i-2', text: 7 } }],
+  ['an odd revision', { ...createRelayed('i-2', 11), position: at('x') }],
+  ['a huge revision', { ...createRelayed('i-2', 11), position: at(1e308) }],
+  ['a value of another type', { ...createRelayed('i-2', 11), value: 7 }],
+  ['an odd text', { ...createRelayed('i-2', 11), value: { key: 'servers/i-2', text: 7 } }],
   ['a port out of range', createRelayed('i-2', 11, { address: '127.0.0.1:70000' })],
   ['the value of another endpoint', { ...createRelayed('i-4', 11), endpointId: 'i-2' }],
 ];
@@ -98,7 +104,7 @@
 
 // Guards against the departure of a known endpoint for a reply that lists it but can't be read.
 test('an odd item keeps the known endpoint', async () => {
-  const odd = { ...createRelayed('i-1', 13), revision: 'x' };
+  const odd = { ...createRelayed('i-1', 13), position: at('x') };
   const follower = await follow([createReply(good), createReply([odd, good[1]])]);
   expect(listIds(follower)).toEqual(['i-1', 'i-3']);
 });
@@ -107,12 +113,12 @@
 // list.
 test('an odd item leaves the position as it was', async () => {
   const { store } = await follow([createReply([7, ...good])]);
-  expect(store.completeToRevision).toBe(0);
+  expect(store.completeTo.revision).toBe(0);
 });
 
 const ODD_CONFIGURATIONS: ReadonlyArray<readonly [string, unknown]> = [
   ['of another type', 7],
-  ['that is no JSON', { ...CONFIGURATION, text: 'odd', revision: 13 }],
+  ['that is no JSON', { ...CONFIGURATION, text: 'odd', position: at(13) }],
   ['under another key', { ...CONFIGURATION, key: 'op/other' }],
 ];
 
@@ -131,7 +137,7 @@
 test.each([1e308, Infinity, Number.NaN, -1, 1.5])(
   'no position of %s is taken',
   async (position) => {
-    const { store } = await follow([createReply(good, { completeToRevision: position })]);
-    expect(store.completeToRevision).toBe(0);
+    const { store } = await follow([createReply(good, { completeTo: at(position) })]);
+    expect(store.completeTo.revision).toBe(0);
   },
 );
