--- a/tests/stopSoak.test.ts
+++ b/tests/stopSoak.test.ts
@@ -101,10 +101,11 @@
     node.terminate();
     for (let version = 6; !node.hasEnded; version++) {
       await sleep(random.next() * 120);
-      const choice = random.nextIndex(3);
+      const choice = random.nextIndex(4);
       if (choice === 0) node.terminate();
       if (choice === 1) node.reload();
       if (choice === 2) fixture.store.put('op/config', createStoreConfiguration({ version }));
+      if (choice === 3) fixture.store.behaviour = random.next() < 0.5 ? 'silent' : 'answer';
     }
     expect(performance.now() - startedMs).toBeLessThan(GRACE_SECONDS * 1_000);
     await Promise.all(callers);
