--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -59,8 +59,9 @@
       await (route.delivery === 'stream' ? this.parts.stream : this.parts.whole).deliver(admitted);
     } catch (thrown) {
       this.fail(running, admitted, thrown);
+    } finally {
+      this.finish(running, admitted);
     }
-    this.finish(running, admitted);
   }
 
   private async admit(running: RunningRequest, request: ServingRequest): Promise<AdmittedRequest> {
--- a/tests/CallerConnection.ts
+++ b/tests/CallerConnection.ts
@@ -34,24 +34,28 @@
     return new CallerConnection(socket);
   }
 
-  /** Sends a request, or only the beginning of its body if `declaredBytes` is larger. */
+  /**
+   * Sends a request, or only the beginning of its body if `declaredBytes` is larger. Returns its id.
+   */
   send(
     target: string,
     headers: Readonly<Record<string, string>> = {},
     body = '',
     declaredBytes = body.length,
-  ): void {
+  ): string {
     lastRequest += 1;
+    const requestId = `raw-${lastRequest}`;
     const all = {
       host: HOST,
       authorization: 'Token key-1',
-      'x-bramleyvane-request-id': `raw-${lastRequest}`,
+      'x-bramleyvane-request-id': requestId,
       'x-bramleyvane-deadline-ms': '4000',
       'content-length': String(declaredBytes),
       ...headers,
     };
     const lines = Object.entries(all).map(([name, value]) => `${name}: ${value}\r\n`);
     this.socket.write(`POST ${target} HTTP/1.1\r\n${lines.join('')}\r\n${body}`);
+    return requestId;
   }
 
   /** Waits for the next answer; resolves with 0 if the connection ends without one. */
