Log a stale answer only when it is one; wake followers at a new era

A watch that was answered in a newer era was logged as stale. An entry of an older process no longer ends the time that a missing entry has to be written again. Followers that wait are answered when the era changes.

--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -149,6 +149,7 @@
     });
     this.kernel.get(ServingMetrics).countSourceEra();
     this.restartGrace();
+    this.notifyChange();
     return true;
   }
 
@@ -247,10 +248,10 @@
       this.departures.hold({ backEnd, value });
       return;
     }
-    this.departures.forget(backEnd.endpointId);
-    this.expiredEntries.delete(backEnd.endpointId);
     const isRestarted = before !== undefined && before.startedAtWallMs !== backEnd.startedAtWallMs;
     if (before && isRestarted && backEnd.startedAtWallMs < before.startedAtWallMs) return;
+    this.departures.forget(backEnd.endpointId);
+    this.expiredEntries.delete(backEnd.endpointId);
     const nowMs = this.kernel.clock.nowMs();
     const wasLeaving = before !== undefined && !isRestarted ? before.leavingSinceMs : undefined;
     const known: KnownBackEnd = {
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -171,8 +171,8 @@
     const { store } = this;
     const isOfEra =
       position.era >= store.newestEra && (isComplete || position.era === store.completeTo.era);
-    const isCurrent = isOfEra && !isEarlier(position, store.completeTo);
-    if (!isCurrent && this.uselessReads === 0) {
+    const isStale = position.era < store.newestEra || isEarlier(position, store.completeTo);
+    if (isStale && this.uselessReads === 0) {
       this.kernel.log.warn('stale answer from the source', {
         ...position,
         known: store.completeTo,
@@ -194,7 +194,7 @@
       this.isHistoryGone = false;
     }
     store.markCompleteTo(position);
-    return isCurrent;
+    return !isStale;
   }
 
   /** Ends the call at its timeout, or earlier when it is interrupted. */
