Let the callers of the soak pause up to their idle limit

They wait up to four fifths of the idle limit that is in force, and a request sent on an open connection of a serving node must be answered, also if it was not read.

--- a/tests/answersSoak.test.ts
+++ b/tests/answersSoak.test.ts
@@ -25,10 +25,29 @@
 const drawBelow = (bound: number): number => Math.floor(random.next() * bound);
 const pick = <T>(values: ReadonlyArray<T>): T => values[drawBelow(values.length)] as T;
 
+/** Share of the idle limit up to which callers use an open connection again. */
+const REUSE_SHARE = 0.8;
+
+/** Time in which a node has applied a new configuration. */
+const APPLY_MS = 300;
+
+/** Idle limits, with the times at which they were published. */
+let idleLimits: ReadonlyArray<{ readonly atMs: number; readonly limitMs: number }> = [];
+
+/** The shortest limit that may be in force. */
+function getIdleLimitMs(): number {
+  const settledMs = performance.now() - APPLY_MS;
+  const newest = idleLimits.filter(({ atMs }) => atMs > settledMs);
+  const settled = idleLimits.filter(({ atMs }) => atMs <= settledMs).slice(-1);
+  return Math.min(...[...settled, ...newest].map(({ limitMs }) => limitMs));
+}
+
 /** Ids of the requests that were sent, and of those whose connection ended without an answer. */
 interface SoakRecord {
   readonly sent: string[];
   readonly unanswered: string[];
+  /** Requests that a serving node closed their connections on. */
+  readonly closedEarly: string[];
 }
 
 /** Sends requests on one connection after the other until the node is gone. */
@@ -36,14 +55,20 @@
   for (;;) {
     const caller = await CallerConnection.open(node.settings.node.callerAddress).catch(() => {});
     if (!caller) return;
-    while (!caller.isClosed) {
+    for (let idleMs = 0; idleMs <= REUSE_SHARE * getIdleLimitMs();) {
+      const wasServing = node.kernel.state === 'serving';
       const requestId = caller.send(pick(TARGETS), GENERATION_HEADERS, 'body');
       record.sent.push(requestId);
       const status = await caller.readStatus();
       if (status === 0) record.unanswered.push(requestId);
+      if (status === 0 && wasServing) record.closedEarly.push(requestId);
       // A stream ends after its head; 300 ms are longer than any of them.
-      await sleep(300 + drawBelow(900));
+      idleMs = 300 + drawBelow(2_500);
+      await sleep(idleMs);
+      // Closed within its limit, which a later configuration may have made longer.
+      if (caller.isClosed) break;
     }
+    caller.close();
   }
 }
 
@@ -53,14 +78,15 @@
       readonly routes: ReadonlyArray<Readonly<Record<string, unknown>>>;
     };
     const timeoutMs = 1_000 + drawBelow(3_000);
-    const idleTimeoutMs = pick([400, 1_500, 5_000]);
+    const idleTimeoutMs = pick([400, 4_000]);
     const changes = {
       version,
       routes: routes.slice(drawBelow(2)).map((route) => ({ ...route, timeoutMs })),
       limits: { ...LIMITS, idleTimeoutMs },
     };
+    idleLimits = [...idleLimits, { atMs: performance.now(), limitMs: idleTimeoutMs }];
     fixture.store.put('op/config', createStoreConfiguration(changes));
-    await sleep(100 + drawBelow(600));
+    await sleep(500 + drawBelow(1_500));
   }
 }
 
@@ -86,7 +112,8 @@
   fixture.store.put('op/config', createStoreConfiguration());
   const nodes = [await fixture.addReadyNode(0), await fixture.addReadyNode(0)];
   const untilMs = performance.now() + SECONDS * MS_PER_SECOND;
-  const record: SoakRecord = { sent: [], unanswered: [] };
+  idleLimits = [{ atMs: 0, limitMs: 5_000 }];
+  const record: SoakRecord = { sent: [], unanswered: [], closedEarly: [] };
   const changes = [changeConfiguration(fixture, untilMs), replaceEngines(fixture, untilMs)];
   const callers = Array.from({ length: CALLERS }, async (_, index) =>
     call(nodes[index % nodes.length] as FrontNode, record),
@@ -101,6 +128,7 @@
   const read = new Set(
     lines.filter(({ event }) => event === 'request').map(({ requestId }) => requestId),
   );
+  expect(record.closedEarly).toEqual([]);
   // A request that crosses the close of its connection was not read.
   expect(record.unanswered.filter((requestId) => read.has(requestId))).toEqual([]);
   expect(lines.filter(({ event }) => event === 'request ended without an answer')).toEqual([]);
