Report no lost call as not run because its hedge found no endpoint

Callers of a repeatable call got 503 'no-endpoint', which promises that the call has not run, although its only attempt was lost and may have run.

Cause: WholeDelivery.waitForFirstGood waited for both attempts with Promise.all, so the refusal of the hedge's placement replaced the outcome of the first attempt.

Change: attempts that could not be placed are left out; the outcome is that of an attempt that was sent, if there is one.

Class: work that may have run told as not run.

--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -137,9 +137,13 @@
       attempts.filter((running) => running !== winner.running).forEach(({ cancel }) => cancel());
       return winner.attempt;
     } catch {
-      const failed = await Promise.all(attempts.map(async ({ completion }) => completion));
-      // Only if neither may have run, the request has not run.
-      return failed.find(({ result }) => result !== 'not-run') ?? (failed[0] as AttemptResult);
+      const settled = await Promise.allSettled(attempts.map(async ({ completion }) => completion));
+      const failed = settled.flatMap((each) => (each.status === 'fulfilled' ? each.value : []));
+      // Only if neither may have run, the request has not run. A hedge that finds no endpoint says
+      // nothing of the first attempt.
+      const decisive = failed.find(({ result }) => result !== 'not-run') ?? failed[0];
+      if (decisive) return decisive;
+      throw settled.find((each) => each.status === 'rejected')?.reason;
     }
   }
 
--- a/tests/brokenAnswers.test.ts
+++ b/tests/brokenAnswers.test.ts
@@ -212,3 +212,16 @@
   const node = await fixture.addReadyNode(1);
   expect((await call(node, '/label/a')).status).toBe(502);
 });
+
+// Guards against "not run" for a call whose only attempt was lost after a hedge had found no endpoint.
+test('a lost attempt with a hedge that finds no endpoint is not reported as not run', async () => {
+  await addRawEndpoint('desk', (socket) => {
+    setTimeout(() => socket.resetAndDestroy(), 800);
+  });
+  const node = await fixture.addReadyNode(1);
+  const { status } = await call(node, '/lookup/a');
+  expect(node.lines.some(({ step, outcome }) => step === 'retry' && outcome === 'refuse')).toBe(
+    true,
+  );
+  expect(status).toBe(502);
+});
