--- a/src/plugins/deployment/SourceTask.test.ts
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -49,14 +49,17 @@
 
 const at = (revision: number): SourcePosition => ({ era: 1, revision });
 
-/** `history-gone`: every watch, while full reads succeed; `stale`: these as well. */
-type UselessKind = 'failing' | 'history-gone' | 'stale' | 'empty';
+/**
+ * `history-gone`: every watch, while full reads succeed; `stale`: these as well; `older-era`: a newer
+ * era has been heard of.
+ */
+type UselessKind = 'failing' | 'history-gone' | 'stale' | 'older-era' | 'empty';
 
 const bounds = { revocationWithinMs: 5_000 } as ServingBounds;
 
 /** Answers each call of a kind in the same way, at once. */
 class UselessSource extends DeploymentSource {
-  readonly newestEra = 1;
+  readonly newestEra: number;
 
   calls = 0;
 
@@ -64,6 +67,7 @@
 
   constructor(private readonly kind: UselessKind) {
     super();
+    this.newestEra = kind === 'older-era' ? 2 : 1;
     this.answer = { changes: [], position: at(kind === 'stale' ? 7 : 9) };
   }
 
@@ -133,7 +137,7 @@
 });
 
 // Guards against a loop that calls the source without a pause while no answer is of use.
-test.each<UselessKind>(['failing', 'history-gone', 'stale', 'empty'])(
+test.each<UselessKind>(['failing', 'history-gone', 'stale', 'older-era', 'empty'])(
   'calls a %s source at most once in a retry interval',
   async (kind) => {
     const source = new UselessSource(kind);
