--- a/tests/RestoredFleet.ts
+++ b/tests/RestoredFleet.ts
@@ -343,14 +343,15 @@
     this.store.write(key, key === CONFIGURATION_KEY ? String(this.version) : engineText);
   }
 
-  /** What was lost is written again within two seconds. */
+  /**
+   * What was lost is written again within two seconds; half of the configurations only with the next
+   * version.
+   */
   private restore(): void {
     this.store.restore(1 + Math.floor(this.random.next() * 99));
     const { timeMs } = this.fleet.network;
-    const keys = [
-      CONFIGURATION_KEY,
-      ...Array.from({ length: ENGINES }, (_, index) => `i-${index}`),
-    ];
+    const engines = Array.from({ length: ENGINES }, (_, index) => `i-${index}`);
+    const keys = this.random.next() < 0.5 ? engines : [CONFIGURATION_KEY, ...engines];
     this.rewriteAtMs = new Map(keys.map((key) => [key, timeMs + this.random.next() * 2_000]));
   }
 
