Ask another node once in each era for what the source has lost

What callers would see: a reader that starts after the return and reads the source before another node answers it keeps the older version, and a removed key with it, until the next version. Found by reading.

Cause: a reader asks other nodes only while the source fails.

Shown by: 'a reader asks another node once in each era', 'a new node learns a version that the store has lost'.

--- a/src/plugins/deployment/RelayTask.test.ts
+++ b/src/plugins/deployment/RelayTask.test.ts
@@ -51,3 +51,34 @@
   expect(watch.signal.aborted).toBe(true);
   expect(store.isEraOver).toBe(true);
 });
+
+// Guards against a reader that never learns a version or a departure that the source has lost, as it
+// reads the source itself.
+test('a reader asks another node once in each era', async () => {
+  const kernel = new TestKernel([]);
+  const store = new DeploymentStore(kernel, bounds, new Map());
+  let calls = 0;
+  const call = async (): Promise<unknown> => {
+    calls += 1;
+    const { completeTo, newestEra } = store;
+    return { completeTo, newestEra, eraStart: at(0, 0), confirmedAgeMs: 100 };
+  };
+  kernel.provide(Peers, { call } as unknown as Peers);
+  const members = { listReaders: () => [], listLive: () => [{ vmId: 'front-2' }] };
+  kernel.provide(Members, members as unknown as Members);
+  kernel.provide(ServingMetrics, { countSourceEra: () => {} } as unknown as ServingMetrics);
+  const end = new AbortController();
+  void new RelayTask(kernel, store).run(end.signal);
+  for (const era of [2, 3]) {
+    store.enterEra(era);
+    store.markCompleteTo(at(era, 5));
+    for (let timeMs = 0; timeMs < 1_000; timeMs += 50) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+      kernel.manualClock.advance(50);
+    }
+    expect(calls).toBe(era - 1);
+  }
+  end.abort();
+});
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -43,6 +43,9 @@
   /** Whether all parts of the last reply could be read. */
   private isReplyReadable = true;
 
+  /** Era of the source in which another node last confirmed its copy to this one. */
+  private copiedEra = -1;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly store: DeploymentStore,
@@ -78,7 +81,7 @@
     await this.kernel.clock.sleep(isPauseShort ? readerPauseMs : relayIntervalMs, signal);
   }
 
-  /** Asks any node if this one can't reach the source. */
+  /** Asks any node if that is needed. */
   private async replaceSource(signal: AbortSignal): Promise<void> {
     // A node without a configuration asks others before it reads the source.
     const isStarting = !this.store.configuration;
@@ -86,8 +89,13 @@
     await this.kernel.clock.sleep(pauseMs, signal);
     if (signal.aborted) return;
     const member = this.isNeeded() ? this.chooseMember() : undefined;
-    if (member) this.adjustInterval(member, await this.requestFrom(member.vmId, 0));
-    else this.resetInterval();
+    if (!member) {
+      this.resetInterval();
+      return;
+    }
+    const isConfirmed = await this.requestFrom(member.vmId, 0);
+    if (isConfirmed) this.copiedEra = this.store.completeTo.era;
+    this.adjustInterval(member, isConfirmed);
   }
 
   /** Makes the next outage start with short intervals again. */
@@ -96,8 +104,13 @@
     this.intervalMs = DEPLOYMENT_OPTIONS.relayIntervalMs;
   }
 
+  /**
+   * Whether this node can't reach the source, or has to learn from another node what the source may
+   * have lost: once after the start and once in each era.
+   */
   private isNeeded(): boolean {
     const { relayAfterMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
+    if (this.copiedEra < this.store.completeTo.era) return true;
     return this.store.isSourceUnavailable || this.store.getConfirmedAgeMs() > relayAfterMs;
   }
 
--- a/src/plugins/deployment/SourceTask.test.ts
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -100,6 +100,7 @@
   kernel.provide(Members, {
     readsSource: () => true,
     readsForOthers: () => false,
+    hasJoined: () => true,
     listLive: () => [],
   } as unknown as Members);
   const end = new AbortController();
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -97,7 +97,7 @@
     // Other nodes may know versions and departures that the source has lost. After a restart of all
     // nodes, nobody has a copy yet.
     if (!this.store.configuration && startedForMs <= DEPLOYMENT_OPTIONS.firstCopyWaitMs) {
-      return members.readsSource() && members.listLive().length === 0;
+      return members.readsSource() && members.hasJoined() && members.listLive().length === 0;
     }
     if (!this.store.configuration || members.readsSource()) return true;
     // The readers get the same time after the start as after a confirmation.
--- a/tests/restoredStore.test.ts
+++ b/tests/restoredStore.test.ts
@@ -94,6 +94,17 @@
   expect(nodes.map(getVersion)).toEqual(nodes.map(() => 7));
 });
 
+// Guards against a new node that runs requests with a key that a lost version had removed.
+test('a new node learns a version that the store has lost', async () => {
+  await startFleet();
+  const copy = fixture.store.createCopy();
+  await publishVersion(7);
+  fixture.store.restore(copy);
+  const { lines } = await fixture.addReadyNode(2);
+  const applied = lines.filter(({ event }) => event === 'configuration applied');
+  expect(applied.map(({ version }) => version)).toEqual([7]);
+});
+
 // Guards against requests to an engine that has left, because an old copy lists it as ready, and
 // against an engine that is missing for good after it has registered anew.
 test('an engine that left stays out until it registers anew', async () => {
