Read replies of other nodes that carry no configuration

A reply without a key for the configuration was rejected as a whole, as zod takes an unknown value for required. Replies that only tell the era have none, so a node could not hear of an era from a node whose copy is too old to confirm.

--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -73,6 +73,9 @@
  * as they are. @internal
  */
 export const receivedReplySchema = relayReplySchema
-  .extend({ configuration: z.unknown(), endpoints: z.array(z.unknown()).readonly().optional() })
+  .extend({
+    configuration: z.unknown().optional(),
+    endpoints: z.array(z.unknown()).readonly().optional(),
+  })
   .readonly();
 export type ReceivedReply = z.infer<typeof receivedReplySchema>;
