Take runs over at their backup while the leaving engine serves

Callers of streams with a backup saw the stream cut when their engine left and the backup was refused: no copy, no room, or no retry budget.

Cause: RunMigrator left a run with a backup on its leaving engine until that engine ended. Only then was the backup tried, when neither the engine nor an order to copy the KV cache was left to fall back on.

The takeover test (framed and unframed) and the one with a part quarantined meanwhile time out, as nothing happens before the engine ends. The other five new cases passed before; they guard the new path. Without the wait for an open attempt, or without the second check of the quarantine, the test of each fails.

Change: when the engine leaves, the engine of the backup takes the run over (CopyTakeover: the new segment is opened first, the old connection is closed only on success, events wait meanwhile), within the retry budget. If it doesn't, the run is migrated as one without a backup. A nearly finished run keeps its grace. The move waits while an attempt of the silence watch is open, and the run stays if its prompt was quarantined meanwhile. `recover` takes the retry from the budget itself, as its three callers have to.

Why it works: the leaving engine still holds the run when the backup is refused, so a refusal costs a migration and not the stream.

--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -78,7 +78,7 @@
     const retries = new RetryPolicy(kernel, this.nodeDrain);
     const crashes = new CrashReporter(kernel, this.health, this.departures);
     const opener = new SegmentOpener(placer, sender, crashes);
-    const migrator = new RunMigrator(kernel, placer, this.estimator, opener);
+    const migrator = new RunMigrator(kernel, placer, this.estimator, retries, opener);
     this.forwarder = new RequestForwarder(kernel, {
       table: this.table,
       whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -1,8 +1,10 @@
 /**
- * Migrates runs from engines that are leaving to other engines.
+ * Moves runs from engines that are leaving to other engines.
  *
- * The KV cache is copied while the run continues. Then the engine is told to stop the run, and the
- * run continues from the copy at the other engine, which prefills only the tokens produced since.
+ * A run with a backup is taken over by the engine of the backup while its own engine still serves. If
+ * that engine refuses it, or there is no backup, the run is migrated: the KV cache is copied while the
+ * run continues. Then the engine is told to stop the run, and the run continues from the copy at the
+ * other engine, which prefills only the tokens produced since.
  */
 import { request as sendRequest } from 'undici';
 import { ServingError, type EndpointId } from '../../core';
@@ -20,9 +22,10 @@
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
+import type { RetryPolicy } from './RetryPolicy';
 import type { SegmentOpener } from './SegmentOpener';
 import type { NextSegment, StreamSegment } from './StreamSegment';
-import { CopyTakeover, type RunningStream } from './Takeover';
+import { CopyTakeover, type RunningStream, type TakeoverOutcome } from './Takeover';
 
 /** @internal */
 export class RunMigrator {
@@ -34,6 +37,7 @@
     private readonly kernel: Kernel,
     private readonly placer: EndpointPlacer,
     private readonly estimator: OutputEstimator,
+    private readonly retries: RetryPolicy,
     private readonly opener: SegmentOpener,
   ) {
     this.guard = new QuarantineGuard(kernel);
@@ -82,32 +86,49 @@
     if (!profile?.canMigrate || !admitted.work.prompt) return;
     // The other engine could crash; where the run is, it has begun well.
     if (this.guard.findRefusal(admitted)) return;
-    segment.migration = this.migrateIfNeeded(stream);
+    segment.migration = this.move(stream);
   }
 
   /**
-   * Migrates a run unless it has a backup, in which case it continues until its engine is lost. A run
-   * that is nearly done first gets some time to finish on its engine.
+   * Lets the backup's engine take the run over, or else migrates it; both need this engine, so they
+   * can't wait until it ends. A run that is nearly done first gets some time to finish here.
    */
-  private async migrateIfNeeded(stream: RunningStream): Promise<NextSegment | undefined> {
+  private async move(stream: RunningStream): Promise<NextSegment | undefined> {
     const { segment } = stream;
     const { minMigrationTokens, nearlyDoneGraceMs } = FORWARDING_OPTIONS;
-    if (this.findBackupEngine(segment)) return undefined;
     if (this.estimateRemaining(stream) < minMigrationTokens) {
       await this.kernel.clock.sleep(nearlyDoneGraceMs, segment.done);
     }
-    return this.migrate(stream);
+    if (this.findBackupEngine(segment)) await this.takeOverAtBackup(stream);
+    return this.mayMove(stream) ? this.migrate(stream) : undefined;
   }
 
-  /** Whether another engine has a backup of the run. */
-  hasBackup(segment: StreamSegment): boolean {
-    return this.findBackupEngine(segment) !== undefined;
+  /** Whether the run is still on its engine, and no part of its prompt was quarantined meanwhile. */
+  private mayMove({ admitted, segment }: RunningStream): boolean {
+    return segment.isCurrent && !this.guard.findRefusal(admitted);
   }
 
-  /** Returns the next segment of a run whose engine was lost, if another engine has a backup. */
+  private async takeOverAtBackup(stream: RunningStream): Promise<void> {
+    const { segment } = stream;
+    await this.waitForOpenTakeover(segment);
+    const next = this.mayMove(stream) ? this.recover(stream) : undefined;
+    if (next) await this.runTakeover(stream, next, 'engine leaving');
+  }
+
+  /** Only one attempt to take a run over is made at a time; a silent engine causes some as well. */
+  private async waitForOpenTakeover(segment: StreamSegment): Promise<void> {
+    while (segment.isCurrent && segment.takeover?.isOpen) {
+      await this.kernel.clock.sleep(FORWARDING_OPTIONS.migrationRetryMs, segment.done);
+    }
+  }
+
+  /**
+   * Returns the next segment of a run whose engine is leaving, silent or lost, if another engine has a
+   * backup and the retry budget allows it.
+   */
   recover({ admitted, segment, progress }: RunningStream): NextSegment | undefined {
     const engine = this.findBackupEngine(segment);
-    if (!engine) return undefined;
+    if (!engine || !this.retries.takeFromBudget(admitted.work.service)) return undefined;
     const placed = this.placer.placeAtBackup(admitted.work, engine, progress.outputTokens);
     const handle = this.kernel.get(RequestDialect).getBackupHandle(admitted.request.requestId);
     return { placed, continueFrom: { address: engine.address, handle }, laterCopy: undefined };
@@ -171,22 +192,33 @@
 
   /** Continues from the first copy, or leaves the run where it is and tries to migrate it again. */
   private async takeOver(stream: RunningStream, next: NextSegment): Promise<void> {
-    const { segment, admitted } = stream;
+    const { segment } = stream;
     if (segment.done.aborted || segment.takeover?.isOpen) return;
+    const outcome = await this.runTakeover(stream, next, 'run not stopped');
+    if (outcome === 'committed') return;
+    await this.kernel.clock.sleep(FORWARDING_OPTIONS.takeoverPauseMs, segment.done);
+    segment.migration = undefined;
+    this.start(stream);
+  }
+
+  /** Runs an attempt; the events of the present engine wait for its outcome. */
+  private async runTakeover(
+    stream: RunningStream,
+    next: NextSegment,
+    what: 'engine leaving' | 'run not stopped',
+  ): Promise<TakeoverOutcome> {
+    const { admitted, segment } = stream;
     const takeover = new CopyTakeover(this.kernel, this.opener, stream, next, true);
     segment.takeover = takeover;
     const outcome = await takeover.run();
     this.kernel.log.warn('decision', {
       requestId: admitted.request.requestId,
       step: 'place',
-      what: 'run not stopped',
+      what,
       from: segment.placed.backEnd.endpointId,
       outcome: outcome === 'committed' ? `taken over: ${takeover.kind}` : `stays: ${outcome}`,
     });
-    if (outcome === 'committed') return;
-    await this.kernel.clock.sleep(FORWARDING_OPTIONS.takeoverPauseMs, segment.done);
-    segment.migration = undefined;
-    this.start(stream);
+    return outcome;
   }
 
   private placeOnOtherEngine(
--- a/src/plugins/forwarding/SilenceWatch.ts
+++ b/src/plugins/forwarding/SilenceWatch.ts
@@ -88,16 +88,15 @@
   }
 
   private createCopyTakeover(stream: RunningStream): Takeover | undefined {
-    const { admitted, segment } = stream;
-    if (segment.done.aborted || !this.migrator.hasBackup(segment)) return undefined;
-    if (!this.retries.takeFromBudget(admitted.work.service)) return undefined;
+    if (stream.segment.done.aborted) return undefined;
     const next = this.migrator.recover(stream);
     return next && new CopyTakeover(this.kernel, this.opener, stream, next, false);
   }
 
   private createNewRunTakeover(stream: RunningStream): Takeover | undefined {
     const { admitted, segment } = stream;
-    if (segment.done.aborted || !admitted.route.isResumable) return undefined;
+    if (!segment.isCurrent || segment.takeover?.isOpen) return undefined;
+    if (!admitted.route.isResumable) return undefined;
     const hasOther = this.kernel
       .get(Deployment)
       .listAssignable(admitted.work.service)
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -305,10 +305,7 @@
   private async findNextSegment(stream: RunningStream): Promise<NextSegment | undefined> {
     const migrated = await stream.segment.migration;
     if (migrated) return migrated;
-    const { migrator, retries } = this.parts;
-    const { work } = stream.admitted;
-    if (!migrator.hasBackup(stream.segment)) return undefined;
-    return retries.takeFromBudget(work.service) ? migrator.recover(stream) : undefined;
+    return this.parts.migrator.recover(stream);
   }
 
   /** Starts a new run that resumes after the last event, if the route allows it. */
--- a/src/plugins/forwarding/StreamSegment.ts
+++ b/src/plugins/forwarding/StreamSegment.ts
@@ -44,6 +44,11 @@
     return this.doneController.signal;
   }
 
+  /** Whether the run is still on this engine: it hasn't ended, and no other engine has it. */
+  get isCurrent(): boolean {
+    return !this.done.aborted && !this.takeover?.isCommitted;
+  }
+
   /** Returns how long the next event has been awaited; 0 while the caller is slow to read. */
   getWaitedMs(nowMs: number): number {
     return this.waitingSinceMs === undefined ? 0 : nowMs - this.waitingSinceMs;
--- a/tests/silentEngines.test.ts
+++ b/tests/silentEngines.test.ts
@@ -1,9 +1,9 @@
 /**
- * Tests streams whose engine falls silent for a while and goes on: such a run is never given up
- * before its continuation is secured.
+ * Tests streams whose engine falls silent for a while and goes on, or leaves: such a run is never
+ * given up before its continuation is secured.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Deployment } from '../src/services';
+import { Deployment, Quarantine } from '../src/services';
 import type { PlatformEngine } from '../stand-ins/PlatformEngine';
 import {
   callFront,
@@ -65,11 +65,12 @@
   return { ...base, version, routes, services, ...changes };
 }
 
-async function addWriter(instanceId: string): Promise<PlatformEngine> {
+async function addWriter(instanceId: string, isUnframed = false): Promise<PlatformEngine> {
   return fixture.addEngine('writers', {
     instanceId,
     events: EVENTS,
     eventIntervalMs: EVENT_INTERVAL_MS,
+    isUnframed,
   });
 }
 
@@ -93,8 +94,9 @@
 async function startReplicatedStream(
   route: 'report' | 'label',
   bounds?: Readonly<Record<string, number>>,
+  isUnframed = false,
 ): Promise<StartedStream> {
-  const engines = [await addWriter('i-1'), await addWriter('i-2')];
+  const engines = [await addWriter('i-1', isUnframed), await addWriter('i-2', isUnframed)];
   const node = await fixture.addReadyNode(2, bounds);
   const answer = call(node, route);
   answer.catch(() => {});
@@ -104,6 +106,12 @@
   return { node, answer, primary, other };
 }
 
+/** Announces that an engine leaves; it goes on serving. */
+function leave(engine: PlatformEngine): void {
+  const id = engine === fixture.engines[0] ? 'i-1' : 'i-2';
+  fixture.store.put(`servers/${id}`, engine.createEntry('writers', { state: 'draining' }));
+}
+
 // Guards against a stream that is cut because its backup was refused while its sound engine was
 // silent for a moment.
 test('keeps the silent engine when the backup is refused', async () => {
@@ -245,9 +253,97 @@
   fixture.store.put('op/config', createConfiguration({ backups: true }));
   const { answer, primary, other } = await startReplicatedStream('report');
   other.copies.clear();
-  const id = primary === fixture.engines[0] ? 'i-1' : 'i-2';
-  fixture.store.put(`servers/${id}`, primary.createEntry('writers', { state: 'draining' }));
+  leave(primary);
   await sleep(800);
   primary.crash();
   expect((await answer).text).toBe(WHOLE_STREAM);
 });
+
+// Guards against a run that waits for the end of its leaving engine although it has a backup, and
+// against an unframed stream that looks complete when its connection is closed for the takeover.
+test.each([false, true])('a backup takes over from a leaving engine: unframed %s', async (is) => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report', undefined, is);
+  leave(primary);
+  await waitUntil('the takeover', () => other.executedRequestIds.length === 1);
+  await waitUntil('the close', () => primary.runningCount === 0);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(other.receivedRequests).toHaveLength(1);
+  expect(node.lines).toContainEqual(
+    expect.objectContaining({ what: 'engine leaving', outcome: 'taken over: from-copy' }),
+  );
+});
+
+// Guards against a stream that is cut when its leaving engine ends, as the retry budget doesn't
+// allow the backup then, although the run could have been migrated before.
+test('a run on a leaving engine is migrated when no budget is left for its backup', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { answer, primary, other } = await startReplicatedStream('report', NO_RETRIES);
+  leave(primary);
+  await sleep(800);
+  primary.crash();
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(other.executedRequests.map(({ headers }) => headers['kv-from'])).toEqual([
+    expect.stringMatching(/-copy$/),
+  ]);
+});
+
+// Guards against a run that moves to an engine which leaves as well.
+test('a run is migrated past a backup that leaves too', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report');
+  const third = await addWriter('i-3');
+  await waitUntil('the third engine', () => node.kernel.get(Deployment).listAll().length === 3);
+  leave(other);
+  const deployment = node.kernel.get(Deployment);
+  await waitUntil('the notice', () => deployment.listAssignable('writers').length === 2);
+  leave(primary);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(other.executedRequestIds).toEqual([]);
+  expect(third.executedRequestIds).toHaveLength(1);
+});
+
+// Guards against a part that is sent to another engine although it was quarantined while the backup
+// was refused, and against a stream that is cut because of this.
+test('a run stays on its leaving engine when its prompt is quarantined meanwhile', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report');
+  other.refusesCopies = true;
+  other.continuationDelayMs = 150;
+  leave(primary);
+  await waitUntil('the attempt', () => other.receivedRequests.length === 1);
+  const refusal = { outcome: 'refuse', part: 'aa' as never, crashes: 5, retryAfterMs: 1 } as const;
+  jest.spyOn(node.kernel.get(Quarantine), 'check').mockReturnValue(refusal);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(listRuns([primary, other])).toHaveLength(1);
+  expect(other.receivedRequests).toHaveLength(1);
+});
+
+// Guards against two attempts at a time when the engine of a run is silent and then leaves.
+test('a leaving engine that is silent is left by one attempt at a time', async () => {
+  fixture.store.put('op/config', createConfiguration({ backups: true }));
+  const { node, answer, primary, other } = await startReplicatedStream('report');
+  other.continuationDelayMs = 200;
+  primary.goSilentFor(60_000);
+  await waitUntil('the attempt', () => other.receivedRequests.length === 1);
+  leave(primary);
+  const deployment = node.kernel.get(Deployment);
+  await waitUntil('the notice', () => deployment.listAssignable('writers').length === 1);
+  expect(other.executedRequestIds).toEqual([]);
+  expect((await answer).text).toBe(WHOLE_STREAM);
+  expect(other.receivedRequests).toHaveLength(1);
+});
+
+// Guards against a stream that is cut, or whose last events come twice or not at all, when it ends
+// while its backup is still to answer.
+test.each([1_200, 1_300, 1_400])(
+  'a stream that ends about when its engine leaves is whole: after %i ms',
+  async (delayMs) => {
+    fixture.store.put('op/config', createConfiguration({ backups: true }));
+    const { answer, primary, other } = await startReplicatedStream('report');
+    other.continuationDelayMs = 150;
+    await sleep(delayMs);
+    leave(primary);
+    expect((await answer).text).toBe(WHOLE_STREAM);
+  },
+);
