Take an answer without a length for lost again when its endpoint has ended

Callers could get a truncated answer as whole: a call 200 with half its body, a stream its final chunk, when an endpoint that was leaving ended in the middle.

If nothing listens at the address when such an answer ends, it is lost: a request that may be repeated is repeated, another one gets 502, a stream is cut or goes on. Which of two wrong outcomes is worse decides: a truncated answer that looks whole is never allowed. Departures serves only the reports of crashes.

--- a/src/plugins/forwarding/EndpointConnections.test.ts
+++ b/src/plugins/forwarding/EndpointConnections.test.ts
@@ -7,7 +7,6 @@
 import { FORWARDING_OPTIONS } from './options';
 
 const clock = new SystemClock();
-const NO_DEPARTURES = { isDeparting: () => false };
 const servers: Server[] = [];
 const { signal } = new AbortController();
 
@@ -76,7 +75,7 @@
     socket.write(bytes);
     setTimeout(() => (end === 'reset' ? socket.resetAndDestroy() : socket.end()), 30);
   });
-  const answer = await send(new EndpointConnections(clock, NO_DEPARTURES), backEnd);
+  const answer = await send(new EndpointConnections(clock), backEnd);
   await expect(readAll(answer)).rejects.toThrow();
 });
 
@@ -86,7 +85,7 @@
   const backEnd = await startEndpoint((socket) => {
     socket.write(UNFRAMED, () => socket.resetAndDestroy());
   });
-  const connections = new EndpointConnections(clock, NO_DEPARTURES);
+  const connections = new EndpointConnections(clock);
   const outcomes = await Promise.allSettled(
     Array.from({ length: 40 }, async () => readAll(await send(connections, backEnd))),
   );
@@ -98,9 +97,7 @@
   const backEnd = await startEndpoint((socket) => {
     socket.end(UNFRAMED);
   });
-  expect(await readAll(await send(new EndpointConnections(clock, NO_DEPARTURES), backEnd))).toBe(
-    'half',
-  );
+  expect(await readAll(await send(new EndpointConnections(clock), backEnd))).toBe('half');
 });
 
 // Guards against a stray second response that is taken for the response to the next request.
@@ -111,7 +108,7 @@
     socket.write(WHOLE);
     setTimeout(() => socket.write(WHOLE.replace('whole', 'stray')), 20);
   });
-  const connections = new EndpointConnections(clock, NO_DEPARTURES);
+  const connections = new EndpointConnections(clock);
   expect(await readAll(await send(connections, backEnd))).toBe('whole');
   await clock.sleep(FORWARDING_OPTIONS.reuseDelayMs + 50);
   expect(await readAll(await send(connections, backEnd))).toBe('whole');
@@ -125,7 +122,7 @@
     if (requests === 1) opened += 1;
     socket.write(WHOLE);
   });
-  const connections = new EndpointConnections(clock, NO_DEPARTURES);
+  const connections = new EndpointConnections(clock);
   await readAll(await send(connections, backEnd));
   await clock.sleep(FORWARDING_OPTIONS.reuseDelayMs + 20);
   await readAll(await send(connections, backEnd));
@@ -134,7 +131,7 @@
 
 // Guards against reporting a request as not run when the endpoint may have started it.
 test('distinguishes an unwritten request from one that may have run', async () => {
-  const connections = new EndpointConnections(clock, NO_DEPARTURES);
+  const connections = new EndpointConnections(clock);
   const silent = await startEndpoint((socket) => {
     socket.resetAndDestroy();
   });
@@ -149,7 +146,7 @@
 test.each(['127.0.0.1:70000', '127.0.0.256:80'])(
   'an unusable address %s is unreachable and keeps no place',
   async (address) => {
-    const connections = new EndpointConnections(clock, NO_DEPARTURES);
+    const connections = new EndpointConnections(clock);
     const odd = { endpointId: 'i-1', address, startedAtWallMs: 1 } as KnownBackEnd;
     await expect(send(connections, odd)).rejects.toMatchObject({ kind: 'endpoint-unreachable' });
     expect(connections.countBusy(odd)).toBe(0);
--- a/src/plugins/forwarding/EndpointConnections.ts
+++ b/src/plugins/forwarding/EndpointConnections.ts
@@ -3,7 +3,6 @@
  */
 import { ServingError, type Clock } from '../../core';
 import type { KnownBackEnd } from '../../services';
-import type { Departures } from './Departures';
 import { ConnectionPool, EndpointResponse } from './EndpointResponse';
 import { EndpointConnection, type EndpointMessage } from './EndpointConnection';
 import { FORWARDING_OPTIONS } from './options';
@@ -20,9 +19,8 @@
   private busyCount = 0;
 
   constructor(
-    private readonly backEnd: KnownBackEnd,
+    private readonly address: string,
     private readonly clock: Clock,
-    private readonly departures: Pick<Departures, 'isDeparting'>,
   ) {
     super();
   }
@@ -55,10 +53,6 @@
     } else void connection.close();
   }
 
-  override isDeparting(): boolean {
-    return this.departures.isDeparting(this.backEnd);
-  }
-
   /** Closes idle connections that have passed their idle timeout. */
   closeExpired(): void {
     const expired = this.idle.filter((idle) => !this.isUsable(idle));
@@ -68,7 +62,7 @@
 
   private open(): EndpointConnection {
     try {
-      return new EndpointConnection(this.backEnd.address);
+      return new EndpointConnection(this.address);
     } catch (thrown) {
       throw ServingError.from(thrown, 'endpoint-unreachable');
     }
@@ -87,10 +81,7 @@
 export class EndpointConnections {
   private readonly pools = new Map<string, EndpointPool>();
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly departures: Pick<Departures, 'isDeparting'>,
-  ) {}
+  constructor(private readonly clock: Clock) {}
 
   /** Number of this node's requests in flight at an endpoint. */
   countBusy(backEnd: KnownBackEnd): number {
@@ -126,7 +117,7 @@
 
   private getPool(backEnd: KnownBackEnd): EndpointPool {
     const key = getPoolKey(backEnd);
-    const pool = this.pools.get(key) ?? new EndpointPool(backEnd, this.clock, this.departures);
+    const pool = this.pools.get(key) ?? new EndpointPool(backEnd.address, this.clock);
     this.pools.set(key, pool);
     return pool;
   }
--- a/src/plugins/forwarding/EndpointResponse.ts
+++ b/src/plugins/forwarding/EndpointResponse.ts
@@ -9,9 +9,6 @@
 export abstract class ConnectionPool {
   /** @param isReusable whether the response was read to its end. */
   abstract release(connection: EndpointConnection, isReusable: boolean): void;
-
-  /** Whether the endpoint may have ended as planned. */
-  abstract isDeparting(): boolean;
 }
 
 /** @internal */
@@ -58,13 +55,12 @@
   }
 
   /**
-   * A body without a length ends with its connection, and so does one whose endpoint crashes. An
-   * endpoint that leaves ends after its last response.
+   * A body without a length ends with its connection, and so does one whose endpoint ends, also when
+   * it leaves as planned.
    * @throws ServingError `endpoint-failed` if nothing listens at the endpoint any more.
    */
   private async checkEnd(): Promise<void> {
-    if (this.isFramed || this.pool.isDeparting()) return;
-    if (!(await this.connection.isEndpointGone()) || this.pool.isDeparting()) return;
+    if (this.isFramed || !(await this.connection.isEndpointGone())) return;
     throw new ServingError('endpoint-failed', {
       detail: 'The endpoint was gone when its response, which has no length, ended.',
     });
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -46,7 +46,7 @@
 
   private readonly departures = new Departures(this.kernel);
 
-  private readonly connections = new EndpointConnections(this.kernel.clock, this.departures);
+  private readonly connections = new EndpointConnections(this.kernel.clock);
 
   private readonly estimator = new OutputEstimator();
 
--- a/tests/answers.test.ts
+++ b/tests/answers.test.ts
@@ -211,19 +211,43 @@
 
 const EVENTS = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
 
-// Guards against a complete answer without a length that is thrown away because its endpoint, which
-// was known to leave, ended right after it.
+// Guards against a truncated answer without a length that is taken for whole because its endpoint,
+// which was known to leave, ended in the middle of it.
+test.each([
+  ['/credit/a', 'first ha'],
+  ['/report/a', 'id: 1\ndata: a\n\n'],
+])('an answer without a length at %s is not whole when its endpoint ends', async (target, part) => {
+  const isStream = target.startsWith('/report');
+  const service = isStream ? 'writers' : 'desk';
+  let finish = (): void => {};
+  const key = await addRawEndpoint(service, (socket, requestId, server) => {
+    socket.write(createHead(requestId, `\r\n${part}`));
+    finish = () => {
+      server.close();
+      socket.end();
+    };
+  });
+  const node = await fixture.addReadyNode(1);
+  const caller = await openCaller(node);
+  caller.send(target, isStream ? GENERATION_HEADERS : {});
+  await sleep(300);
+  fixture.store.put(key, createRawEntry(service, servers[0]!, 'draining'));
+  await sleep(1_500);
+  finish();
+  if (!isStream) expect(await caller.readStatus()).toBe(502);
+  else await waitUntil('the cut', () => caller.isClosed);
+  expect(caller.received.endsWith('0\r\n\r\n')).toBe(false);
+});
+
+// Guards against a complete answer without a length that is thrown away because its endpoint leaves.
 test.each(['/credit/a', '/report/a'])(
-  'an answer without a length at %s holds when its endpoint leaves',
+  'an answer without a length at %s holds while its leaving endpoint listens',
   async (target) => {
     const isStream = target.startsWith('/report');
     const service = isStream ? 'writers' : 'desk';
     let finish = (): void => {};
-    const key = await addRawEndpoint(service, (socket, requestId, server) => {
-      finish = () => {
-        server.close();
-        socket.end(createHead(requestId, `\r\n${EVENTS}`));
-      };
+    const key = await addRawEndpoint(service, (socket, requestId) => {
+      finish = () => socket.end(createHead(requestId, `\r\n${EVENTS}`));
     });
     const node = await fixture.addReadyNode(1);
     const caller = await openCaller(node);
