Report no lost call as not run because no other endpoint is left

Callers of the product's own interface got 'no-endpoint', which promises that the call has not run, after a first attempt that may have run.

Cause: UndiciServiceCalls.runRepeatable let the router's refusal of the second attempt pass as the outcome of the call.

Change: after an attempt that was sent, a refusal of the router ends the call as failed. Test: 'a lost call is not told as not run when no other endpoint is left' failed before.

--- a/src/plugins/calls/UndiciServiceCalls.test.ts
+++ b/src/plugins/calls/UndiciServiceCalls.test.ts
@@ -1,5 +1,5 @@
 import { RawService, type RawBehaviour } from '../../../tests/RawService';
-import { SystemClock, type EndpointId } from '../../core';
+import { ServingError, SystemClock, type EndpointId } from '../../core';
 import type { FleetEndpoint, Router, ServiceCall } from '../../services';
 import { UndiciServiceCalls } from './UndiciServiceCalls';
 
@@ -84,3 +84,21 @@
     body: new TextEncoder().encode('run 1'),
   });
 });
+
+// Guards against "not run" for a repeatable call that may have run, as no other endpoint is left.
+test('a lost call is not told as not run when no other endpoint is left', async () => {
+  const [, endpoint] = await startService('close after the request');
+  let assigned = 0;
+  const assign = async (): Promise<unknown> => {
+    assigned += 1;
+    if (assigned > 1) throw new ServingError('no-endpoint', { detail: 'none left' });
+    return { endpoint, release: () => {} };
+  };
+  const kind = { name: 'lookup', attempts: 2, answerWithinMs: 1_000 };
+  const context = { clause: { kind, path: 'kinds.lookup' } } as unknown as Parameters<
+    UndiciServiceCalls['runRepeatable']
+  >[1];
+  const repeatable = new UndiciServiceCalls({ assign } as unknown as Router, clock);
+  const answer = repeatable.runRepeatable(createCall('GET'), context);
+  await expect(answer).rejects.toMatchObject({ kind: 'endpoint-failed' });
+});
--- a/src/plugins/calls/UndiciServiceCalls.ts
+++ b/src/plugins/calls/UndiciServiceCalls.ts
@@ -87,7 +87,14 @@
     let excluded: ReadonlyArray<EndpointId> = [];
     let lastFailure: unknown;
     for (let attempt = 0; attempt < kind.attempts; attempt++) {
-      const assignment = await this.assign(context, excluded, deadlineMs);
+      let assignment: Awaited<ReturnType<Router['assign']>>;
+      try {
+        assignment = await this.assign(context, excluded, deadlineMs);
+      } catch (thrown) {
+        // A refusal of the router says nothing of an earlier attempt that may have run.
+        if (lastFailure === undefined) throw thrown;
+        break;
+      }
       try {
         return await this.sendOnce(assignment.endpoint, call, deadlineMs);
       } catch (thrown) {
