End a write to a caller that doesn't read with the request

A caller that read slowly at its deadline was counted as a request that would have ended without an answer, so the counter reported sound cases.

Cause: waitForDrain listened to the caller's disconnect only; the task waited past the deadline until the table ended it.

Change: a write waits no longer than the request's own signal. Test: 'a write to a caller that does not read ends with the request' failed before ('waits').

--- a/src/plugins/forwarding/CallerExchange.test.ts
+++ b/src/plugins/forwarding/CallerExchange.test.ts
@@ -16,9 +16,33 @@
   caller.destroy();
   await once(exchange.disconnectSignal, 'abort');
   exchange.writeHead(200, []);
-  const written = Promise.resolve(exchange.write(Buffer.alloc(1_000_000)));
+  const written = Promise.resolve(
+    exchange.write(Buffer.alloc(1_000_000), new AbortController().signal),
+  );
   const outcome = await Promise.race([written.then(() => 'written'), sleep(500, 'waits')]);
   expect(outcome).toBe('written');
   expect(exchange.ending).toBe('caller left');
   server.close();
 });
+
+// Guards against a task that waits past its deadline for a caller that doesn't read.
+test('a write to a caller that does not read ends with the request', async () => {
+  const server = createServer().listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const caller = connect((server.address() as AddressInfo).port, '127.0.0.1');
+  caller.pause();
+  caller.write('GET / HTTP/1.1\r\nHost: desk\r\n\r\n');
+  const [request, response] = (await once(server, 'request')) as [IncomingMessage, ServerResponse];
+  const exchange = new CallerExchange(request, response, new SystemClock());
+  exchange.writeHead(200, []);
+  const deadline = new AbortController();
+  const written = Promise.resolve(exchange.write(Buffer.alloc(20_000_000), deadline.signal));
+  setTimeout(() => deadline.abort(), 50);
+  const outcome = written.then(
+    () => 'written',
+    () => 'ended',
+  );
+  expect(await Promise.race([outcome, sleep(1_000, 'waits')])).toBe('ended');
+  caller.destroy();
+  server.close();
+});
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -126,10 +126,10 @@
   }
 
   /** Returns a promise if the write buffer is full; wait for it before writing more. */
-  write(bytes: Uint8Array): Promise<void> | undefined {
+  write(bytes: Uint8Array, signal: AbortSignal): Promise<void> | undefined {
     this.firstByteAtMs ??= this.clock.nowMs();
     if (this.response.write(bytes)) return undefined;
-    return this.waitForDrain();
+    return this.waitForDrain(signal);
   }
 
   end(bytes?: Uint8Array): void {
@@ -214,13 +214,18 @@
     yield* rest;
   }
 
-  private async waitForDrain(): Promise<void> {
+  /** @throws the signal's reason when the request ends while the caller doesn't read. */
+  private async waitForDrain(signal: AbortSignal): Promise<void> {
     if (this.disconnectSignal.aborted) return;
     const settled = new AbortController();
     await new Promise<void>((resolve) => {
       this.response.once('drain', resolve);
-      this.disconnectSignal.addEventListener('abort', () => resolve(), { signal: settled.signal });
+      [this.disconnectSignal, signal].forEach((ended) =>
+        ended.addEventListener('abort', () => resolve(), { signal: settled.signal }),
+      );
+      if (signal.aborted) resolve();
     });
     settled.abort();
+    if (!this.disconnectSignal.aborted) signal.throwIfAborted();
   }
 }
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -233,7 +233,7 @@
         progress.record(events);
         segment.recordTokens(progress.outputTokens);
         sound.observe();
-        await admitted.exchange.write(events.bytes);
+        await admitted.exchange.write(events.bytes, admitted.signal);
         segment.markReadStart(clock.nowMs());
       }
       splitter.checkEnd();
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -215,7 +215,7 @@
     admitted: AdmittedRequest,
     attempt: AttemptResult | undefined,
   ): Promise<void> {
-    const { exchange, clause } = admitted;
+    const { exchange, clause, signal } = admitted;
     if (attempt?.result === 'complete') {
       exchange.writeHead(attempt.head.status, attempt.head.headers);
       exchange.end(attempt.bytes);
@@ -223,8 +223,8 @@
     }
     if (attempt?.result === 'large') {
       exchange.writeHead(attempt.head.status, attempt.head.headers);
-      await exchange.write(attempt.first);
-      for await (const chunk of attempt.rest) await exchange.write(chunk);
+      await exchange.write(attempt.first, signal);
+      for await (const chunk of attempt.rest) await exchange.write(chunk, signal);
       exchange.end();
       return;
     }
