Bound the error response of a stream

An endpoint that answered a stream with an error and a body without end filled the node's memory: the review saw 200 MB taken in 2.5 s.

Cause: StreamDelivery.begin buffered the whole body. Change: beyond maxBufferedResponseBytes the response is aborted and the request answered as lost. The review's scratch test shows the fault; no test of this commit does.

--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -187,7 +187,14 @@
     }
     try {
       const chunks: Uint8Array[] = [];
-      for await (const chunk of segment.response.read()) chunks.push(chunk);
+      let size = 0;
+      for await (const chunk of segment.response.read()) {
+        chunks.push(chunk);
+        size += chunk.length;
+        if (size > FORWARDING_OPTIONS.maxBufferedResponseBytes) {
+          throw new ServingError('endpoint-failed', { detail: 'The error response is too long.' });
+        }
+      }
       exchange.writeHead(head.status, head.headers);
       exchange.end(Buffer.concat(chunks));
     } catch (thrown) {
