Take a run over only from an engine that has answered, and count it right

- A copy that was refused after 600 ms counted as accepted since its engine sent to other callers meanwhile; the sound, silent engine's stream was cut.
A takeover from a copy now needs the answer.
One by a new run still counts as accepted if its engine is reachable, as its first answer waits for the prefill; the probe runs beside the attempt, so that the engines overlap no longer than maxOverlapMs.
- A withdrawn takeover used up one of the route's endpoints, so that a later loss wasn't repeated.
Continuations from a copy are the same run and don't count; an endpoint counts once.
- The successor's place was released with the abandoned migration, so its engine looked idle.

--- a/src/decisions/EndpointHealth.ts
+++ b/src/decisions/EndpointHealth.ts
@@ -81,11 +81,6 @@
     return activity !== undefined && nowMs - activity.lastReceivedMs > HEALTH_OPTIONS.silentAfterMs;
   }
 
-  /** Whether a request in flight at the endpoint has received bytes since a monotonic time. */
-  hasReceivedSince(endpointId: EndpointId, sinceMs: number): boolean {
-    return (this.activities.get(endpointId)?.lastReceivedMs ?? -Infinity) > sinceMs;
-  }
-
   recordOutcome(endpointId: EndpointId, outcome: EndpointOutcome, nowMs: number): void {
     const before = this.records.get(endpointId) ?? NO_FAILURES;
     const { outcomeWeight, ejectAfterFailures, baseEjectionMs, maxEjectionMs } = HEALTH_OPTIONS;
--- a/src/plugins/forwarding/SegmentOpener.ts
+++ b/src/plugins/forwarding/SegmentOpener.ts
@@ -39,7 +39,7 @@
   ): Promise<StreamSegment | UnansweredOutcome> {
     const target = admitted;
     const sentToBefore = admitted.sentTo;
-    target.sentTo = [...sentToBefore, placed.backEnd.endpointId];
+    target.sentTo = [...new Set([...sentToBefore, placed.backEnd.endpointId])];
     const copy = admitted.isTrial
       ? undefined
       : this.placer.placeBackup(admitted.work, placed.backEnd, producedTokens);
@@ -50,8 +50,10 @@
     if (sent.outcome === 'answered') return new StreamSegment(placed, sent.head, sent.answer, copy);
     placed.release();
     copy?.release();
-    // A continuation that was refused is no run, and leaves the route its number of endpoints.
-    if (sent.outcome === 'not-run' && (!sent.wasSent || continuation)) target.sentTo = sentToBefore;
+    // A continuation that was refused is no run, and one from a copy is the same run: both leave the
+    // route its number of endpoints.
+    const isRefused = sent.outcome === 'not-run' && (!sent.wasSent || continuation !== undefined);
+    if (isRefused || continuation?.continueFrom) target.sentTo = sentToBefore;
     if (sent.outcome === 'lost' && !signal.aborted) {
       await this.reportCrash(admitted, placed.backEnd, false, undefined);
     }
@@ -101,12 +103,6 @@
     const sent = await this.open(admitted, placed, { continuation, signal });
     return sent instanceof StreamSegment ? this.checkContinued(sent, signal) : undefined;
   }
-
-  /** Whether an endpoint has sent anything to this node since a monotonic time. */
-  hasReceivedSince(endpointId: EndpointId, sinceMs: number): boolean {
-    return this.placer.health.hasReceivedSince(endpointId, sinceMs);
-  }
-
   async reportCrash(
     admitted: AdmittedRequest,
     backEnd: KnownBackEnd,
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -96,7 +96,7 @@
     if (ended.end === 'broken') await this.reportBroken(admitted, segment, ended.outputSinceMs);
     const successor = await takeover?.successor;
     if (takeover && successor) {
-      void segment.abandonMigration();
+      void segment.abandonMigration(successor);
       this.kernel.get(ServingMetrics).countContinuation(takeover.kind);
       return successor;
     }
--- a/src/plugins/forwarding/StreamSegment.ts
+++ b/src/plugins/forwarding/StreamSegment.ts
@@ -93,9 +93,13 @@
     this.placed.markReadStart();
   }
 
-  /** Releases the capacity that a migration has reserved and the run no longer needs. */
-  async abandonMigration(): Promise<void> {
-    (await this.migration)?.placed.release();
+  /**
+   * Releases the capacity that a migration has reserved and the run no longer needs.
+   * @param successor segment that has taken over; it may run in that capacity.
+   */
+  async abandonMigration(successor?: StreamSegment): Promise<void> {
+    const placed = (await this.migration)?.placed;
+    if (placed !== successor?.placed) placed?.release();
   }
 
   /** Returns whether an event of this segment may be forwarded, or another one has taken over. */
--- a/src/plugins/forwarding/Takeover.ts
+++ b/src/plugins/forwarding/Takeover.ts
@@ -89,8 +89,10 @@
 
   protected abstract open(signal: AbortSignal): Promise<StreamSegment | undefined>;
 
-  /** Whether the other engine has most likely accepted the run although it hasn't answered yet. */
-  protected abstract isAcceptedUnanswered(): Promise<boolean>;
+  /** Whether the other engine counts as having accepted the run although it hasn't answered yet. */
+  protected async isAcceptedUnanswered(): Promise<boolean> {
+    return false;
+  }
 
   private withdraw(outcome: TakeoverOutcome): void {
     if (!this.isOpen) return;
@@ -126,8 +128,6 @@
 export class CopyTakeover extends Takeover {
   override readonly kind = 'from-copy';
 
-  private readonly startedAtMs = this.kernel.clock.nowMs();
-
   constructor(
     kernel: Kernel,
     opener: SegmentOpener,
@@ -142,29 +142,28 @@
     const { admitted, progress } = this.stream;
     return this.opener.openFromCopy(admitted, this.next, progress, signal);
   }
-
-  /** The engine of a copy refuses at once; one that sends to others meanwhile has accepted it. */
-  protected override async isAcceptedUnanswered(): Promise<boolean> {
-    const { endpointId } = this.next.placed.backEnd;
-    return this.opener.hasReceivedSince(endpointId, this.startedAtMs);
-  }
 }
 
 /** Starts a new run that resumes after the last event. @internal */
 export class NewRunTakeover extends Takeover {
   override readonly kind = 'new-run';
 
-  private address: string | undefined;
+  private isReachable: Promise<boolean> = Promise.resolve(false);
 
   protected override async open(signal: AbortSignal): Promise<StreamSegment | undefined> {
     const { admitted, progress, segment } = this.stream;
     const placed = this.opener.placeNewRun(admitted, segment.placed.backEnd.endpointId);
-    this.address = placed?.backEnd.address;
+    if (placed) this.isReachable = this.probe(placed.backEnd.address);
     return placed && this.opener.openNewRun(admitted, placed, progress, signal);
   }
 
   /** The first answer needs the prefill of the whole prompt, which takes longer than a refusal. */
   protected override async isAcceptedUnanswered(): Promise<boolean> {
-    return this.address !== undefined && (await probeEndpoint(this.address)) === 'accepted';
+    return this.isReachable;
+  }
+
+  /** Runs beside the attempt, as the engines may not overlap for longer. */
+  private async probe(address: string): Promise<boolean> {
+    return (await probeEndpoint(address)) === 'accepted';
   }
 }
