Reserve the place anew for a run's later copy

What callers saw: nothing directly. The engine that accepted only the later copy of a migrated run counted as free of it, at this node and in what it announces to the others, and could be given more than it has room for.

Cause: SegmentOpener.open releases the place when the engine refuses; the attempt with the later copy then ran with the released place.

Evidence: 'a run that continues from its later copy counts as load' failed on the code before: `requests` of the engine was 0 while the run went on there.

Change: the later copy gets a place of its own, which the segment releases when it ends.

--- a/src/plugins/forwarding/SegmentOpener.ts
+++ b/src/plugins/forwarding/SegmentOpener.ts
@@ -75,7 +75,9 @@
     if (sent instanceof StreamSegment) return this.checkContinued(sent, signal);
     const later = await laterCopy;
     if (!later || sent.outcome === 'lost') return undefined;
-    const again = await this.open(admitted, placed, {
+    // The refusal has released the place.
+    const placedAgain = this.placer.placeAtBackup(admitted.work, placed.backEnd, outputTokens);
+    const again = await this.open(admitted, placedAgain, {
       ...options,
       continuation: { continueFrom: later, lastEventId },
     });
--- a/tests/silentEngines.test.ts
+++ b/tests/silentEngines.test.ts
@@ -3,7 +3,7 @@
  * given up before its continuation is secured.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { Deployment, Quarantine } from '../src/services';
+import { Deployment, LoadSource, Quarantine } from '../src/services';
 import type { PlatformEngine } from '../stand-ins/PlatformEngine';
 import {
   callFront,
@@ -347,3 +347,26 @@
     expect((await answer).text).toBe(WHOLE_STREAM);
   },
 );
+
+// Guards against a run that doesn't count as load of its engine, which then gets too much work, when
+// only the later of its two copies was accepted.
+test('a run that continues from its later copy counts as load', async () => {
+  fixture.store.put('op/config', createConfiguration({}));
+  const first = await addWriter('i-1');
+  const node = await fixture.addReadyNode(1);
+  const answer = call(node, 'report');
+  answer.catch(() => {});
+  await waitUntil('the start of the run', () => first.executedRequestIds.length === 1);
+  const second = await addWriter('i-2');
+  await waitUntil('the second engine', () => node.kernel.get(Deployment).listAll().length === 2);
+  second.refusesCopies = true;
+  second.continuationDelayMs = 100;
+  leave(first);
+  await waitUntil('the later copy', () => second.receivedRequests.length === 2);
+  second.refusesCopies = false;
+  await waitUntil('the run', () => second.executedRequestIds.length === 1);
+  await sleep(100);
+  const loads = node.kernel.get(LoadSource).listLoads();
+  expect(loads).toContainEqual(expect.objectContaining({ endpointId: 'i-2', requests: 1 }));
+  expect((await answer).text).toBe(WHOLE_STREAM);
+});
