Show that a stopped run isn't sent back to its engine

What callers see: a stream whose run was stopped to be migrated is cut when the other engine refuses both copies, although the stopped engine keeps the memory and may be sent the run again.

The test fails on this code and is listed in KNOWN-RED.txt. It isn't fixed here: a leaving engine may be sent requests only for a limited time, and an attempt at the other engine that was lost, and not refused, may have run.

--- a/tests/silentEngines.test.ts
+++ b/tests/silentEngines.test.ts
@@ -370,3 +370,23 @@
   expect(loads).toContainEqual(expect.objectContaining({ endpointId: 'i-2', requests: 1 }));
   expect((await answer).text).toBe(WHOLE_STREAM);
 });
+
+// Guards against a stream that is cut when its run was stopped to be migrated and the other engine
+// refuses both copies, although the stopped engine keeps the memory and still serves.
+test('a stopped run goes on where it was when the other engine refuses it', async () => {
+  fixture.store.put('op/config', createConfiguration({}));
+  const first = await addWriter('i-1');
+  const node = await fixture.addReadyNode(1);
+  const answer = call(node, 'report');
+  answer.catch(() => {});
+  await waitUntil('the start of the run', () => first.executedRequestIds.length === 1);
+  const second = await addWriter('i-2');
+  await waitUntil('the second engine', () => node.kernel.get(Deployment).listAll().length === 2);
+  second.refusesCopies = true;
+  first.copies.add(`${first.executedRequestIds[0] ?? ''}-copy`);
+  leave(first);
+  await waitUntil('the later copy', () => second.receivedRequests.length === 2);
+  await waitUntil('the run', () => first.executedRequestIds.length === 2);
+  second.refusesCopies = false;
+  expect((await answer).text).toBe(WHOLE_STREAM);
+});
