Count an unreadable entry as listed in a full read

Cause: only readable entries counted as listed. Found by the review, whose scratch test shows it; no test of this commit does.

--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -185,9 +185,10 @@
     }
     changes.forEach((change) => store.applyChange(change, isComplete));
     if (isComplete) {
-      const listed = changes.flatMap((change) =>
-        change.kind === 'endpoint' ? [change.backEnd.endpointId] : [],
-      );
+      const listed = changes.flatMap((change) => {
+        if (change.kind === 'endpoint') return change.backEnd.endpointId;
+        return change.kind === 'unreadable' ? (change.endpointId ?? []) : [];
+      });
       store
         .listMissingFrom(listed)
         .forEach(({ endpointId }) => store.removeEndpoint(endpointId, position));
