Take a departure for later than an entry that is missing

A node used an endpoint after another node had told its departure (DRAIN), if the entry was missing from the node's own first read of the era: the position of the missing entry counted as a registration. The position of the last entry that was published counts now.

Found by the review.

--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -301,13 +301,14 @@
   applyDeparture(departure: Departure, reason = 'reported as leaving by another node'): void {
     const { endpointId } = departure;
     const known = this.endpoints.get(endpointId);
-    const position = this.getPosition(endpointId);
+    const value = this.publishedEndpoints.get(endpointId);
+    // The position of a missing entry is no registration, so that of the last entry counts.
+    const position = value?.position ?? NO_POSITION;
     const { startedAtWallMs = 0 } = known ?? {};
     const { eraStart } = this.departures;
     if (known && isRegisteredAnew({ startedAtWallMs, position }, departure, eraStart)) return;
     this.departures.record(departure, this.highestEra);
     if (!known) return;
-    const value = this.publishedEndpoints.get(endpointId);
     if (value && departure.position.era < value.position.era) {
       this.departures.hold({ backEnd: known, value });
     }
