Let the revision decide within an era, whatever the start of a process

An endpoint was ignored for ten minutes or for good when an entry under its key had a start in the future, or when it restarted with a clock that was set back: the start of the process went before the revision.

Change: within an era the revision alone orders entries and departures; the start of the process decides only across eras. Found by the review.

--- a/src/decisions/departures.ts
+++ b/src/decisions/departures.ts
@@ -12,9 +12,9 @@
 }
 
 /**
- * Whether an entry was written after a departure, by a new process or by the same one. Across eras,
- * the revisions of an entry and of a departure are comparable only if both are in the history that
- * the eras share. An entry with a higher revision than the departure is later in any case; one above
+ * Whether an entry was written after a departure, by a new process or by the same one. Within an era
+ * the revision decides. Across eras a newer process does, as revisions are comparable only if both
+ * are in the history that the eras share. An entry with a higher revision than the departure is later in any case; one above
  * the lowest revision seen in its era was written in that era; any other may be from the copy.
  * @param eraStart lowest position seen in the newest era.
  */
@@ -23,12 +23,12 @@
   departure: EndpointEvent,
   eraStart: SourcePosition,
 ): boolean {
+  const { era, revision } = entry.position;
+  if (era === departure.position.era) return revision > departure.position.revision;
   if (entry.startedAtWallMs !== departure.startedAtWallMs) {
     return entry.startedAtWallMs > departure.startedAtWallMs;
   }
-  const { era, revision } = entry.position;
   if (era < departure.position.era) return false;
   if (revision > departure.position.revision) return true;
-  const isLater = era > departure.position.era;
-  return isLater && era === eraStart.era && revision > eraStart.revision;
+  return era === eraStart.era && revision > eraStart.revision;
 }
--- a/src/plugins/deployment/DepartureMemory.ts
+++ b/src/plugins/deployment/DepartureMemory.ts
@@ -27,7 +27,10 @@
 }
 
 function isLater(a: EndpointEvent, b: EndpointEvent): boolean {
-  if (a.startedAtWallMs !== b.startedAtWallMs) return a.startedAtWallMs > b.startedAtWallMs;
+  const isSameEra = a.position.era === b.position.era;
+  if (!isSameEra && a.startedAtWallMs !== b.startedAtWallMs) {
+    return a.startedAtWallMs > b.startedAtWallMs;
+  }
   return isEarlier(b.position, a.position);
 }
 
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -249,7 +249,8 @@
       return;
     }
     const isRestarted = before !== undefined && before.startedAtWallMs !== backEnd.startedAtWallMs;
-    if (before && isRestarted && backEnd.startedAtWallMs < before.startedAtWallMs) return;
+    const isOlderEra = this.getPosition(backEnd.endpointId).era < value.position.era;
+    if (isRestarted && isOlderEra && backEnd.startedAtWallMs < before.startedAtWallMs) return;
     this.departures.forget(backEnd.endpointId);
     this.expiredEntries.delete(backEnd.endpointId);
     const nowMs = this.kernel.clock.nowMs();
