Release held entries that the source still lists

A live endpoint could get no work for good after a return of the source: its lease had lapsed, the copy lists it, and its entry doesn't change again, so it was held back; after ten minutes the held entry was dropped with the departure. A released entry of an unknown endpoint was dropped as well, as it lies within what is known as complete.

Change: a held entry is used when its departure is forgotten or turns out to be older. It is dropped when its removal is seen, or when a complete list lacks it, so that no entry of a process that has ended comes back.

What remains: such an endpoint waits up to ten minutes.

--- a/src/plugins/deployment/DepartureMemory.ts
+++ b/src/plugins/deployment/DepartureMemory.ts
@@ -102,6 +102,17 @@
     this.heldEntries.set(endpointId, entry);
   }
 
+  /** Drops held entries that are no longer published. */
+  dropHeldExcept(listed: ReadonlySet<EndpointId>): void {
+    [...this.heldEntries.keys()]
+      .filter((endpointId) => !listed.has(endpointId))
+      .forEach((endpointId) => this.dropHeld(endpointId));
+  }
+
+  dropHeld(endpointId: EndpointId): void {
+    this.heldEntries.delete(endpointId);
+  }
+
   /** Other nodes have to know of a newer era. */
   beginEra(): void {
     this.heldEntries.clear();
@@ -119,11 +130,16 @@
     );
   }
 
-  forgetOld(nowMs: number): void {
+  /** Forgets old departures; returns the entries that were held back because of them. */
+  forgetOld(nowMs: number): ReadonlyArray<HeldEntry> {
     const oldestMs = nowMs - DEPLOYMENT_OPTIONS.departureMemoryMs;
-    [...this.departures.values()]
+    return [...this.departures.values()]
       .filter(({ atMs }) => atMs < oldestMs)
-      .forEach(({ endpointId }) => this.forget(endpointId));
+      .flatMap(({ endpointId }) => {
+        const held = this.heldEntries.get(endpointId);
+        this.forget(endpointId);
+        return held ?? [];
+      });
   }
 
   private markChanged(): void {
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -157,7 +157,7 @@
   noteEraStart(position: SourcePosition): void {
     this.departures
       .noteEraStart(position)
-      .forEach(({ backEnd, value }) => this.applyEndpoint(backEnd, value));
+      .forEach(({ backEnd, value }) => this.applyEndpoint(backEnd, value, true));
   }
 
   getPosition(endpointId: EndpointId): SourcePosition {
@@ -218,9 +218,10 @@
     }
   }
 
-  /** Known endpoints that are missing from a list. */
-  listMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<KnownBackEnd> {
+  /** Known endpoints that are missing from a complete list; held entries that are missing go. */
+  takeMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<KnownBackEnd> {
     const listedIds = new Set(listed);
+    this.departures.dropHeldExcept(listedIds);
     return this.listAll().filter(({ endpointId }) => !listedIds.has(endpointId));
   }
 
@@ -238,12 +239,15 @@
     this.notifyChange();
   }
 
-  /** Ignores states older than the known one, which stale reads and other nodes may deliver. */
-  applyEndpoint(backEnd: BackEnd, value: PublishedValue): void {
+  /**
+   * Ignores states older than the known one, which stale reads and other nodes may deliver.
+   * @param wasHeld whether the entry was held back, and so is part of what is known as complete.
+   */
+  applyEndpoint(backEnd: BackEnd, value: PublishedValue, wasHeld = false): void {
     const before = this.endpoints.get(backEnd.endpointId);
     if (isEarlier(value.position, this.getPosition(backEnd.endpointId))) return;
     // Every change up to the complete position is known, so an unknown endpoint was removed by then.
-    if (!before && !isEarlier(this.latestComplete, value.position)) return;
+    if (!before && !wasHeld && !isEarlier(this.latestComplete, value.position)) return;
     if (this.departures.isSuppressed(backEnd, value.position)) {
       this.departures.hold({ backEnd, value });
       return;
@@ -275,6 +279,7 @@
 
   /** @param position of the removal, or of the full read in which the endpoint was missing. */
   removeEndpoint(endpointId: EndpointId, position: SourcePosition): void {
+    this.departures.dropHeld(endpointId);
     const { expiredEntryGraceMs } = DEPLOYMENT_OPTIONS;
     const removedAtMs = this.sourceRecoveredAtMs + expiredEntryGraceMs;
     if (this.unavailableReason !== undefined || this.kernel.clock.nowMs() < removedAtMs) {
@@ -370,7 +375,9 @@
   /** Marks expired entries as leaving and evicts endpoints that left long ago. */
   sweep(): void {
     const nowMs = this.kernel.clock.nowMs();
-    this.departures.forgetOld(nowMs);
+    this.departures
+      .forgetOld(nowMs)
+      .forEach(({ backEnd, value }) => this.applyEndpoint(backEnd, value, true));
     if (this.confirmation && !Number.isFinite(this.getConfirmedAgeMs())) {
       this.kernel.log.warn('wall clock ran ahead of the monotonic clock', {
         confirmedAsOfMs: this.confirmation.asOfMs,
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -205,7 +205,7 @@
     const listed = items.flatMap(
       (item) => relayedEndpointIdSchema.safeParse(item).data?.endpointId ?? [],
     );
-    store.listMissingFrom(listed).forEach(({ endpointId, startedAtWallMs }) => {
+    store.takeMissingFrom(listed).forEach(({ endpointId, startedAtWallMs }) => {
       if (isNewEra) store.removeEndpoint(endpointId, completeTo);
       else store.applyDeparture({ endpointId, startedAtWallMs, position: completeTo, atMs });
     });
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -190,7 +190,7 @@
         return change.kind === 'unreadable' ? (change.endpointId ?? []) : [];
       });
       store
-        .listMissingFrom(listed)
+        .takeMissingFrom(listed)
         .forEach(({ endpointId }) => store.removeEndpoint(endpointId, position));
       this.isHistoryGone = false;
     }
