--- a/src/decisions/departures.ts
+++ b/src/decisions/departures.ts
@@ -14,8 +14,9 @@
 /**
  * Whether an entry was written after a departure, by a new process or by the same one. Within an era
  * the revision decides. Across eras a newer process does, as revisions are comparable only if both
- * are in the history that the eras share. An entry with a higher revision than the departure is later in any case; one above
- * the lowest revision seen in its era was written in that era; any other may be from the copy.
+ * are in the history that the eras share. An entry with a higher revision than the departure counts
+ * as later; one above the lowest revision seen in its era was written in that era; any other may be
+ * from the copy.
  * @param eraStart lowest position seen in the newest era.
  */
 export function isRegisteredAnew(
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -2,10 +2,11 @@
  * The node's in-memory copy of the configuration and of the endpoint list.
  *
  * A configuration is replaced only by a newer version, whatever the era. A version that the source
- * lost when it came back from an older copy stays in force until a higher one is published. An endpoint that was removed from the list,
- * or that announced that it is leaving, gets no new work but stays in the store for a while, because
- * requests may still be running on it. When the source comes back from a copy that lists it as ready,
- * it stays out until it has registered anew.
+ * lost when it came back from an older copy stays in force until a higher one is published.
+ *
+ * An endpoint that was removed from the list, or that announced that it is leaving, gets no new work
+ * but stays in the store for a while, because requests may still be running on it. When the source
+ * comes back from a copy that lists it as ready, it stays out until it has registered anew.
  */
 import {
   chooseLater,
@@ -218,7 +219,7 @@
     }
   }
 
-  /** Known endpoints that are missing from a complete list; held entries that are missing go. */
+  /** Returns the known endpoints that a complete list lacks, and drops the held entries it lacks. */
   takeMissingFrom(listed: ReadonlyArray<EndpointId>): ReadonlyArray<KnownBackEnd> {
     const listedIds = new Set(listed);
     this.departures.dropHeldExcept(listedIds);
@@ -372,35 +373,43 @@
     return { signal: watch.signal, stop: () => this.interruptions.delete(watch) };
   }
 
-  /** Marks expired entries as leaving and evicts endpoints that left long ago. */
+  /** Applies what follows from the time that has passed. */
   sweep(): void {
     const nowMs = this.kernel.clock.nowMs();
     this.departures
       .forgetOld(nowMs)
       .forEach(({ backEnd, value }) => this.applyEndpoint(backEnd, value, true));
-    if (this.confirmation && !Number.isFinite(this.getConfirmedAgeMs())) {
-      this.kernel.log.warn('wall clock ran ahead of the monotonic clock', {
-        confirmedAsOfMs: this.confirmation.asOfMs,
+    this.checkForSuspension();
+    if (this.unavailableReason === undefined) this.removeExpired(nowMs);
+    this.evictDeparted(nowMs);
+  }
+
+  private checkForSuspension(): void {
+    if (!this.confirmation || Number.isFinite(this.getConfirmedAgeMs())) return;
+    this.kernel.log.warn('wall clock ran ahead of the monotonic clock', {
+      confirmedAsOfMs: this.confirmation.asOfMs,
+    });
+    this.confirmation = undefined;
+    this.interrupt();
+  }
+
+  /** Marks endpoints as leaving whose expired entries were not written again in time. */
+  private removeExpired(nowMs: number): void {
+    [...this.expiredEntries]
+      .filter(([, removedAtMs]) => removedAtMs <= nowMs)
+      .forEach(([endpointId]) => {
+        this.expiredEntries.delete(endpointId);
+        const known = this.endpoints.get(endpointId);
+        if (known && known.leavingSinceMs === undefined) {
+          this.markLeaving(known, 'entry not renewed');
+        }
       });
-      this.confirmation = undefined;
-      this.interrupt();
-    }
-    if (this.unavailableReason === undefined) {
-      [...this.expiredEntries]
-        .filter(([, removedAtMs]) => removedAtMs <= nowMs)
-        .forEach(([endpointId]) => {
-          this.expiredEntries.delete(endpointId);
-          const known = this.endpoints.get(endpointId);
-          if (known && known.leavingSinceMs === undefined) {
-            this.markLeaving(known, 'entry not renewed');
-          }
-        });
-    }
+  }
+
+  private evictDeparted(nowMs: number): void {
+    const { departedRetentionMs } = DEPLOYMENT_OPTIONS;
     this.listAll()
-      .filter(
-        ({ leavingSinceMs = Infinity }) =>
-          nowMs - leavingSinceMs > DEPLOYMENT_OPTIONS.departedRetentionMs,
-      )
+      .filter(({ leavingSinceMs = Infinity }) => nowMs - leavingSinceMs > departedRetentionMs)
       .forEach(({ endpointId }) => {
         this.endpoints.delete(endpointId);
         this.publishedEndpoints.delete(endpointId);
