--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -5,7 +5,7 @@
  * read becomes an `unreadable` change and leaves the items before and after it as they are.
  */
 import * as z from 'zod';
-import { describeFault, type SourcePosition } from '../core';
+import { describeFault, type EndpointId, type SourcePosition } from '../core';
 import type { PublishedChange, PublishedValue } from '../services';
 import { decodeConfiguration, decodeEndpoint, isEndpointId } from './storeValues';
 import { STORE_KEYS } from './wireNames';
@@ -38,17 +38,22 @@
   return utf8.decode(bytes);
 }
 
-function createUnreadable(raw: unknown, era: number, thrown: unknown): PublishedChange {
-  const key = keySchema.safeParse(raw).data?.key ?? UNKNOWN_KEY;
+/** Returns undefined for a key that names no endpoint. */
+function parseEndpointId(key: string): EndpointId | undefined {
   const { endpointPrefix } = STORE_KEYS;
   const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
+  return isEndpointId(id) ? id : undefined;
+}
+
+function createUnreadable(raw: unknown, era: number, thrown: unknown): PublishedChange {
+  const key = keySchema.safeParse(raw).data?.key ?? UNKNOWN_KEY;
   const revision = revisionOnlySchema.safeParse(raw).data?.revision;
   return {
     kind: 'unreadable',
     key: key.slice(0, MAX_KEY_CHARS),
     reason: describeFault(thrown),
     position: revision === undefined ? undefined : { era, revision },
-    endpointId: isEndpointId(id) ? id : undefined,
+    endpointId: parseEndpointId(key),
   };
 }
 
@@ -69,9 +74,8 @@
 
 /** Returns undefined for a key that names no endpoint. */
 function decodeRemoval(key: string, position: SourcePosition): PublishedChange | undefined {
-  const { endpointPrefix } = STORE_KEYS;
-  const id = key.startsWith(endpointPrefix) ? key.slice(endpointPrefix.length) : '';
-  return isEndpointId(id) ? { kind: 'endpoint-removed', endpointId: id, position } : undefined;
+  const endpointId = parseEndpointId(key);
+  return endpointId && { kind: 'endpoint-removed', endpointId, position };
 }
 
 /** Returns an `unreadable` change with the reason when decoding fails. */
