Fold Departures back into CrashReporter; drop a second removal of held entries

DepartureMemory.recordRemoval dropped the held entry that its only caller, removeEndpoint, has dropped already. Behaviour is unchanged.

--- a/src/plugins/deployment/DepartureMemory.ts
+++ b/src/plugins/deployment/DepartureMemory.ts
@@ -81,7 +81,6 @@
   recordRemoval(endpointId: EndpointId, position: SourcePosition): void {
     const before = this.departures.get(endpointId);
     if (!before) return;
-    this.heldEntries.delete(endpointId);
     this.departures.set(endpointId, {
       ...before,
       position: chooseLater(before.position, position),
--- a/src/plugins/forwarding/CrashReporter.ts
+++ b/src/plugins/forwarding/CrashReporter.ts
@@ -8,9 +8,8 @@
 import type { PromptPartId } from '../../core';
 import { CRASH_EVIDENCE_OPTIONS, type EndpointHealth } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Quarantine, ServingMetrics, type KnownBackEnd } from '../../services';
+import { Deployment, Quarantine, ServingMetrics, type KnownBackEnd } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
-import type { Departures } from './Departures';
 import { FORWARDING_OPTIONS } from './options';
 import { probeEndpoint } from './probeEndpoint';
 
@@ -73,7 +72,6 @@
   constructor(
     private readonly kernel: Kernel,
     private readonly health: EndpointHealth,
-    private readonly departures: Departures,
   ) {}
 
   /** Reports a request whose connection broke; returns whether its endpoint has crashed. */
@@ -130,10 +128,16 @@
   }
 
   private async check(backEnd: KnownBackEnd): Promise<boolean> {
-    if (this.departures.isDeparting(backEnd)) return false;
-    return (
-      (await probeEndpoint(backEnd.address)) === 'refused' && !this.departures.isDeparting(backEnd)
-    );
+    if (this.isDeparting(backEnd)) return false;
+    return (await probeEndpoint(backEnd.address)) === 'refused' && !this.isDeparting(backEnd);
+  }
+
+  /** An endpoint that was told to leave exits after a while; that is no crash. */
+  private isDeparting({ endpointId }: KnownBackEnd): boolean {
+    const known = this.kernel.get(Deployment).find(endpointId);
+    if (!known) return true;
+    const leavingForMs = this.kernel.clock.nowMs() - (known.leavingSinceMs ?? Infinity);
+    return leavingForMs >= FORWARDING_OPTIONS.minDepartureMs;
   }
 
   private forgetOldChecks(nowMs: number): void {
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -9,7 +9,6 @@
 import { EndpointSender } from './EndpointSender';
 import { CallerListener } from './CallerListener';
 import { CrashReporter } from './CrashReporter';
-import { Departures } from './Departures';
 import { FORWARDING_OPTIONS } from './options';
 import { OutputEstimator } from './OutputEstimator';
 import { LocalLoad } from './LocalLoad';
@@ -44,8 +43,6 @@
 export class ForwardingPlugin extends Plugin {
   static override readonly type = 'forwarding';
 
-  private readonly departures = new Departures(this.kernel);
-
   private readonly connections = new EndpointConnections(this.kernel.clock);
 
   private readonly estimator = new OutputEstimator();
@@ -76,7 +73,7 @@
     const deployment = kernel.get(Deployment);
     const sender = new EndpointSender(kernel, connections, placer, this.nodeDrain);
     const retries = new RetryPolicy(kernel, this.nodeDrain);
-    const crashes = new CrashReporter(kernel, this.health, this.departures);
+    const crashes = new CrashReporter(kernel, this.health);
     const opener = new SegmentOpener(placer, sender, crashes);
     const migrator = new RunMigrator(kernel, placer, this.estimator, retries, opener);
     this.forwarder = new RequestForwarder(kernel, {
