--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -64,12 +64,57 @@
   };
 }
 
+/** Adds a route for generations, and its service, to a configuration. */
+export function addGenerations(configuration) {
+  const [pattern] = configuration.routes;
+  const route = {
+    ...pattern,
+    name: 'r-audit',
+    prefix: '/audit/',
+    kind: 'streaming',
+    timeoutMs: 39_000,
+    latencyGoalMs: 1_800,
+    priority: 1,
+    sticky: true,
+    service: 'writers',
+    streamResume: false,
+    gapTargetMs: 180,
+  };
+  const service = {
+    name: 'writers',
+    healthPath: '/healthz',
+    maxConnections: 282,
+    protocol: 'h1',
+    tls: false,
+    engine: {
+      slots: 24,
+      kvCapacity: 34_365,
+      kvTokenBytes: 35_136,
+      linkMbps: 5_100,
+      moves: false,
+      backups: false,
+      stride: 4,
+      most: 12,
+      pinMs: 4_000,
+      holdMs: 2_000,
+      handleS: 5,
+      models: [{ name: 'm' }],
+    },
+  };
+  return {
+    ...configuration,
+    routes: [...configuration.routes, route],
+    services: [...configuration.services, service],
+  };
+}
+
 export class Deployment {
   nodes = [];
 
   engines = [];
 
-  constructor(recordFile) {
+  constructor(recordFile, configuration) {
+    this.configuration = configuration;
     this.record = new Record(recordFile);
     this.folder = mkdtempSync(path.join(tmpdir(), 'bramleyvane-review-'));
     this.subnet = `127.${randomInt(20, 250)}.${randomInt(1, 250)}`;
@@ -78,7 +123,7 @@
 
   async start(engines, nodeCount = 3) {
     await this.store.listen(`${this.subnet}.7`);
-    this.store.put('op/config', createConfiguration(this.configurationChanges));
+    this.store.put('op/config', this.configuration);
     await Promise.all(engines.map((engine) => this.addEngine(engine)));
     const ips = Array.from({ length: nodeCount }, (_, index) => `${this.subnet}.${index + 11}`);
     this.nodes = ips.map(
@@ -121,8 +166,8 @@
  * Runs a case, and ends the process with 1 if the rule was broken.
  * @param run returns the breaches of the rule, as text; it throws if the case could not run.
  */
-export async function runCase(folder, run) {
-  const deployment = new Deployment(path.join(folder, 'record.txt'));
+export async function runCase(folder, run, configuration = createConfiguration()) {
+  const deployment = new Deployment(path.join(folder, 'record.txt'), configuration);
   const hasTrouble = process.env.TROUBLE !== '0';
   let status = COULD_NOT_RUN;
   try {
--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -6,6 +6,9 @@
 import { randomBytes } from 'node:crypto';
 
 export class Client {
+  /** When each request was sent. */
+  sentAtMs = new Map();
+
   agent = new Agent({ keepAlive: true, maxSockets: Infinity });
 
   constructor(record, host) {
@@ -17,6 +20,7 @@
   async send(node, { method = 'POST', path, key, deadlineMs = 2_000, body, headers = {} }) {
     const requestId = randomBytes(8).toString('hex');
     const sentAtMs = this.record.nowMs;
+    this.sentAtMs.set(requestId, sentAtMs);
     this.record.add(`client: sends ${requestId} (${method} ${path}) to ${node.name}`);
     const outcome = await new Promise((resolve) => {
       const [host, port] = node.frontAddress.split(':');
