--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,82 +1,102 @@
 /* eslint-disable import-x/extensions -- Node.js needs the extension of a module. */
 /**
- * A new version of the configuration takes a key away and adds a tenant whose name has an underscore.
- * The nodes ignore the whole version, and go on accepting the key.
+ * An engine leaves while the platform's store is down. Its answers say so (`Server-Leaving`), and the
+ * nodes pass them on; later than `drainMs` after that, the nodes still send it requests, until it
+ * exits under them.
  */
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Client } from '../lib/client.mjs';
-import { createConfiguration, HOST, KEY, runCase } from '../lib/Deployment.mjs';
+import { HOST, KEY, runCase } from '../lib/Deployment.mjs';
 import { Service } from '../lib/Service.mjs';
 import { BOUNDS } from '../lib/settings.mjs';
 
-const OTHER_KEY = 'wsjnbanfqasnmgkcuyj8';
+/** Largest duration of `platform_down` in the site file. */
+const OUTAGE_MS = 4_500;
 
-/** An ordinary header value, as `X-Bramleyvane-Tenant` needs; the pages name no other limit. */
-const NEW_TENANT = { name: 'cafe_gympie', apiKeys: ['q0r2hm5kz8tbw1n4'], priority: 2 };
+/** The engine starts to leave so long after the begin of the outage. */
+const LEAVES_AFTER_MS = 200;
 
-const PAUSE_MS = 100;
+/** How much longer than `drainMs` the engine serves; the pages name up to many seconds. */
+const LONGER_MS = 800;
 
-/** How long requests with the key are sent once it must not be accepted any more. */
-const CHECKED_FOR_MS = 3_000;
+/** Within the work of a call in the site file (mean 30 to 43 ms, at most 220 ms). */
+const WORK_MS = 150;
 
-const FIRST = createConfiguration({
-  version: 7,
-  tenants: [{ name: 'huka270', apiKeys: [KEY, OTHER_KEY], priority: 1 }],
-});
+const PAUSE_MS = 50;
 
-async function sendToAll(deployment, client, key) {
-  return Promise.all(
-    deployment.nodes.map((node) => client.send(node, { path: '/credit/a', key, body: 'credit=1' })),
+/** Sends credits to each node in turn until a time, each without waiting for the one before. */
+async function sendUntil(deployment, client, untilMs, sent) {
+  const { record, nodes } = deployment;
+  for (let count = 0; record.nowMs < untilMs; count += 1) {
+    const node = nodes[count % nodes.length];
+    sent.push(client.send(node, { path: '/credit/a', key: KEY, body: 'credit=1' }));
+    // eslint-disable-next-line no-await-in-loop
+    await sleep(PAUSE_MS);
+  }
+}
+
+/**
+ * Returns the requests that a client sent later than `drainMs` after the node had passed on an answer
+ * of the leaving engine, and that the engine got from that node.
+ */
+function findBreaches({ record }, answers, leaving) {
+  const saidAtMs = new Map();
+  [...answers]
+    .sort((a, b) => a.answeredAtMs - b.answeredAtMs)
+    .filter(({ headers }) => headers['server-leaving'] !== undefined)
+    .forEach(({ node, answeredAtMs }) => {
+      if (!saidAtMs.has(node)) saidAtMs.set(node, answeredAtMs);
+    });
+  saidAtMs.forEach((atMs, node) =>
+    record.add(`${node} first passed on Server-Leaving at ${(atMs / 1_000).toFixed(3)} s`),
   );
+  const arrived = new Set(leaving.arrivals.map(({ requestId }) => requestId));
+  return answers
+    .filter(({ requestId }) => arrived.has(requestId))
+    .map((answer) => ({ ...answer, lateMs: answer.sentAtMs - saidAtMs.get(answer.node) }))
+    .filter(({ lateMs }) => lateMs > BOUNDS.drainMs)
+    .map(
+      ({ requestId, node, lateMs, status }) =>
+        `${leaving.id} got ${requestId} from ${node}, sent ${Math.round(lateMs)} ms after that node` +
+        ` had passed on Server-Leaving; the client got ${status}`,
+    );
 }
 
 async function run(deployment, hasTrouble) {
-  const { record, store, nodes } = deployment;
-  const engine = new Service(record, {
-    id: 'i-7f3a91c2',
-    service: 'ledger',
-    zone: 'seq-brisbane',
-    workMs: 40,
-  });
-  await deployment.start([engine]);
+  const { record, store } = deployment;
+  const engines = ['i-7f3a91c2', 'i-02d9e6b4'].map(
+    (id) => new Service(record, { id, service: 'ledger', zone: 'seq-brisbane', workMs: WORK_MS }),
+  );
+  await deployment.start(engines);
+  const [leaving] = engines;
   const client = new Client(record, HOST);
-  const before = await sendToAll(deployment, client, KEY);
-  if (before.some(({ status }) => status !== 200)) throw new Error('The key was not accepted.');
+  const sent = [];
+  await sendUntil(deployment, client, record.nowMs + 1_000, sent);
 
-  const tenants = [{ name: 'huka270', apiKeys: [OTHER_KEY], priority: 1 }];
-  store.put('op/config', {
-    ...FIRST,
-    version: 9,
-    tenants: hasTrouble ? [...tenants, NEW_TENANT] : tenants,
-  });
-  const acknowledgedAtMs = record.nowMs;
-  record.add(`version 9 is acknowledged; the key ${KEY} is taken away`);
-  await sleep(BOUNDS.revokeMs + PAUSE_MS);
+  const beganAtMs = record.nowMs;
+  if (hasTrouble) store.setDown(true);
+  const traffic = sendUntil(deployment, client, beganAtMs + OUTAGE_MS + 1_500, sent);
+  await sleep(LEAVES_AFTER_MS);
+  record.add(`engine ${leaving.id}: leaves, and says so in its answers; its entry is removed`);
+  leaving.isLeaving = true;
+  store.remove(`servers/${leaving.id}`);
+  await sleep(BOUNDS.drainMs + LONGER_MS);
+  leaving.exit();
+  await sleep(beganAtMs + OUTAGE_MS - record.nowMs);
+  if (hasTrouble) store.setDown(false);
+  await traffic;
+  const answers = await Promise.all(sent);
+  client.stop();
 
-  const sent = [];
-  while (record.nowMs < acknowledgedAtMs + BOUNDS.revokeMs + CHECKED_FOR_MS) {
-    // eslint-disable-next-line no-await-in-loop
-    sent.push(...(await sendToAll(deployment, client, KEY)));
-    // eslint-disable-next-line no-await-in-loop
-    await sleep(PAUSE_MS);
-  }
-  await sendToAll(deployment, client, OTHER_KEY);
-  if (hasTrouble) {
-    const added = await sendToAll(deployment, client, NEW_TENANT.apiKeys[0]);
-    record.add(`statuses for the key of the new tenant: ${added.map(({ status }) => status)}`);
+  const counts = new Map();
+  answers.forEach(({ status }) => counts.set(status, (counts.get(status) ?? 0) + 1));
+  record.add(`statuses: ${[...counts].map(([status, count]) => `${status}: ${count}`).join(', ')}`);
+  if (!leaving.arrivals.some(({ atMs }) => atMs > beganAtMs)) {
+    throw new Error('The leaving engine got no request that it could answer.');
   }
-  client.stop();
-  const ran = new Set(engine.arrivals.map(({ requestId }) => requestId));
-  record.add(`${sent.length} requests with the key that was taken away, to ${nodes.length} nodes`);
-  return sent
-    .filter(({ requestId }) => ran.has(requestId))
-    .map(
-      ({ requestId, node, sentAtMs }) =>
-        `${requestId} ran through ${node}, sent ${Math.round(sentAtMs - acknowledgedAtMs)} ms after ` +
-        'the acknowledgement of the version that took its key away',
-    );
+  return findBreaches(deployment, answers, leaving);
 }
 
-await runCase(path.dirname(fileURLToPath(import.meta.url)), run, FIRST);
+await runCase(path.dirname(fileURLToPath(import.meta.url)), run);
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,112 +1,82 @@
 /* eslint-disable import-x/extensions -- Node.js needs the extension of a module. */
 /**
- * The first prompts of a new kind hold a part under which engines crash, followed by a part that sound
- * prompts share. The nodes quarantine the shared part, and refuse the sound prompts.
+ * A new version of the configuration takes a key away and adds a tenant whose name has an underscore.
+ * The nodes ignore the whole version, and go on accepting the key.
  */
 import path from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Client } from '../lib/client.mjs';
-import { addGenerations, createConfiguration, HOST, KEY, runCase } from '../lib/Deployment.mjs';
-import { ModelEngine } from '../lib/ModelEngine.mjs';
+import { createConfiguration, HOST, KEY, runCase } from '../lib/Deployment.mjs';
+import { Service } from '../lib/Service.mjs';
 import { BOUNDS } from '../lib/settings.mjs';
-import { Traffic } from '../lib/Traffic.mjs';
 
-const ENGINES = 6;
+const OTHER_KEY = 'wsjnbanfqasnmgkcuyj8';
 
-const ZONES = ['seq-brisbane', 'seq-goldcoast', 'fnq-cairns'];
+/** An ordinary header value, as `X-Bramleyvane-Tenant` needs; the pages name no other limit. */
+const NEW_TENANT = { name: 'cafe_gympie', apiKeys: ['q0r2hm5kz8tbw1n4'], priority: 2 };
 
-const SOUND_PER_SECOND = 5;
+const PAUSE_MS = 100;
 
-const DEADLY_PER_SECOND = 1.5;
+/** How long requests with the key are sent once it must not be accepted any more. */
+const CHECKED_FOR_MS = 3_000;
 
-const OUTPUT_TOKENS = 160;
+const FIRST = createConfiguration({
+  version: 7,
+  tenants: [{ name: 'huka270', apiKeys: [KEY, OTHER_KEY], priority: 1 }],
+});
 
-/** First part of all prompts. */
-const FIRST_PART = ['5c1e07a2', 79];
-
-const OLD_PART = ['91bd3f06', 120];
-
-/** Part that both the deadly and the sound prompts of the new kind hold. */
-const NEW_PART = ['e4402b7d', 120];
-
-const DEADLY_PART = ['dead0001', 200];
-
-const SOUND_IN_ITS_PLACE = ['50d00001', 200];
-
-const BEFORE_MS = 8_000;
-
-const SOUND_AFTER_MS = 3_000;
-
-/** Shorter than the 15 s after which a node tries one request with a quarantined part. */
-const DEADLY_FOR_MS = 15_000;
-
-const MIN_REQUESTS = 20;
-
-/** A request has begun if an engine has answered it with success. */
-function countBegun(answers) {
-  return answers.filter(({ status }) => status === 200).length;
+async function sendToAll(deployment, client, key) {
+  return Promise.all(
+    deployment.nodes.map((node) => client.send(node, { path: '/credit/a', key, body: 'credit=1' })),
+  );
 }
 
 async function run(deployment, hasTrouble) {
-  const { record, store } = deployment;
-  const engines = Array.from(
-    { length: ENGINES },
-    (_, index) =>
-      new ModelEngine(record, {
-        id: `i-7f3a91c${index}`,
-        service: 'writers',
-        zone: ZONES[index % ZONES.length],
-        slots: 24,
-        firstEventMs: 150,
-        eventMs: 28,
-        deadlyPart: DEADLY_PART[0],
-        downMs: 3_000,
-      }),
-  );
-  engines.forEach((engine) => {
-    const started = engine;
-    started.onRestart = () => store.put(`servers/${engine.id}`, engine.createEntry());
+  const { record, store, nodes } = deployment;
+  const engine = new Service(record, {
+    id: 'i-7f3a91c2',
+    service: 'ledger',
+    zone: 'seq-brisbane',
+    workMs: 40,
   });
-  await deployment.start(engines);
+  await deployment.start([engine]);
   const client = new Client(record, HOST);
-  const create = () => new Traffic(deployment, client, KEY, OUTPUT_TOKENS);
-
-  const before = create();
-  before.run(SOUND_PER_SECOND, [FIRST_PART, OLD_PART]);
-  await sleep(BEFORE_MS);
-  before.isRunning = false;
-  record.add('the new kind of prompt begins');
-  const deadly = create();
-  if (hasTrouble) deadly.run(DEADLY_PER_SECOND, [FIRST_PART, DEADLY_PART, NEW_PART]);
-  await sleep(SOUND_AFTER_MS);
-  const after = create();
-  after.run(SOUND_PER_SECOND, [FIRST_PART, SOUND_IN_ITS_PLACE, NEW_PART]);
-  await sleep(DEADLY_FOR_MS - SOUND_AFTER_MS);
-  deadly.isRunning = false;
-  after.isRunning = false;
-  const answersBefore = await Promise.all(before.sent);
-  const answersAfter = await Promise.all(after.sent);
+  const before = await sendToAll(deployment, client, KEY);
+  if (before.some(({ status }) => status !== 200)) throw new Error('The key was not accepted.');
+
+  const tenants = [{ name: 'huka270', apiKeys: [OTHER_KEY], priority: 1 }];
+  store.put('op/config', {
+    ...FIRST,
+    version: 9,
+    tenants: hasTrouble ? [...tenants, NEW_TENANT] : tenants,
+  });
+  const acknowledgedAtMs = record.nowMs;
+  record.add(`version 9 is acknowledged; the key ${KEY} is taken away`);
+  await sleep(BOUNDS.revokeMs + PAUSE_MS);
+
+  const sent = [];
+  while (record.nowMs < acknowledgedAtMs + BOUNDS.revokeMs + CHECKED_FOR_MS) {
+    // eslint-disable-next-line no-await-in-loop
+    sent.push(...(await sendToAll(deployment, client, KEY)));
+    // eslint-disable-next-line no-await-in-loop
+    await sleep(PAUSE_MS);
+  }
+  await sendToAll(deployment, client, OTHER_KEY);
+  if (hasTrouble) {
+    const added = await sendToAll(deployment, client, NEW_TENANT.apiKeys[0]);
+    record.add(`statuses for the key of the new tenant: ${added.map(({ status }) => status)}`);
+  }
   client.stop();
-
-  const crashes = engines.flatMap((engine) => engine.crashes).sort((a, b) => a.atMs - b.atMs);
-  const last = crashes[Math.min(crashes.length, 5) - 1];
-  const sinceMs = last ? last.atMs + 2 * BOUNDS.contactMs : BEFORE_MS;
-  const judged = answersAfter.filter(({ sentAtMs }) => sentAtMs > sinceMs);
-  const shareBefore = countBegun(answersBefore) / answersBefore.length;
-  const share = countBegun(judged) / judged.length;
-  const text =
-    `${crashes.length} crashes; of ${answersBefore.length} sound prompts before ` +
-    `${Math.round(shareBefore * 100)} % began, of ${judged.length} sent ` +
-    `2 x contactMs after the crash or later ${Math.round(share * 100)} %`;
-  record.add(text);
-  if (hasTrouble && crashes.length === 0) throw new Error('No engine crashed.');
-  if (judged.length < MIN_REQUESTS) throw new Error('Too few requests to judge.');
-  return share < shareBefore / 2 ? [text] : [];
+  const ran = new Set(engine.arrivals.map(({ requestId }) => requestId));
+  record.add(`${sent.length} requests with the key that was taken away, to ${nodes.length} nodes`);
+  return sent
+    .filter(({ requestId }) => ran.has(requestId))
+    .map(
+      ({ requestId, node, sentAtMs }) =>
+        `${requestId} ran through ${node}, sent ${Math.round(sentAtMs - acknowledgedAtMs)} ms after ` +
+        'the acknowledgement of the version that took its key away',
+    );
 }
 
-await runCase(
-  path.dirname(fileURLToPath(import.meta.url)),
-  run,
-  addGenerations(createConfiguration()),
-);
+await runCase(path.dirname(fileURLToPath(import.meta.url)), run, FIRST);
