--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -8,6 +8,7 @@
 import { tmpdir } from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
+import { clearTimeout, setTimeout } from 'node:timers';
 import { FrontNode } from './FrontNode.mjs';
 import { Record } from './Record.mjs';
 import { Store } from './Store.mjs';
@@ -132,12 +133,13 @@
           name: `front-${ZONES[index % ZONES.length]}-${index + 1}`,
           ip,
           zone: ZONES[index % ZONES.length],
-          seeds: ips.slice(0, 3).map((seed) => `${seed}:8748`),
           storeAddress: this.store.address,
           folder: this.folder,
         }),
     );
-    this.nodes.forEach((node) => node.start());
+    await Promise.all(this.nodes.map((node) => node.chooseAddresses()));
+    const seeds = this.nodes.slice(0, 3).map(({ listen }) => listen.control);
+    this.nodes.forEach((node) => node.start(seeds));
     await Promise.all(this.nodes.map((node) => node.waitUntilReady()));
     this.record.add(`nodes: ${this.nodes.map(({ name }) => name).join(', ')} are ready`);
   }
@@ -162,6 +164,9 @@
 const BROKEN = 1;
 const COULD_NOT_RUN = 2;
 
+/** A case that hasn't ended by then has not run. */
+const MAX_RUN_MS = 117_000;
+
 /**
  * Runs a case, and ends the process with 1 if the rule was broken.
  * @param run returns the breaches of the rule, as text; it throws if the case could not run.
@@ -170,6 +175,12 @@
   const deployment = new Deployment(path.join(folder, 'record.txt'), configuration);
   const hasTrouble = process.env.TROUBLE !== '0';
   let status = COULD_NOT_RUN;
+  const giveUp = () => {
+    deployment.record.add('given up');
+    deployment.stop().finally(() => process.exit(COULD_NOT_RUN));
+  };
+  const timer = setTimeout(giveUp, MAX_RUN_MS);
+  ['SIGTERM', 'SIGINT'].forEach((name) => process.once(name, giveUp));
   try {
     const breaches = await run(deployment, hasTrouble);
     breaches.forEach((breach) => deployment.record.add(`BROKEN: ${breach}`));
@@ -177,6 +188,7 @@
   } catch (thrown) {
     deployment.record.add(`could not run: ${thrown.stack}`);
   }
+  clearTimeout(timer);
   deployment.record.add(`exit status ${status}`);
   await deployment.stop();
   console.log(deployment.record.lines.slice(-8).join('\n'));
--- a/review/lib/FrontNode.mjs
+++ b/review/lib/FrontNode.mjs
@@ -7,6 +7,7 @@
 import { once } from 'node:events';
 import { openSync, writeFileSync } from 'node:fs';
 import { request } from 'node:http';
+import { createServer } from 'node:net';
 import path from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { BOUNDS, readCommand, renderTemplate } from './settings.mjs';
@@ -17,11 +18,19 @@
 
 const READY_INTERVAL_MS = 50;
 
+async function findFreePort(host) {
+  const server = createServer().listen(0, host);
+  await once(server, 'listening');
+  const { port } = server.address();
+  server.close();
+  await once(server, 'close');
+  return port;
+}
+
 export class FrontNode {
-  /** @param place `{ name, ip, zone, seeds, storeAddress, folder }`. */
+  /** @param place `{ name, ip, zone, storeAddress, folder }`. */
   constructor(place) {
     this.place = place;
-    this.frontAddress = `${place.ip}:8740`;
     this.settingsFile = path.join(place.folder, `${place.name}.json`);
   }
 
@@ -29,8 +38,21 @@
     return this.place.name;
   }
 
-  start() {
-    const { name, ip, zone, seeds, storeAddress, folder } = this.place;
+  /** Chooses the addresses, which the settings of all nodes need before the first start. */
+  async chooseAddresses() {
+    const { ip } = this.place;
+    const names = ['front', 'ready', 'control', 'directory'];
+    const ports = await Promise.all(names.map(async () => findFreePort(ip)));
+    this.listen = Object.fromEntries(names.map((name, index) => [name, `${ip}:${ports[index]}`]));
+  }
+
+  get frontAddress() {
+    return this.listen.front;
+  }
+
+  /** @param seeds `control` addresses of nodes. */
+  start(seeds) {
+    const { name, ip, zone, storeAddress, folder } = this.place;
     const text = renderTemplate({
       node: name,
       zone,
@@ -38,12 +60,7 @@
       ip,
       zones: ZONES,
       seeds,
-      listen: {
-        front: this.frontAddress,
-        ready: `${ip}:8749`,
-        control: `${ip}:8748`,
-        directory: `${ip}:8746`,
-      },
+      listen: this.listen,
       platform: { address: storeAddress },
       bounds: BOUNDS,
     });
@@ -76,7 +93,7 @@
 
   async isReady() {
     return new Promise((resolve) => {
-      const call = request({ host: this.place.ip, port: 8749, path: '/api/readyz' }, (answer) => {
+      const call = request(`http://${this.listen.ready}/api/readyz`, (answer) => {
         answer.resume();
         resolve(answer.statusCode === 200);
       });
