--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -65,8 +65,11 @@
   };
 }
 
-/** Adds a route for generations, and its service, to a configuration. */
-export function addGenerations(configuration) {
+/**
+ * Adds a route for generations, and its service, to a configuration.
+ * @param engineChanges changes of what the engines of the service can do.
+ */
+export function addGenerations(configuration, engineChanges = {}) {
   const [pattern] = configuration.routes;
   const route = {
     ...pattern,
@@ -100,6 +103,7 @@
       holdMs: 2_000,
       handleS: 5,
       models: [{ name: 'm' }],
+      ...engineChanges,
     },
   };
   return {
