--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -5,6 +5,7 @@
  * exits under them.
  */
 import path from 'node:path';
+import process from 'node:process';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Client } from '../lib/client.mjs';
@@ -12,6 +13,9 @@
 import { Service } from '../lib/Service.mjs';
 import { BOUNDS } from '../lib/settings.mjs';
 
+/** With TROUBLE=0 the case does the same without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 /** Largest duration of `platform_down` in the site file. */
 const OUTAGE_MS = 4_500;
 
@@ -64,7 +68,7 @@
     );
 }
 
-async function run(deployment, hasTrouble) {
+async function run(deployment) {
   const { record, store } = deployment;
   const engines = ['i-7f3a91c2', 'i-02d9e6b4'].map(
     (id) => new Service(record, { id, service: 'ledger', zone: 'seq-brisbane', workMs: WORK_MS }),
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,6 +4,7 @@
  * The nodes ignore the whole version, and go on accepting the key.
  */
 import path from 'node:path';
+import process from 'node:process';
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Client } from '../lib/client.mjs';
@@ -11,6 +12,9 @@
 import { Service } from '../lib/Service.mjs';
 import { BOUNDS } from '../lib/settings.mjs';
 
+/** With TROUBLE=0 the case does the same without its disruption. */
+const hasTrouble = process.env.TROUBLE !== '0';
+
 const OTHER_KEY = 'wsjnbanfqasnmgkcuyj8';
 
 /** An ordinary header value, as `X-Bramleyvane-Tenant` needs; the pages name no other limit. */
@@ -32,7 +36,7 @@
   );
 }
 
-async function run(deployment, hasTrouble) {
+async function run(deployment) {
   const { record, store, nodes } = deployment;
   const engine = new Service(record, {
     id: 'i-7f3a91c2',
--- a/review/lib/Deployment.mjs
+++ b/review/lib/Deployment.mjs
@@ -177,7 +177,6 @@
  */
 export async function runCase(folder, run, configuration = createConfiguration()) {
   const deployment = new Deployment(path.join(folder, 'record.txt'), configuration);
-  const hasTrouble = process.env.TROUBLE !== '0';
   let status = COULD_NOT_RUN;
   const giveUp = () => {
     deployment.record.add('given up');
@@ -186,7 +185,7 @@
   const timer = setTimeout(giveUp, MAX_RUN_MS);
   ['SIGTERM', 'SIGINT'].forEach((name) => process.once(name, giveUp));
   try {
-    const breaches = await run(deployment, hasTrouble);
+    const breaches = await run(deployment);
     breaches.forEach((breach) => deployment.record.add(`BROKEN: ${breach}`));
     status = breaches.length > 0 ? BROKEN : HELD;
   } catch (thrown) {
