Stop sending work to engines whose answers say that they are leaving

Callers saw calls fail, or run in an engine that was about to exit: while the store was down, nodes kept sending to an engine that had said `Server-Leaving: 1` in answers that they themselves had passed on.

Cause: a departure was learned from the store only, directly or through other nodes. No module read what an engine says of itself.

Change: every answer of the process that a request was sent to is read for the header, with the exception of answers of another endpoint or for another request. DepartureMemory keeps the announcement for that process, so that no entry of it, of any revision or era, brings it back, and a late answer of a former process doesn't mark the new one. Nodes share announcements. Runs in progress go on and are moved as before.

--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -40,6 +40,9 @@
 const NOT_FOUND = 404;
 const CONFLICT = 409;
 
+/** Value of a header that states a fact. */
+const YES = '1';
+
 class Headers {
   private readonly byName: ReadonlyMap<string, string>;
 
@@ -175,9 +178,18 @@
       isNotRun,
       isOtherEndpoint,
       isSigned: headers.get(HEADER_NAMES.signature) !== undefined,
+      isLeaving: this.saysLeaving(list),
     };
   }
 
+  saysLeaving(list: HeaderList): boolean {
+    const leaving = HEADER_NAMES.leaving.toLowerCase();
+    return list.some(
+      ([name, value]) =>
+        name.toLowerCase() === leaving && value.split(',').some((each) => each.trim() === YES),
+    );
+  }
+
   writeAnswerHeaders(requestId: CallerRequestId): HeaderList {
     return [[HEADER_NAMES.requestId, requestId]];
   }
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -14,6 +14,8 @@
   customer: 'X-Bramleyvane-Tenant',
   expectedEndpoint: 'X-Bramleyvane-Expect-Instance',
   notRun: 'X-Bramleyvane-Not-Executed',
+  /** `1` in all answers of an endpoint that is leaving. */
+  leaving: 'Server-Leaving',
   authorization: 'Authorization',
   host: 'Host',
   /** `ip:port/handle` of a KV cache copy. */
--- a/src/plugins/deployment/DepartureMemory.ts
+++ b/src/plugins/deployment/DepartureMemory.ts
@@ -1,6 +1,9 @@
 /**
  * Departures of endpoints, remembered for as long as the source may come back from a copy that was
  * made before them, and entries of such a copy, which are held back.
+ *
+ * A departure that the source shows is ordered by its position. One that the endpoint's own answers
+ * announced has none: it concerns one process, whatever the source lists for it afterwards.
  */
 import {
   chooseLater,
@@ -20,6 +23,13 @@
   readonly atMs: number;
 }
 
+/** The process of an endpoint whose answers say that it is leaving. @internal */
+export interface AnnouncedDeparture {
+  readonly endpointId: EndpointId;
+  readonly startedAtWallMs: number;
+  readonly atMs: number;
+}
+
 /** @internal */
 export interface HeldEntry {
   readonly backEnd: BackEnd;
@@ -34,10 +44,20 @@
   return isEarlier(b.position, a.position);
 }
 
+function getProcessKey({
+  endpointId,
+  startedAtWallMs,
+}: Pick<AnnouncedDeparture, 'endpointId' | 'startedAtWallMs'>): string {
+  return `${endpointId} ${startedAtWallMs}`;
+}
+
 /** @internal */
 export class DepartureMemory {
   private readonly departures = new Map<EndpointId, Departure>();
 
+  /** By process, oldest first. */
+  private readonly announced = new Map<string, AnnouncedDeparture>();
+
   private readonly heldEntries = new Map<EndpointId, HeldEntry>();
 
   private lowestOfEra: SourcePosition = NO_POSITION;
@@ -61,7 +81,30 @@
       .slice(-DEPLOYMENT_OPTIONS.maxSharedDepartures);
   }
 
-  isSuppressed({ endpointId, startedAtWallMs }: BackEnd, position: SourcePosition): boolean {
+  /** Returns the announcements of the time for which departed endpoints are kept, newest last. */
+  listAnnounced(nowMs: number): ReadonlyArray<AnnouncedDeparture> {
+    const sinceMs = nowMs - DEPLOYMENT_OPTIONS.departedRetentionMs;
+    return [...this.announced.values()]
+      .filter(({ atMs }) => atMs > sinceMs)
+      .slice(-DEPLOYMENT_OPTIONS.maxSharedDepartures);
+  }
+
+  /** Records that a process announced its departure; returns whether that is new. */
+  recordAnnounced(departure: AnnouncedDeparture): boolean {
+    const key = getProcessKey(departure);
+    if (this.announced.has(key)) return false;
+    this.announced.set(key, departure);
+    const [oldest] = this.announced.keys();
+    if (this.announced.size > DEPLOYMENT_OPTIONS.maxSharedDepartures && oldest !== undefined) {
+      this.announced.delete(oldest);
+    }
+    this.markChanged();
+    return true;
+  }
+
+  isSuppressed(backEnd: BackEnd, position: SourcePosition): boolean {
+    if (this.announced.has(getProcessKey(backEnd))) return true;
+    const { endpointId, startedAtWallMs } = backEnd;
     const departure = this.departures.get(endpointId);
     if (!departure) return false;
     return !isRegisteredAnew({ startedAtWallMs, position }, departure, this.lowestOfEra);
@@ -132,6 +175,9 @@
   /** Forgets old departures; returns the entries that were held back because of them. */
   forgetOld(nowMs: number): ReadonlyArray<HeldEntry> {
     const oldestMs = nowMs - DEPLOYMENT_OPTIONS.departureMemoryMs;
+    this.announced.forEach(({ atMs }, key) => {
+      if (atMs < oldestMs) this.announced.delete(key);
+    });
     return [...this.departures.values()]
       .filter(({ atMs }) => atMs < oldestMs)
       .flatMap(({ endpointId }) => {
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -7,7 +7,7 @@
   SourcePosition,
 } from '../../core';
 import { TestKernel } from '../../kernel/TestKernel';
-import type { PublishedChange } from '../../services';
+import { Members, ServingMetrics, type PublishedChange } from '../../services';
 import type { Departure } from './DepartureMemory';
 import { DeploymentStore } from './DeploymentStore';
 
@@ -43,6 +43,8 @@
 
 function createStore(): { readonly kernel: TestKernel; readonly store: DeploymentStore } {
   const kernel = new TestKernel([]);
+  kernel.provide(Members, { announceToPartners: () => {} } as unknown as Members);
+  kernel.provide(ServingMetrics, { countSourceEra: () => {} } as unknown as ServingMetrics);
   return { kernel, store: new DeploymentStore(kernel, bounds, new Map()) };
 }
 
@@ -227,3 +229,69 @@
     { numRuns: 500, seed: 20261204 },
   );
 });
+
+/** What a store learns of one process of an engine, or of the next one at the same name. */
+type ProcessNews =
+  | { readonly what: 'published'; readonly startedAtWallMs: number; readonly isLeaving: boolean }
+  | { readonly what: 'announced'; readonly startedAtWallMs: number }
+  | { readonly what: 'removed' | 'restored' };
+
+const startArbitrary = fc.constantFrom(1, 2);
+
+const newsArbitrary: fc.Arbitrary<ProcessNews> = fc.oneof(
+  fc.record({
+    what: fc.constant('published' as const),
+    startedAtWallMs: startArbitrary,
+    isLeaving: fc.boolean(),
+  }),
+  fc.record({ what: fc.constant('announced' as const), startedAtWallMs: startArbitrary }),
+  fc.record({ what: fc.constantFrom('removed' as const, 'restored' as const) }),
+);
+
+// Guards against work for a process that said that it is leaving: its entry is written again as ready,
+// is read late, or comes back with an older copy of the source.
+test('a process that announced its departure gets no work again', () => {
+  fc.assert(
+    fc.property(fc.array(newsArbitrary, { maxLength: 12 }), (history) => {
+      const { store } = createStore();
+      const announced = new Set<number>();
+      let position = at(10);
+      store.applyEndpoint(engine, { ...value, position });
+      history.forEach((news) => {
+        position = { ...position, revision: position.revision + 1 };
+        if (news.what === 'published') {
+          store.applyEndpoint({ ...engine, ...news }, { ...value, position });
+        } else if (news.what === 'announced') {
+          const known = store.find(engine.endpointId)!;
+          store.recordLeavingAnswer({ ...known, startedAtWallMs: news.startedAtWallMs });
+          announced.add(news.startedAtWallMs);
+        } else if (news.what === 'removed') {
+          store.removeEndpoint(engine.endpointId, position);
+        } else {
+          position = { era: position.era + 1, revision: position.revision - 3 };
+          store.enterEra(position.era);
+          store.noteEraStart(position);
+        }
+        store
+          .listAssignable('writers')
+          .forEach((known) => expect(announced.has(known.startedAtWallMs)).toBe(false));
+      });
+    }),
+    { numRuns: 1_000, seed: 20261205 },
+  );
+});
+
+// Guards against an engine without work after a restart: an answer of its former process arrived late,
+// or that process had announced its departure.
+test.each(['before', 'after'])(
+  'a departure announced %s a restart leaves the new process in work',
+  (when) => {
+    const { store } = createStore();
+    store.applyEndpoint(engine, value);
+    const former = store.find(engine.endpointId)!;
+    if (when === 'before') store.recordLeavingAnswer(former);
+    store.applyEndpoint({ ...engine, startedAtWallMs: 2 }, { ...value, position: at(8) });
+    if (when === 'after') store.recordLeavingAnswer(former);
+    expect(store.listAssignable('writers')).toHaveLength(1);
+  },
+);
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -6,7 +6,8 @@
  *
  * An endpoint that was removed from the list, or that announced that it is leaving, gets no new work
  * but stays in the store for a while, because requests may still be running on it. When the source
- * comes back from a copy that lists it as ready, it stays out until it has registered anew.
+ * comes back from a copy that lists it as ready, it stays out until it has registered anew. A process
+ * whose own answers said that it is leaving stays out whatever the source lists.
  */
 import {
   chooseLater,
@@ -28,12 +29,13 @@
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
+  Members,
   ServingMetrics,
   type KnownBackEnd,
   type PublishedChange,
   type PublishedValue,
 } from '../../services';
-import { DepartureMemory, type Departure } from './DepartureMemory';
+import { DepartureMemory, type AnnouncedDeparture, type Departure } from './DepartureMemory';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { ReportedValues } from './ReportedValues';
 
@@ -326,6 +328,30 @@
     this.markLeaving(known, reason);
   }
 
+  override recordLeavingAnswer({ endpointId, startedAtWallMs }: KnownBackEnd): void {
+    const atMs = this.kernel.clock.nowMs();
+    const departure = { endpointId, startedAtWallMs, atMs };
+    const wasAssignable = this.find(endpointId)?.leavingSinceMs === undefined;
+    if (!this.applyAnnounced(departure, 'said in an answer that it is leaving')) return;
+    if (wasAssignable) this.kernel.get(Members).announceToPartners();
+  }
+
+  /**
+   * Applies what a process said of itself, which says nothing of another process of the endpoint.
+   * Returns whether it was new.
+   */
+  applyAnnounced(departure: AnnouncedDeparture, reason: string): boolean {
+    if (!this.departures.recordAnnounced(departure)) return false;
+    const { endpointId, startedAtWallMs } = departure;
+    const known = this.endpoints.get(endpointId);
+    if (known?.startedAtWallMs !== startedAtWallMs || known.leavingSinceMs !== undefined) {
+      return true;
+    }
+    this.expiredEntries.delete(endpointId);
+    this.markLeaving(known, reason);
+    return true;
+  }
+
   /** Applies a confirmation from another node; the source may still be unavailable to this one. */
   confirmRelayed(asOfMs: number, sentAt: ClockReading): void {
     if (asOfMs <= (this.confirmation?.asOfMs ?? -Infinity)) return;
--- a/src/plugins/deployment/SharedDepartures.ts
+++ b/src/plugins/deployment/SharedDepartures.ts
@@ -1,6 +1,7 @@
 /**
- * What nodes have to know of an era besides the entries of the source: where it began, and which
- * endpoints had departed before. Nothing is shared while the source keeps its era.
+ * What nodes have to know besides the entries of the source: which endpoints announced that they are
+ * leaving, where an era began, and which endpoints had departed before. Nothing is shared while the
+ * source keeps its era and no endpoint announces its departure.
  */
 import * as z from 'zod';
 import { endpointIdSchema, type Clock } from '../../core';
@@ -14,11 +15,15 @@
   .tuple([endpointIdSchema, z.number(), positionSchema, z.number().min(0)])
   .readonly();
 
+/** Id, start of the process, age of the announcement in ms. */
+const announcedSchema = z.tuple([endpointIdSchema, z.number(), z.number().min(0)]).readonly();
+
 const contentSchema = z
   .object({
     era: z.number().int().min(0),
     eraStart: positionSchema,
     departures: z.array(departureSchema).max(DEPLOYMENT_OPTIONS.maxSharedDepartures).readonly(),
+    announced: z.array(announcedSchema).max(DEPLOYMENT_OPTIONS.maxSharedDepartures).readonly(),
   })
   .readonly();
 
@@ -50,7 +55,14 @@
           endpointId,
           startedAtWallMs,
           position,
-          Math.max(0, Math.round(this.clock.nowMs() - atMs)),
+          this.getAgeMs(atMs),
+        ]),
+      announced: departures
+        .listAnnounced(this.clock.nowMs())
+        .map(({ endpointId, startedAtWallMs, atMs }) => [
+          endpointId,
+          startedAtWallMs,
+          this.getAgeMs(atMs),
         ]),
     };
   }
@@ -64,5 +76,15 @@
       .forEach(([endpointId, startedAtWallMs, position, ageMs]) =>
         store.applyDeparture({ endpointId, startedAtWallMs, position, atMs: takenAtMs - ageMs }),
       );
+    content.announced.forEach(([endpointId, startedAtWallMs, ageMs]) =>
+      store.applyAnnounced(
+        { endpointId, startedAtWallMs, atMs: takenAtMs - ageMs },
+        'announced its departure to another node',
+      ),
+    );
+  }
+
+  private getAgeMs(atMs: number): number {
+    return Math.max(0, Math.round(this.clock.nowMs() - atMs));
   }
 }
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -4,6 +4,7 @@
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
 import {
+  Deployment,
   RequestDialect,
   ServingMetrics,
   type AnswerHead,
@@ -120,6 +121,9 @@
       answer.abort();
       return { outcome: 'lost', reason: 'the response belongs to another request' };
     }
+    if (head.isLeaving && !head.isOtherEndpoint) {
+      this.kernel.get(Deployment).recordLeavingAnswer(backEnd);
+    }
     if (head.isNotRun || head.isOtherEndpoint) {
       void answer.drain();
       const reason = head.isOtherEndpoint ? 'the address belongs to another endpoint' : 'shed';
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -16,7 +16,7 @@
   type CopyOutcome,
   type KnownBackEnd,
 } from '../../services';
-import { readBoundedText } from '../../wire';
+import { pairHeaders, readBoundedText } from '../../wire';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
@@ -277,8 +277,16 @@
       headers: { 'content-type': 'application/json' },
       body: call.body,
       signal: AbortSignal.timeout(FORWARDING_OPTIONS.copyTimeoutMs),
+      responseHeaders: 'raw',
     });
+    const headers = pairHeaders(response.headers as unknown as ReadonlyArray<string>);
     const text = await readBoundedText(response.body, FORWARDING_OPTIONS.maxCopyAnswerBytes);
-    return dialect.readCopyAnswer(response.statusCode, text);
+    const outcome = dialect.readCopyAnswer(response.statusCode, text);
+    // Only the engine of the run knows it; the address may belong to another one by now.
+    const knowsRun = outcome.outcome === 'copied' || outcome.outcome === 'busy';
+    if (knowsRun && dialect.saysLeaving(headers)) {
+      this.kernel.get(Deployment).recordLeavingAnswer(from);
+    }
+    return outcome;
   }
 }
--- a/src/services/Deployment.ts
+++ b/src/services/Deployment.ts
@@ -31,6 +31,12 @@
 
   abstract find(endpointId: EndpointId): KnownBackEnd | undefined;
 
+  /**
+   * Records that an answer of an endpoint's process said that it is leaving.
+   * @param backEnd the endpoint as it was known when the request was sent.
+   */
+  abstract recordLeavingAnswer(backEnd: KnownBackEnd): void;
+
   /** Returns the region of a data centre; undefined if the settings do not contain it. */
   abstract getRegion(dataCentre: string): string | undefined;
 
--- a/src/services/ServingRequest.ts
+++ b/src/services/ServingRequest.ts
@@ -70,6 +70,8 @@
   readonly isOtherEndpoint: boolean;
   /** Whether the answer carries the endpoint's signature. */
   readonly isSigned: boolean;
+  /** Whether the endpoint that sent the answer says that it is leaving. */
+  readonly isLeaving: boolean;
 }
 
 /** Answer of an engine to an order to copy the KV cache of a run. @public */
@@ -110,6 +112,9 @@
 
   abstract readCopyAnswer(status: number, body: string): CopyOutcome;
 
+  /** Whether the endpoint that sent an answer with these headers says that it is leaving. */
+  abstract saysLeaving(headers: HeaderList): boolean;
+
   /** Returns the handle of the copy that an engine holds of a run because of `backUpTo`. */
   abstract getBackupHandle(requestId: CallerRequestId): string;
 }
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -79,6 +79,9 @@
   /** Called when the engine crashes because of a request. */
   onCrash: () => void = () => {};
 
+  /** Value of the header that tells in all answers that the engine is leaving; absent by default. */
+  leavingHeader: string | undefined;
+
   /** Number of copy requests that are still to be refused. */
   copiesToRefuse = 0;
 
@@ -165,6 +168,12 @@
   }
 
   protected override mount(app: StandInApp): void {
+    app.use('*', async (context, next) => {
+      await next();
+      if (this.leavingHeader !== undefined) {
+        context.res.headers.set('Server-Leaving', this.leavingHeader);
+      }
+    });
     app.post('/api/kv-move', async (context) => this.copyRun(context));
     app.post('/control/copies', async (context) => {
       this.copies.add(await context.req.text());
