Take names of customers, engines and keys in any alphabet

Cause: names that the platform publishes were checked by the schema of the product's own contracts, lower case letters, digits and hyphens. Series of metrics and of output lengths were keyed by a customer and a route joined by a character that either may hold.

Change: a published customer may have any name that a header can carry, and an endpoint any id of up to 200 characters that begins with a letter or digit. Header values are UTF-8. Error answers are written as bytes, as Node.js writes the headers before a text as UTF-8 and so changed an echoed id.

--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -21,10 +21,30 @@
   .brand<'CustomerId'>();
 export type CustomerId = z.infer<typeof customerIdSchema>;
 
-/** Name of an endpoint (engine or service); the name of the VM that it runs on. @public */
+/** Longest name of a customer that another system publishes. */
+const MAX_CUSTOMER_CHARS = 1_024;
+
+/**
+ * Name of a customer in a configuration that another system publishes. It is sent in a header, so it
+ * has no control characters, no unpaired surrogates and no space at either end. @public
+ */
+export const publishedCustomerIdSchema = z
+  .string()
+  .max(MAX_CUSTOMER_CHARS)
+  .regex(/^(?!\s)[^\p{Cc}\p{Cs}]+(?<!\s)$/u)
+  .brand<'CustomerId'>();
+
+/** Names of endpoints are parts of keys, which are no longer than this. */
+const MAX_ENDPOINT_ID_CHARS = 200;
+
+/**
+ * Name of an endpoint (engine or service), as the publisher of the list chooses it: a letter or digit,
+ * then any characters that a header can carry. @public
+ */
 export const endpointIdSchema = z
   .string()
-  .regex(/^[a-z0-9][a-z0-9.-]{0,62}$/)
+  .max(MAX_ENDPOINT_ID_CHARS)
+  .regex(/^[\p{L}\p{N}][^\p{Cc}\p{Cs}]*(?<!\s)$/u)
   .brand<'EndpointId'>();
 export type EndpointId = z.infer<typeof endpointIdSchema>;
 
@@ -42,17 +62,18 @@
   .brand<'RequestId'>();
 export type RequestId = z.infer<typeof requestIdSchema>;
 
-/** Id of one attempt of a caller, chosen by the caller. @public */
+/** Id of one attempt of a caller, chosen by the caller: any header value, byte for byte. @public */
 export const callerRequestIdSchema = z
   .string()
-  .regex(/^[\x21-\x7e]{1,128}$/)
+  .max(1_024)
+  .regex(/^(?! )[\x20-\x7e\x80-\xff]+(?<! )$/)
   .brand<'CallerRequestId'>();
 export type CallerRequestId = z.infer<typeof callerRequestIdSchema>;
 
 /** One part of a prompt that requests may share, such as a system prompt. @public */
 export const promptPartIdSchema = z
   .string()
-  .regex(/^[\x21-\x7e]{1,64}$/)
+  .regex(/^[\x21-\x7e]{1,128}$/)
   .brand<'PromptPartId'>();
 export type PromptPartId = z.infer<typeof promptPartIdSchema>;
 
--- a/src/decisions/LengthEstimator.ts
+++ b/src/decisions/LengthEstimator.ts
@@ -91,6 +91,11 @@
   return Math.max(1, Math.min(allowedTokens, producedTokens * LENGTH_OPTIONS.tailShare));
 }
 
+/** Names of customers have no control characters, so no two pairs have the same key. */
+function getCustomerKey(customer: string, kindOfWork: string): string {
+  return `${customer}\n${kindOfWork}`;
+}
+
 /** @public */
 export class LengthEstimator {
   private readonly byCustomer: HistogramPool;
@@ -110,7 +115,7 @@
 
   /** Adds the length of a generation that ran to completion. */
   observe({ customer, kindOfWork }: LengthKey, outputTokens: number): void {
-    this.byCustomer.add(`${customer}/${kindOfWork}`, outputTokens);
+    this.byCustomer.add(getCustomerKey(customer, kindOfWork), outputTokens);
     this.byKind.add(kindOfWork, outputTokens);
   }
 
@@ -166,7 +171,7 @@
     readonly weights: HistogramWeights | undefined;
     readonly sum: number;
   } {
-    const own = this.byCustomer.find(`${customer}/${kindOfWork}`);
+    const own = this.byCustomer.find(getCustomerKey(customer, kindOfWork));
     const ownSum = own ? sumAbove(own, producedTokens) : 0;
     if (ownSum >= LENGTH_OPTIONS.minObservations) {
       return { basis: 'customer', weights: own, sum: ownSum };
--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -1,6 +1,7 @@
 /**
  * Encodes and decodes requests and responses in the platform's headers.
  */
+import { isUtf8 } from 'node:buffer';
 import * as z from 'zod';
 import {
   callerRequestIdSchema,
@@ -100,9 +101,22 @@
     });
 }
 
+/** Encodes text as the bytes of a header value, one character each, which are UTF-8. */
+function encodeHeaderText(text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1');
+}
+
+/** Decodes a header value as UTF-8, or returns it byte by byte if it isn't. */
+function decodeHeaderText(value: string): string {
+  const bytes = Buffer.from(value, 'latin1');
+  return isUtf8(bytes) ? bytes.toString('utf8') : value;
+}
+
 function readApiKey(headers: Headers): string | undefined {
-  const [scheme, key] = (headers.get(HEADER_NAMES.authorization) ?? '').trim().split(/\s+/);
-  return scheme?.toLowerCase() === KEY_SCHEME.toLowerCase() ? key : undefined;
+  const value = headers.get(HEADER_NAMES.authorization)?.trim() ?? '';
+  const [, scheme = '', key] = /^(\S+)\s+(.+)$/.exec(value) ?? [];
+  if (key === undefined || scheme.toLowerCase() !== KEY_SCHEME.toLowerCase()) return undefined;
+  return decodeHeaderText(key);
 }
 
 const copyResponseSchema = z.object({
@@ -153,8 +167,10 @@
     return [
       ...headers,
       [HEADER_NAMES.remainingMs, String(parameters.remainingMs)],
-      [HEADER_NAMES.expectedEndpoint, parameters.expectedEndpointId],
-      ...(customer === undefined ? [] : [[HEADER_NAMES.customer, customer] as const]),
+      [HEADER_NAMES.expectedEndpoint, encodeHeaderText(parameters.expectedEndpointId)],
+      ...(customer === undefined
+        ? []
+        : [[HEADER_NAMES.customer, encodeHeaderText(customer)] as const]),
       ...(lastEventId === undefined ? [] : [[HEADER_NAMES.lastEventId, lastEventId] as const]),
       ...(continueFrom
         ? [[HEADER_NAMES.continueFrom, `${continueFrom.address}/${continueFrom.handle}`] as const]
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -4,8 +4,8 @@
 import { isIPv4 } from 'node:net';
 import * as z from 'zod';
 import {
-  customerIdSchema,
   endpointIdSchema,
+  publishedCustomerIdSchema,
   type BackEnd,
   type EndpointId,
   type KeyHolder,
@@ -64,7 +64,7 @@
   tenants: z
     .array(
       z.object({
-        name: customerIdSchema,
+        name: publishedCustomerIdSchema,
         apiKeys: z.array(z.string()),
         priority: z.number().optional(),
       }),
@@ -84,7 +84,7 @@
 const MAX_UNIX_MS = 8_640_000_000_000_000;
 
 /** Names come into log lines and into what nodes relay. */
-const MAX_NAME_CHARS = 200;
+const MAX_NAME_CHARS = 1_024;
 
 const nameSchema = z.string().max(MAX_NAME_CHARS);
 
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -159,9 +159,12 @@
     }
     this.errorKind = error.kind;
     const { status, run, reason } = getErrorAnswer(error.kind);
-    const body = JSON.stringify({
-      error: { kind: error.kind, run, reason, detail: error.detail, clause: error.clause },
-    });
+    // As bytes: headers before a text are written as UTF-8, which changes those that aren't ASCII.
+    const body = Buffer.from(
+      JSON.stringify({
+        error: { kind: error.kind, run, reason, detail: error.detail, clause: error.clause },
+      }),
+    );
     const retryAfter =
       error.retryAfterMs === undefined
         ? []
@@ -174,7 +177,7 @@
         ...retryAfter,
         ...close,
         ['Content-Type', 'application/json'] as const,
-        ['Content-Length', String(Buffer.byteLength(body))] as const,
+        ['Content-Length', String(body.length)] as const,
       ].flat(),
     ]);
     this.outcomeKind ??= 'answered';
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -37,7 +37,7 @@
   }
 
   observeMs({ customer, kindOfWork }: MetricLabels, valueMs: number): void {
-    const key = `${customer} ${kindOfWork}`;
+    const key = `${customer}\n${kindOfWork}`;
     let labelled = this.series.get(key);
     if (!labelled) {
       labelled = this.histogram.labels(customer, kindOfWork);
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -48,6 +48,15 @@
 const SEAL_HEADER = 'X-Bramleyvane-Server-Seal';
 const REQUEST_ID_HEADER = 'X-Bramleyvane-Request-Id';
 
+/** Header values are UTF-8; the server takes and gives them byte by byte. */
+function decodeHeader(value = ''): string {
+  return Buffer.from(value, 'latin1').toString('utf8');
+}
+
+function encodeHeader(text: string): string {
+  return Buffer.from(text, 'utf8').toString('latin1');
+}
+
 interface Run {
   producedEvents: number;
   isStopped: boolean;
@@ -194,8 +203,9 @@
       body: await context.req.text(),
     };
     this.receivedRequests = [...this.receivedRequests, received];
-    if (headers['x-bramleyvane-expect-instance'] !== this.options.instanceId) {
-      return context.body(null, 421, { 'X-Bramleyvane-Instance-Id': this.options.instanceId });
+    const { instanceId } = this.options;
+    if (decodeHeader(headers['x-bramleyvane-expect-instance']) !== instanceId) {
+      return context.body(null, 421, { 'X-Bramleyvane-Instance-Id': encodeHeader(instanceId) });
     }
     if (this.behaviour === 'shed') {
       return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
@@ -212,12 +222,14 @@
     this.executedRequests = [...this.executedRequests, received];
     const responseRequestId = this.behaviour === 'crossed' ? 'another-request' : requestId;
     const head: Record<string, string> = { [REQUEST_ID_HEADER]: responseRequestId };
-    if (this.behaviour !== 'unsigned') head[SEAL_HEADER] = `seal-${this.options.instanceId}`;
+    if (this.behaviour !== 'unsigned') head[SEAL_HEADER] = `seal-${encodeHeader(instanceId)}`;
     if (this.behaviour === 'fail') return context.body('failed', 500, head);
     if (this.options.callMs !== undefined) {
       await pause(this.options.callMs);
     }
-    if (this.options.events === undefined) return context.body(`answer to ${requestId}`, 200, head);
+    // The server writes headers before a text as UTF-8, and before bytes as they are.
+    const answer = new TextEncoder().encode(`answer to ${requestId}`);
+    if (this.options.events === undefined) return context.body(answer, 200, head);
     return this.stream(context, requestId, head);
   }
 
