Apply a configuration without its unreadable entries

Cause: the decoder took a version whole or not at all, so that one tenant or route voided the removals, routes and limits beside it.

Change: routes, services, tenants and limits are read one by one. An odd one is left out, logged (`configuration entry ignored`) and counted. What identifies its requests is kept: a path whose route can't be read and a key whose customer can't be read get 503, not run, with a time to come back, instead of a shorter route, 404 or 401. Limits that can't be read leave the ones in force. The decoder of the configuration is a module of its own now.

--- a/src/core/ServingConfiguration.ts
+++ b/src/core/ServingConfiguration.ts
@@ -72,12 +72,36 @@
   readonly rank: number | undefined;
 }
 
+/** An entry of a version that can't be read, and so isn't in force. @public */
+export interface UnreadableEntry {
+  readonly part: 'routes' | 'services' | 'tenants' | 'limits';
+  /** Part and index of the entry. */
+  readonly path: string;
+  readonly reason: string;
+}
+
+/** The requests of a route whose terms can't be read. @public */
+export type UnreadableRoute = Pick<Route, 'host' | 'pathPrefix'>;
+
+/** What of a version can't be read. @public */
+export interface UnreadableParts {
+  readonly entries: ReadonlyArray<UnreadableEntry>;
+  /** Requests with these paths are refused as not run, unless another route fits them better. */
+  readonly routes: ReadonlyArray<UnreadableRoute>;
+  /** Keys of customers whose entries can't be read; requests with one are refused as not run. */
+  readonly keys: ReadonlySet<string>;
+}
+
+export const NOTHING_UNREADABLE: UnreadableParts = { entries: [], routes: [], keys: new Set() };
+
 /** @public */
 export interface ServingConfiguration {
   readonly version: number;
   readonly routes: ReadonlyArray<Route>;
   readonly services: ReadonlyMap<string, ServiceProfile>;
-  readonly limits: CallerLimits;
+  /** Undefined when they can't be read; those in force before then stay. */
+  readonly limits: CallerLimits | undefined;
   /** By API key; undefined where requests carry no keys. */
   readonly keyHolders: ReadonlyMap<string, KeyHolder> | undefined;
+  readonly unreadable: UnreadableParts;
 }
--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -153,6 +153,12 @@
     mayRepeat: true,
     reason: 'This node has not been able to confirm recently that its keys and routes are current.',
   },
+  'unreadable-entry': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason: 'The entry of the configuration that this request needs is not readable.',
+  },
   'deadline-passed': {
     status: 503,
     run: 'not-run',
--- a/src/core/index.ts
+++ b/src/core/index.ts
@@ -8,7 +8,7 @@
 export * from './FrontSettings';
 export * from './PublishedRecord';
 export * from './ServingBounds';
-export type * from './ServingConfiguration';
+export * from './ServingConfiguration';
 export * from './ServingError';
 export * from './Settings';
 export * from './SourcePosition';
--- a/src/decisions/admitToRoute.test.ts
+++ b/src/decisions/admitToRoute.test.ts
@@ -5,6 +5,7 @@
   confirmationMarginMs: 400,
   retryAfterMs: 150,
   otherNodeRetryAfterMs: 20,
+  unreadableRetryAfterMs: 2_000,
 };
 
 function admit(changes: Partial<RouteAdmissionView>): ReturnType<typeof admitToRoute> {
--- a/src/decisions/admitToRoute.ts
+++ b/src/decisions/admitToRoute.ts
@@ -2,7 +2,7 @@
  * Admits a request by its route and API key, if the node's configuration is recent enough.
  */
 import type { ErrorKind, KeyHolder, Route, ServingBounds, ServingConfiguration } from '../core';
-import { findRoute } from './findRoute';
+import { findRoute, findUnreadableRoute } from './findRoute';
 
 /** @public */
 export interface RouteAdmissionView {
@@ -21,6 +21,8 @@
   readonly confirmationMarginMs: number;
   readonly retryAfterMs: number;
   readonly otherNodeRetryAfterMs: number;
+  /** For requests that need an entry of the configuration that can't be read. */
+  readonly unreadableRetryAfterMs: number;
 }
 
 /** @public */
@@ -71,6 +73,11 @@
       'bounds.revocationWithinMs',
       options.otherNodeRetryAfterMs,
     );
+  const refuseUnreadable = (detail: string, clause: string): RouteAdmission =>
+    refuse('unreadable-entry', detail, clause, options.unreadableRetryAfterMs);
+  if (findUnreadableRoute(configuration, view.host, view.target)) {
+    return refuseUnreadable('The route of this path is not readable.', 'routes');
+  }
   const route = findRoute(configuration, view.host, view.target);
   if (!route) {
     return isConfirmed
@@ -80,6 +87,12 @@
   const requiresKey = configuration.keyHolders !== undefined && !route.isAnonymous;
   if (requiresKey && !isConfirmed) return refuseUnconfirmed();
   const holder = apiKey === undefined ? undefined : configuration.keyHolders?.get(apiKey);
+  if (requiresKey && !holder && configuration.unreadable.keys.has(apiKey ?? '')) {
+    return refuseUnreadable(
+      'The entry of the customer that holds this key is not readable.',
+      'keys',
+    );
+  }
   if (requiresKey && !holder) return refuse('unknown-key', 'No customer holds this key.', 'keys');
   return { outcome: 'admit', configuration, route, holder };
 }
--- a/src/decisions/servingFixtures.ts
+++ b/src/decisions/servingFixtures.ts
@@ -1,7 +1,13 @@
 /**
  * Configurations for tests of decisions about forwarded requests.
  */
-import type { CustomerId, Route, ServingBounds, ServingConfiguration } from '../core';
+import {
+  NOTHING_UNREADABLE,
+  type CustomerId,
+  type Route,
+  type ServingBounds,
+  type ServingConfiguration,
+} from '../core';
 
 export const BOUNDS: ServingBounds = {
   revocationWithinMs: 5_000,
@@ -44,6 +50,7 @@
       idleTimeoutMs: 15_000,
     },
     keyHolders: new Map([['key-1', { customer: 'cafe-1' as CustomerId, rank: undefined }]]),
+    unreadable: NOTHING_UNREADABLE,
     ...changes,
   };
 }
--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -7,7 +7,8 @@
 import * as z from 'zod';
 import { describeFault, type EndpointId, type SourcePosition } from '../core';
 import type { PublishedChange, PublishedValue } from '../services';
-import { decodeConfiguration, decodeEndpoint, isEndpointId } from './storeValues';
+import { decodeConfiguration } from './configurationValue';
+import { decodeEndpoint, isEndpointId } from './storeValues';
 import { STORE_KEYS } from './wireNames';
 
 /** Longest part of a key that is kept for the log. */
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -1,11 +1,6 @@
 import fc from 'fast-check';
-import type {
-  BackEnd,
-  EndpointId,
-  ServingBounds,
-  ServingConfiguration,
-  SourcePosition,
-} from '../../core';
+import type { BackEnd, EndpointId, ServingBounds, SourcePosition } from '../../core';
+import { createConfiguration } from '../../decisions/servingFixtures';
 import { TestKernel } from '../../kernel/TestKernel';
 import { Members, ServingMetrics, type PublishedChange } from '../../services';
 import type { Departure } from './DepartureMemory';
@@ -178,7 +173,7 @@
   store.onConfiguration(({ version }) => heard.push(`configuration ${version}`));
   store.onLeaving(fail);
   store.onLeaving(({ endpointId }) => heard.push(endpointId));
-  store.setConfiguration({ version: 1, routes: [] } as unknown as ServingConfiguration, value);
+  store.setConfiguration(createConfiguration({ version: 1 }), value);
   store.applyEndpoint(engine, value);
   store.applyDeparture(departAt(at(8)));
   expect(heard).toEqual(['configuration 1', 'i-1']);
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -19,6 +19,7 @@
   type ServingBounds,
   type ServingConfiguration,
   type SourcePosition,
+  type UnreadableEntry,
 } from '../../core';
 import {
   computeConfirmedAgeMs,
@@ -235,13 +236,26 @@
       replacedVersion: this.current?.version,
       routes: configuration.routes.length,
       keys: configuration.keyHolders?.size,
+      unreadable: configuration.unreadable.entries.length,
     });
+    this.reportUnreadable(configuration);
     this.current = configuration;
     this.publishedConfiguration = value;
     this.notifyListeners(this.configurationListeners, configuration);
     this.notifyChange();
   }
 
+  private reportUnreadable({ version, unreadable }: ServingConfiguration): void {
+    unreadable.entries
+      .slice(0, DEPLOYMENT_OPTIONS.maxReportedEntries)
+      .forEach(({ path, reason }) =>
+        this.kernel.log.warn('configuration entry ignored', { version, path, reason }),
+      );
+    const counts = new Map<UnreadableEntry['part'], number>();
+    unreadable.entries.forEach(({ part }) => counts.set(part, (counts.get(part) ?? 0) + 1));
+    counts.forEach((count, part) => this.kernel.get(ServingMetrics).countUnreadable(part, count));
+  }
+
   /**
    * Ignores states older than the known one, which stale reads and other nodes may deliver.
    * @param wasHeld whether the entry was held back, and so is part of what is known as complete.
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -93,7 +93,9 @@
       drain: this.nodeDrain,
     });
     this.listener = new CallerListener(kernel, this.forwarder, this.table);
-    deployment.onConfiguration(({ limits }) => this.listener.applyLimits(limits));
+    deployment.onConfiguration(({ limits }) => {
+      if (limits) this.listener.applyLimits(limits);
+    });
     deployment.onLeaving((backEnd) => {
       this.health.forget(backEnd.endpointId);
       this.pace.forget(backEnd.endpointId);
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -60,6 +60,8 @@
   maxCrashesAtStart: 2,
   /** Interval at which a held prompt checks whether a new node has heard from another one. */
   joinCheckIntervalMs: 20,
+  /** `Retry-After` while an entry of the configuration isn't readable; the operator corrects it. */
+  unreadableRetryAfterMs: 2_000,
   /** `Retry-After` while no node accepts callers, for example when all of them restart. */
   noNodeRetryAfterMs: 1_000,
   /** Time in which a request is answered at the latest while no route is known for it. */
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -4,6 +4,7 @@
  * Each kernel has a registry of its own, because several kernels can run in one process.
  */
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client';
+import type { UnreadableEntry } from '../../core';
 import {
   ServingMetrics,
   type AttemptOutcome,
@@ -134,6 +135,12 @@
     [],
   );
 
+  private readonly unreadableEntries = this.createCounter(
+    'unreadable_configuration_entries',
+    'Entries of configurations that could not be read, and whole versions.',
+    ['part'],
+  );
+
   private readonly gauges = new Map<string, Gauge>();
 
   /** @param readGauges called for each rendering of the metrics. */
@@ -198,6 +205,10 @@
     this.sourceEras.inc();
   }
 
+  countUnreadable(part: UnreadableEntry['part'] | 'version', count: number): void {
+    this.unreadableEntries.inc({ part }, count);
+  }
+
   async render(): Promise<{ readonly contentType: string; readonly text: string }> {
     this.setGauges();
     return { contentType: this.registry.contentType, text: await this.registry.metrics() };
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * Metrics of the service that customers receive and of the work of this node.
  */
+import type { UnreadableEntry } from '../core';
 
 /** @public */
 export interface MetricLabels {
@@ -67,6 +68,9 @@
   /** Counts one call of the source of the configuration. */
   abstract countSourceCall(outcome: SourceCallOutcome): void;
 
+  /** Counts entries of a configuration that can't be read, or a version of which nothing can. */
+  abstract countUnreadable(part: UnreadableEntry['part'] | 'version', count: number): void;
+
   /** Counts one change of the source's era. */
   abstract countSourceEra(): void;
 
--- a/tests/RestoredFleet.ts
+++ b/tests/RestoredFleet.ts
@@ -3,6 +3,7 @@
  * with stale reads and comes back from older copies. Checks on the way what no node may do.
  */
 import {
+  NOTHING_UNREADABLE,
   ServingError,
   type EndpointId,
   type FrontSettings,
@@ -100,7 +101,8 @@
   if (key === CONFIGURATION_KEY) {
     const version = Number(text);
     const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
-    const configuration = { version, routes: [], services: new Map(), limits };
+    const shared = { routes: [], services: new Map(), limits, unreadable: NOTHING_UNREADABLE };
+    const configuration = { version, ...shared };
     return {
       kind: 'configuration',
       configuration: { ...configuration, keyHolders: undefined },
