Stop confirming a configuration by a version that can't be read

Cause: one age stood for "everything that was published is known" and for "the configuration in force is the newest". A version that a node knew that it couldn't read left the second confirmed by each further answer.

Change: Confirmations keeps both. An unreadable version ends that of the configuration: the version before serves on, its keys until the bound for the removal of keys, then requests with keys are refused as not run. A readable version at a later position ends it. The reading of the source goes on by the other age, and replies to followers carry both.

--- a/src/platform/storeItems.ts
+++ b/src/platform/storeItems.ts
@@ -54,6 +54,7 @@
     key: key.slice(0, MAX_KEY_CHARS),
     reason: describeFault(thrown),
     position: revision === undefined ? undefined : { era, revision },
+    isConfiguration: key === STORE_KEYS.configuration,
     endpointId: parseEndpointId(key),
   };
 }
--- a/src/plugins/deployment/DeploymentStore.test.ts
+++ b/src/plugins/deployment/DeploymentStore.test.ts
@@ -27,6 +27,7 @@
     key: 'servers/i-1',
     reason: 'odd',
     position,
+    isConfiguration: false,
     endpointId: engine.endpointId,
   };
 }
@@ -39,7 +40,10 @@
 function createStore(): { readonly kernel: TestKernel; readonly store: DeploymentStore } {
   const kernel = new TestKernel([]);
   kernel.provide(Members, { announceToPartners: () => {} } as unknown as Members);
-  kernel.provide(ServingMetrics, { countSourceEra: () => {} } as unknown as ServingMetrics);
+  kernel.provide(ServingMetrics, {
+    countSourceEra: () => {},
+    countUnreadable: () => {},
+  } as unknown as ServingMetrics);
   return { kernel, store: new DeploymentStore(kernel, bounds, new Map()) };
 }
 
@@ -148,6 +152,39 @@
   expect(store.listAssignable('writers')).toHaveLength(1);
 });
 
+function confirmNow(store: DeploymentStore): void {
+  const sentAt = store.readClocks();
+  store.confirm(sentAt.nowMs, sentAt);
+}
+
+// Guards against a configuration that counts as current although the newest version can't be read, and
+// against one that is never confirmed again.
+test.each([
+  ['a newer revision', at(8), at(9), 1_000, 0],
+  ['an older revision', at(6), at(9), 0, 0],
+  ['a newer era', at(3, 2), at(4, 2), 1_000, 0],
+  ['the same revision, read at last', at(8), at(8), 1_000, 0],
+  ['a later revision than the next readable one', at(8), at(7), 1_000, 1_000],
+] as const)(
+  'an unreadable configuration at %s: its age',
+  (_name, unreadableAt, nextAt, expectedAgeMs, nextAgeMs) => {
+    const { kernel, store } = createStore();
+    store.setConfiguration(createConfiguration(), value);
+    confirmNow(store);
+    store.applyChange(
+      { ...createUnreadable(unreadableAt), isConfiguration: true, endpointId: undefined } as never,
+      false,
+    );
+    kernel.manualClock.advance(1_000);
+    confirmNow(store);
+    expect(store.getConfirmedAgeMs()).toBe(expectedAgeMs);
+    expect(store.getSourceAgeMs()).toBe(0);
+    store.setConfiguration(createConfiguration(), { ...value, position: nextAt });
+    confirmNow(store);
+    expect(store.getConfirmedAgeMs()).toBe(nextAgeMs);
+  },
+);
+
 // Guards against a log that fills because an odd entry is read again and again.
 test('an unreadable value costs one log line for each revision', () => {
   const { kernel, store } = createStore();
--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -2,7 +2,8 @@
  * The node's in-memory copy of the configuration and of the endpoint list.
  *
  * A configuration is replaced only by a newer version, whatever the era. A version that the source
- * lost when it came back from an older copy stays in force until a higher one is published.
+ * lost when it came back from an older copy stays in force until a higher one is published. One that
+ * can't be read leaves the version before in force, which is no longer confirmed then.
  *
  * An endpoint that was removed from the list, or that announced that it is leaving, gets no new work
  * but stays in the store for a while, because requests may still be running on it. When the source
@@ -21,12 +22,7 @@
   type SourcePosition,
   type UnreadableEntry,
 } from '../../core';
-import {
-  computeConfirmedAgeMs,
-  isRegisteredAnew,
-  type ClockReading,
-  type Confirmation,
-} from '../../decisions';
+import { isRegisteredAnew, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -36,6 +32,7 @@
   type PublishedChange,
   type PublishedValue,
 } from '../../services';
+import { Confirmations } from './Confirmations';
 import { DepartureMemory, type AnnouncedDeparture, type Departure } from './DepartureMemory';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { ReportedValues } from './ReportedValues';
@@ -68,7 +65,7 @@
 
   private highestEra = 0;
 
-  private confirmation: Confirmation | undefined;
+  private readonly confirmations: Confirmations;
 
   /** Of calls that end when the confirmed age becomes unknown, or a newer era is heard of. */
   private readonly interruptions = new Set<AbortController>();
@@ -89,6 +86,7 @@
     private readonly regions: ReadonlyMap<string, string>,
   ) {
     super();
+    this.confirmations = new Confirmations(kernel.clock);
   }
 
   get configuration(): ServingConfiguration | undefined {
@@ -173,13 +171,16 @@
   }
 
   getConfirmedAgeMs(): number {
-    const { maxWallLeadMs } = DEPLOYMENT_OPTIONS;
-    return computeConfirmedAgeMs(this.confirmation, this.readClocks(), maxWallLeadMs);
+    return this.confirmations.getConfigurationAgeMs();
+  }
+
+  /** Returns the time since everything that was published was known here, readable or not. */
+  getSourceAgeMs(): number {
+    return this.confirmations.getSourceAgeMs();
   }
 
   readClocks(): ClockReading {
-    const { clock } = this.kernel;
-    return { nowMs: clock.nowMs(), wallMs: clock.wallMs() };
+    return this.confirmations.readClocks();
   }
 
   listAssignable(service: string): ReadonlyArray<KnownBackEnd> {
@@ -214,11 +215,12 @@
     if (change.kind === 'endpoint') this.applyEndpoint(change.backEnd, change.value);
     if (change.kind === 'endpoint-removed') this.removeEndpoint(change.endpointId, change.position);
     if (change.kind === 'unreadable') {
-      const { key, reason, position, endpointId } = change;
+      const { key, reason, position, endpointId, isConfiguration } = change;
       if (this.reportedValues.add(change)) {
         this.kernel.log.warn('published value ignored', { key, ...position, reason, isComplete });
       }
       if (endpointId !== undefined && position) this.applyUnreadable(endpointId, position);
+      if (isConfiguration && position) this.markConfigurationUnreadable(position);
     }
   }
 
@@ -230,6 +232,7 @@
   }
 
   setConfiguration(configuration: ServingConfiguration, value: PublishedValue): void {
+    this.confirmations.markReadable(value.position);
     if (this.current && configuration.version <= this.current.version) return;
     this.kernel.log.info('configuration applied', {
       version: configuration.version,
@@ -245,6 +248,21 @@
     this.notifyChange();
   }
 
+  /**
+   * The version in force stays for now, but it is no longer confirmed: a key that the newer one may
+   * have removed is accepted only until the bound for the removal of keys.
+   */
+  private markConfigurationUnreadable(position: SourcePosition): void {
+    if (!this.confirmations.markUnreadable(position)) return;
+    this.kernel.get(ServingMetrics).countUnreadable('version', 1);
+    this.kernel.log.error('newest configuration unreadable', {
+      ...position,
+      version: this.current?.version,
+      confirmedAgeMs: Math.round(this.getConfirmedAgeMs()),
+      boundMs: this.bounds.revocationWithinMs,
+    });
+  }
+
   private reportUnreadable({ version, unreadable }: ServingConfiguration): void {
     unreadable.entries
       .slice(0, DEPLOYMENT_OPTIONS.maxReportedEntries)
@@ -367,9 +385,12 @@
   }
 
   /** Applies a confirmation from another node; the source may still be unavailable to this one. */
-  confirmRelayed(asOfMs: number, sentAt: ClockReading): void {
-    if (asOfMs <= (this.confirmation?.asOfMs ?? -Infinity)) return;
-    this.confirmation = { asOfMs, ...sentAt };
+  confirmRelayed(
+    asOfMs: number,
+    sentAt: ClockReading,
+    configurationAsOfMs: number | undefined,
+  ): void {
+    this.confirmations.confirm(asOfMs, sentAt, configurationAsOfMs);
   }
 
   /**
@@ -385,7 +406,7 @@
       this.unavailableReason = undefined;
       this.restartGrace();
     }
-    this.confirmRelayed(asOfMs, sentAt);
+    this.confirmations.confirm(asOfMs, sentAt, asOfMs);
   }
 
   /** Resolves at the next change of the configuration or of an endpoint, or after the time. */
@@ -425,11 +446,8 @@
   }
 
   private checkForSuspension(): void {
-    if (!this.confirmation || Number.isFinite(this.getConfirmedAgeMs())) return;
-    this.kernel.log.warn('wall clock ran ahead of the monotonic clock', {
-      confirmedAsOfMs: this.confirmation.asOfMs,
-    });
-    this.confirmation = undefined;
+    if (!this.confirmations.clearAfterSuspension()) return;
+    this.kernel.log.warn('wall clock ran ahead of the monotonic clock');
     this.interrupt();
   }
 
--- a/src/plugins/deployment/RelayHandler.ts
+++ b/src/plugins/deployment/RelayHandler.ts
@@ -42,12 +42,14 @@
     if (!this.hasNews(request)) await store.waitForChange(request.waitMs);
     const { completeTo, newestEra, departures } = store;
     const { eraStart } = departures;
-    const confirmedAgeMs = store.getConfirmedAgeMs();
+    const confirmedAgeMs = store.getSourceAgeMs();
+    const configurationAgeMs = store.getConfirmedAgeMs();
     const { maxRelayAgeMs } = computeFreshnessThresholds(store.bounds.revocationWithinMs);
     if (confirmedAgeMs > maxRelayAgeMs) return { completeTo, newestEra, eraStart };
     const isNewer = this.hasNewerConfiguration(request);
     return {
       confirmedAgeMs,
+      configurationAgeMs: Number.isFinite(configurationAgeMs) ? configurationAgeMs : undefined,
       completeTo,
       newestEra,
       eraStart,
--- a/src/plugins/deployment/RelayTask.test.ts
+++ b/src/plugins/deployment/RelayTask.test.ts
@@ -17,7 +17,7 @@
   const store = new DeploymentStore(kernel, bounds, new Map());
   store.enterEra(known.era);
   store.markCompleteTo(known);
-  const body = { ...reply, eraStart: at(0, 0), confirmedAgeMs: 100 };
+  const body = { ...reply, eraStart: at(0, 0), confirmedAgeMs: 100, configurationAgeMs: 100 };
   kernel.provide(Peers, { call: async () => body } as unknown as Peers);
   kernel.provide(Members, { listReaders: () => ['front-2' as VmId] } as unknown as Members);
   kernel.provide(ServingMetrics, { countSourceEra: () => {} } as unknown as ServingMetrics);
@@ -61,7 +61,13 @@
   const call = async (): Promise<unknown> => {
     calls += 1;
     const { completeTo, newestEra } = store;
-    return { completeTo, newestEra, eraStart: at(0, 0), confirmedAgeMs: 100 };
+    return {
+      completeTo,
+      newestEra,
+      eraStart: at(0, 0),
+      confirmedAgeMs: 100,
+      configurationAgeMs: 100,
+    };
   };
   kernel.provide(Peers, { call } as unknown as Peers);
   const members = { listReaders: () => [], listLive: () => [{ vmId: 'front-2' }] };
--- a/src/plugins/deployment/RelayTask.ts
+++ b/src/plugins/deployment/RelayTask.ts
@@ -66,7 +66,7 @@
   private async followReaders(readers: ReadonlyArray<VmId>, signal: AbortSignal): Promise<void> {
     const { readerWaitMs, readerPauseMs, relayIntervalMs } = DEPLOYMENT_OPTIONS;
     const { readerMaxAgeMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
-    const isFresh = (): boolean => this.store.getConfirmedAgeMs() <= readerMaxAgeMs;
+    const isFresh = (): boolean => this.store.getSourceAgeMs() <= readerMaxAgeMs;
     const [best, ...others] = readers;
     // A reader that has started together with this node may have nothing to wait for.
     const waitMs = this.store.configuration ? readerWaitMs : 0;
@@ -111,7 +111,7 @@
   private isNeeded(): boolean {
     const { relayAfterMs } = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
     if (this.copiedEra < this.store.completeTo.era) return true;
-    return this.store.isSourceUnavailable || this.store.getConfirmedAgeMs() > relayAfterMs;
+    return this.store.isSourceUnavailable || this.store.getSourceAgeMs() > relayAfterMs;
   }
 
   private chooseMember(): KnownMember | undefined {
@@ -130,7 +130,7 @@
       : Math.min(maxRelayIntervalMs, this.intervalMs * 2);
     if (!isConfirmed || this.isRelaying) return;
     this.isRelaying = true;
-    const confirmedAgeMs = Math.round(this.store.getConfirmedAgeMs());
+    const confirmedAgeMs = Math.round(this.store.getSourceAgeMs());
     this.kernel.log.info('deployment confirmed by another node', { member: vmId, confirmedAgeMs });
   }
 
@@ -161,7 +161,7 @@
    */
   private applyReply(reply: ReceivedReply, sentAt: ClockReading): boolean {
     const { store } = this;
-    const { configuration, confirmedAgeMs, endpoints, completeTo } = reply;
+    const { configuration, confirmedAgeMs, configurationAgeMs, endpoints, completeTo } = reply;
     store.hearOfEra(reply.newestEra);
     store.noteEraStart(reply.eraStart);
     this.isReplyReadable = true;
@@ -176,7 +176,9 @@
     // The confirmation covers the other node's configuration, so it is void if that can't be decoded.
     if (!hasConfiguration) return false;
     if (isComplete) store.markCompleteTo(completeTo);
-    store.confirmRelayed(sentAt.nowMs - confirmedAgeMs, sentAt);
+    const configurationAsOfMs =
+      configurationAgeMs === undefined ? undefined : sentAt.nowMs - configurationAgeMs;
+    store.confirmRelayed(sentAt.nowMs - confirmedAgeMs, sentAt, configurationAsOfMs);
     return true;
   }
 
@@ -240,6 +242,6 @@
   private reportUnreadable(key: string, fault: unknown): void {
     const reason = describeFault(fault);
     const change = { key, reason, position: undefined, endpointId: undefined };
-    this.store.applyChange({ kind: 'unreadable', ...change }, false);
+    this.store.applyChange({ kind: 'unreadable', isConfiguration: false, ...change }, false);
   }
 }
--- a/src/plugins/deployment/SourceTask.ts
+++ b/src/plugins/deployment/SourceTask.ts
@@ -101,7 +101,7 @@
     }
     if (!this.store.configuration || members.readsSource()) return true;
     // The readers get the same time after the start as after a confirmation.
-    return Math.min(startedForMs, this.store.getConfirmedAgeMs()) > relayAfterMs;
+    return Math.min(startedForMs, this.store.getSourceAgeMs()) > relayAfterMs;
   }
 
   private chooseRetryIntervalMs(): number {
@@ -150,9 +150,9 @@
   private chooseWaitMs(): number {
     const thresholds = computeFreshnessThresholds(this.store.bounds.revocationWithinMs);
     const readsForOthers = this.kernel.get(Members).readsForOthers();
-    const confirmedAgeMs = this.store.getConfirmedAgeMs();
+    const sourceAgeMs = this.store.getSourceAgeMs();
     return Math.round(
-      this.addJitter(computeWatchTimeoutMs(confirmedAgeMs, thresholds, readsForOthers)),
+      this.addJitter(computeWatchTimeoutMs(sourceAgeMs, thresholds, readsForOthers)),
     );
   }
 
--- a/src/plugins/deployment/relayMessages.ts
+++ b/src/plugins/deployment/relayMessages.ts
@@ -53,6 +53,8 @@
 const relayReplySchema = z.object({
   /** Age of its confirmation at the time of the answer; absent when that age is too high. */
   confirmedAgeMs: z.number().min(0).optional(),
+  /** Age at that time of the proof that its configuration is current; absent without one. */
+  configurationAgeMs: z.number().min(0).optional(),
   /** Highest era of the source that the answering node has heard of. */
   newestEra: eraSchema,
   /** Position up to which it knows every change. */
--- a/src/services/DeploymentSource.ts
+++ b/src/services/DeploymentSource.ts
@@ -31,6 +31,8 @@
       readonly reason: string;
       /** Undefined when the revision can't be read either. */
       readonly position: SourcePosition | undefined;
+      /** Whether it is a version of the configuration. */
+      readonly isConfiguration: boolean;
       /** The endpoint that the key names, if any. */
       readonly endpointId: EndpointId | undefined;
     };
--- a/tests/oddRelays.test.ts
+++ b/tests/oddRelays.test.ts
@@ -31,6 +31,7 @@
 function createReply(endpoints: ReadonlyArray<unknown>, changes: Fields = {}): Fields {
   return {
     confirmedAgeMs: 0,
+    configurationAgeMs: 0,
     newestEra: 0,
     completeTo: at(POSITION),
     eraStart: at(1),
@@ -82,7 +83,7 @@
 const ODD_ENDPOINTS: ReadonlyArray<readonly [string, unknown]> = [
   ['a number', 7],
   ['null', null],
-  ['an odd id', createRelayed('I 2', 11)],
+  ['an odd id', createRelayed('i\n2', 11)],
   ['an odd revision', { ...createRelayed('i-2', 11), position: at('x') }],
   ['a huge revision', { ...createRelayed('i-2', 11), position: at(1e308) }],
   ['a value of another type', { ...createRelayed('i-2', 11), value: 7 }],
