Quarantine parts that always came together as one

Cause: the crashes don't tell parts apart that always came together, so the last one of the prompt was taken. The quarantine then kept away the requests that would have shown the guess wrong.

Change: such parts are held together. Only requests with all of them are refused; a request with some of them passes, and clears its parts if it begins well, or the others if it crashes. From four crashes on it passes as a trial, one at a time in the fleet.

--- a/src/decisions/findHarmfulParts.ts
+++ b/src/decisions/findHarmfulParts.ts
@@ -6,6 +6,10 @@
  * well since. A crash has one cause: it counts for the part that explains most crashes, and no
  * longer for the other parts of the requests that were lost with it. So parts that sound requests
  * share, and those of bystanders, aren't blamed for what another part explains.
+ *
+ * Parts that came together in every crash can't be told apart by the crashes, so they are quarantined
+ * together: only requests with all of them are held back. A request with some of them tells them
+ * apart, whether it begins well or crashes its endpoint.
  */
 import type { PromptPartId } from '../core';
 import type { CrashEvidence, CrashSuspect, EndpointCrash } from './crashEvidence';
@@ -15,25 +19,31 @@
   minGapMs: 500,
   /** Crashes for which a part is quarantined; a part that has ever been sound needs one more. */
   minCrashes: 2,
-  /** Crashes for which parts are quarantined that nothing tells apart. */
+  /** Crashes for which parts of different requests are quarantined that nothing tells apart. */
   minCrashesIfInseparable: 4,
+  /** Crashes from which requests with some of the parts are tried one at a time. */
+  singleTrialsFromCrashes: 4,
   /** Time after a crash until one request is tried; doubles with each failed trial. */
   baseHoldMs: 15_000,
   maxHoldMs: 120_000,
 } as const;
 
-/** A part that is quarantined. @public */
-export interface HarmfulPart {
-  readonly part: PromptPartId;
+/** Parts that are quarantined together; only one unless nothing tells them apart yet. @public */
+export interface HarmfulParts {
+  /** In a fixed order, the same at all nodes. */
+  readonly parts: ReadonlyArray<PromptPartId>;
   readonly crashes: number;
-  /** From when on one request with the part may be tried. */
+  /** From when on one request with all of the parts may be tried. */
   readonly retryAtMs: number;
 }
 
+/** Returns a text that identifies the parts. @public */
+export function getHarmfulKey({ parts }: Pick<HarmfulParts, 'parts'>): string {
+  return parts.join(' ');
+}
+
 interface Candidate {
   readonly part: PromptPartId;
-  /** Its position in the prompts; parts further on are shared by fewer requests. */
-  readonly depth: number;
   readonly crashes: ReadonlyArray<EndpointCrash>;
   /** Number of crashes with a gap between them, less one for a part that has been sound. */
   readonly score: number;
@@ -58,12 +68,8 @@
 
 function listCandidates({ crashes, soundAtMs }: CrashEvidence): ReadonlyArray<Candidate> {
   const byPart = new Map<PromptPartId, ReadonlyArray<EndpointCrash>>();
-  const depths = new Map<PromptPartId, number>();
   crashes.forEach((crash) => {
     const suspects = listLikelySuspects(crash);
-    suspects.forEach(({ parts }) =>
-      parts.forEach((part, index) => depths.set(part, Math.max(index, depths.get(part) ?? 0))),
-    );
     new Set(suspects.flatMap(({ parts }) => parts)).forEach((part) => {
       if (crash.atMs <= (soundAtMs.get(part) ?? -Infinity)) return;
       byPart.set(part, [...(byPart.get(part) ?? []), crash]);
@@ -71,7 +77,6 @@
   });
   return [...byPart].map(([part, blamed]) => ({
     part,
-    depth: depths.get(part) ?? 0,
     crashes: blamed,
     score: countApart(blamed) - Number(soundAtMs.has(part)),
   }));
@@ -104,6 +109,27 @@
   return one.crashes.some((crash) => other.crashes.includes(crash));
 }
 
+/** Candidates that came together in each crash that counts for them. */
+interface Group {
+  readonly first: Candidate;
+  readonly members: ReadonlyArray<Candidate>;
+}
+
+function areInseparable(one: Candidate, other: Candidate): boolean {
+  return isAlwaysWith(one, other) && isAlwaysWith(other, one);
+}
+
+function groupInseparable(candidates: ReadonlyArray<Candidate>): ReadonlyArray<Group> {
+  return candidates.reduce<ReadonlyArray<Group>>((groups, candidate) => {
+    const found = groups.find(({ members }) =>
+      members.every((member) => areInseparable(member, candidate)),
+    );
+    if (!found) return [...groups, { first: candidate, members: [candidate] }];
+    const joined = { ...found, members: [...found.members, candidate] };
+    return groups.map((group) => (group === found ? joined : group));
+  }, []);
+}
+
 /** The wait after the last crash; it doubles with each crash that came after a wait, so a trial. */
 function computeHoldMs(crashes: ReadonlyArray<EndpointCrash>): number {
   const { baseHoldMs, maxHoldMs } = HARM_OPTIONS;
@@ -114,10 +140,11 @@
   return Math.min(maxHoldMs, baseHoldMs * 2 ** failedTrials);
 }
 
-function describe({ part, crashes }: Candidate): HarmfulPart {
+function describe({ members, first }: Group): HarmfulParts {
+  const { crashes } = first;
   const lastCrashAtMs = crashes.at(-1)?.atMs ?? -Infinity;
   const retryAtMs = lastCrashAtMs + computeHoldMs(crashes);
-  return { part, crashes: crashes.length, retryAtMs };
+  return { parts: members.map(({ part }) => part).sort(), crashes: crashes.length, retryAtMs };
 }
 
 /** Returns the candidates that explain most crashes; of equal ones, those never known as sound. */
@@ -130,27 +157,29 @@
 }
 
 /**
- * Of equal candidates, returns those to quarantine. Of parts that always come together it takes the
- * last one of the prompt, as fewest requests have it: if that is wrong, the next crashes show it.
- * For parts of different requests it waits for some more crashes, which may tell them apart.
+ * Of equal candidates, returns the groups to quarantine, without those that came with another one in
+ * each of their crashes but not in each of its. For parts of different requests it waits for some
+ * more crashes, which may tell them apart.
  */
-function chooseToQuarantine(best: ReadonlyArray<Candidate>): ReadonlyArray<Candidate> {
-  const deepest = best.filter(
-    (one) => !best.some((other) => other.depth > one.depth && isAlwaysWith(one, other)),
-  );
-  return deepest.filter(
+function chooseToQuarantine(best: ReadonlyArray<Candidate>): ReadonlyArray<Group> {
+  const strongest = best.filter(
     (one) =>
-      one.score >= HARM_OPTIONS.minCrashesIfInseparable ||
-      deepest.every((other) => other === one || !sharesCrash(one, other)),
+      !best.some((other) => other.crashes.length > one.crashes.length && isAlwaysWith(one, other)),
+  );
+  const groups = groupInseparable(strongest);
+  return groups.filter(
+    ({ first }) =>
+      first.score >= HARM_OPTIONS.minCrashesIfInseparable ||
+      groups.every((other) => other.first === first || !sharesCrash(first, other.first)),
   );
 }
 
 /** Returns the parts that are quarantined, by what is known now. */
-export function findHarmfulParts(evidence: CrashEvidence): ReadonlyMap<PromptPartId, HarmfulPart> {
-  const found = new Map<PromptPartId, HarmfulPart>();
+export function findHarmfulParts(evidence: CrashEvidence): ReadonlyArray<HarmfulParts> {
+  let found: ReadonlyArray<HarmfulParts> = [];
   let candidates = listCandidates(evidence);
   for (let best = chooseBest(candidates); best.length > 0; best = chooseBest(candidates)) {
-    chooseToQuarantine(best).forEach((candidate) => found.set(candidate.part, describe(candidate)));
+    found = [...found, ...chooseToQuarantine(best).map(describe)];
     const others = candidates.filter((candidate) => !best.includes(candidate));
     candidates = removeCrashes(others, new Set(best.flatMap(({ crashes }) => crashes)));
   }
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -5,6 +5,7 @@
 export * from './loadSums';
 export * from './rendezvous';
 export * from './admitWhileDraining';
+export * from './checkPromptParts';
 export * from './chooseEntryAddresses';
 export * from './chooseExchangePartners';
 export * from './confirmation';
--- a/src/plugins/forwarding/QuarantineGuard.ts
+++ b/src/plugins/forwarding/QuarantineGuard.ts
@@ -3,13 +3,20 @@
  * are sent, as a part may have been quarantined meanwhile.
  */
 import { ServingError, type PromptPartId } from '../../core';
+import type { HarmfulParts, QuarantineVerdict } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Quarantine, type QuarantineVerdict } from '../../services';
+import { Quarantine } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import { FORWARDING_OPTIONS } from './options';
 
 type Refusal = Extract<QuarantineVerdict, { readonly outcome: 'refuse' }>;
 
+/** Names quarantined parts, which may be one or several, in a sentence. */
+function describeParts({ parts }: HarmfulParts): string {
+  const names = parts.join(', ');
+  return parts.length === 1 ? `the part ${names}` : `the parts ${names} together`;
+}
+
 /** @internal */
 export class QuarantineGuard {
   constructor(private readonly kernel: Kernel) {}
@@ -23,9 +30,10 @@
     const verdict = quarantine.check(parts);
     if (verdict.outcome === 'admit') return false;
     if (verdict.outcome === 'refuse') throw this.createError(verdict, clause);
-    if (await quarantine.takeTrial(verdict.part)) return true;
+    const { harmful } = verdict;
+    if (await quarantine.takeTrial(parts, harmful)) return true;
     throw new ServingError('prompt-quarantined', {
-      detail: `Another request with the quarantined part ${verdict.part} is being tried.`,
+      detail: `Another request is being tried for ${describeParts(harmful)} of the prompt.`,
       clause,
       retryAfterMs: FORWARDING_OPTIONS.trialRetryAfterMs,
     });
@@ -39,7 +47,7 @@
     if (verdict.outcome === 'refuse') return this.createError(verdict, clause);
     if (verdict.outcome === 'trial') {
       return new ServingError('prompt-quarantined', {
-        detail: `The part ${verdict.part} of the prompt is quarantined.`,
+        detail: `Endpoints crashed under ${describeParts(verdict.harmful)} of the prompt.`,
         clause,
         retryAfterMs: FORWARDING_OPTIONS.trialRetryAfterMs,
       });
@@ -59,9 +67,9 @@
     });
   }
 
-  private createError({ part, crashes, retryAfterMs }: Refusal, clause: string): ServingError {
+  private createError({ harmful, retryAfterMs }: Refusal, clause: string): ServingError {
     return new ServingError('prompt-quarantined', {
-      detail: `${crashes} endpoints crashed under the part ${part} of the prompt.`,
+      detail: `${harmful.crashes} endpoints crashed under ${describeParts(harmful)} of the prompt.`,
       clause,
       retryAfterMs: Math.ceil(retryAfterMs),
     });
--- a/src/plugins/quarantine/PromptQuarantine.ts
+++ b/src/plugins/quarantine/PromptQuarantine.ts
@@ -5,29 +5,30 @@
 import {
   addCrash,
   addSound,
+  checkPromptParts,
   expireEvidence,
   findHarmfulParts,
+  getHarmfulKey,
   listSuspectParts,
   mergeEvidence,
   NO_EVIDENCE,
   type CrashEvidence,
   type CrashSuspect,
-  type HarmfulPart,
+  type HarmfulParts,
+  type QuarantineVerdict,
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { Members, Quarantine, type QuarantineVerdict } from '../../services';
+import { Members, Quarantine } from '../../services';
 import { SoundParts } from './SoundParts';
 import type { TrialGrants } from './TrialGrants';
 
-const ADMIT: QuarantineVerdict = { outcome: 'admit' };
-
 /** @internal */
 export class PromptQuarantine extends Quarantine {
   private readonly sound = new SoundParts();
 
   private known: CrashEvidence = NO_EVIDENCE;
 
-  private harmful: ReadonlyMap<PromptPartId, HarmfulPart> = new Map();
+  private harmful: ReadonlyArray<HarmfulParts> = [];
 
   private suspects: ReadonlySet<PromptPartId> = new Set();
 
@@ -49,28 +50,25 @@
   }
 
   get quarantinedCount(): number {
-    return this.harmful.size;
+    return this.harmful.reduce((count, { parts }) => count + parts.length, 0);
   }
 
   override check(parts: ReadonlyArray<PromptPartId>): QuarantineVerdict {
-    if (this.harmful.size === 0) return ADMIT;
-    const [worst] = parts
-      .flatMap((part) => this.harmful.get(part) ?? [])
-      .sort((a, b) => b.retryAtMs - a.retryAtMs);
-    if (!worst) return ADMIT;
-    const { part, crashes } = worst;
-    const retryAfterMs = worst.retryAtMs - this.kernel.clock.nowMs();
-    return retryAfterMs > 0
-      ? { outcome: 'refuse', part, crashes, retryAfterMs }
-      : { outcome: 'trial', part };
+    return checkPromptParts(this.harmful, parts, this.kernel.clock.nowMs());
   }
 
-  override async takeTrial(part: PromptPartId): Promise<boolean> {
-    const isGranted = await this.trials.take(part);
+  override async takeTrial(
+    parts: ReadonlyArray<PromptPartId>,
+    harmful: HarmfulParts,
+  ): Promise<boolean> {
+    const key = getHarmfulKey(harmful);
+    const tried = harmful.parts.filter((part) => parts.includes(part));
+    const isGranted = await this.trials.take(key, tried);
     this.kernel.log.info('decision', {
       step: 'quarantine',
-      what: 'trial of a quarantined part',
-      part,
+      what: 'trial of quarantined parts',
+      parts: harmful.parts,
+      tried,
       outcome: isGranted ? 'granted' : 'another one runs',
     });
     return isGranted;
@@ -114,36 +112,43 @@
     return true;
   }
 
-  private logChanges(before: ReadonlyMap<PromptPartId, HarmfulPart>, source: string): void {
+  private logChanges(before: ReadonlyArray<HarmfulParts>, source: string): void {
     const { clock, log } = this.kernel;
-    this.harmful.forEach(({ part, crashes, retryAtMs }) => {
-      if (before.get(part)?.crashes === crashes) return;
+    this.harmful.forEach((harmful) => {
+      const { parts, crashes, retryAtMs } = harmful;
+      const key = getHarmfulKey(harmful);
+      if (before.some((other) => getHarmfulKey(other) === key && other.crashes === crashes)) return;
       log.warn('decision', {
         step: 'quarantine',
-        what: 'part of prompts quarantined',
-        part,
+        what: 'parts of prompts quarantined',
+        parts,
         crashes,
-        crashIds: this.listCrashIds(part),
+        crashIds: this.listCrashIds(parts),
         retryAfterMs: Math.round(retryAtMs - clock.nowMs()),
         source,
       });
     });
-    before.forEach(({ part }) => {
-      if (this.harmful.has(part)) return;
-      const soundAtMs = this.known.soundAtMs.get(part);
-      log.warn('decision', {
-        step: 'quarantine',
-        what: 'part of prompts released',
-        part,
-        soundForMs: soundAtMs === undefined ? undefined : Math.round(clock.nowMs() - soundAtMs),
-        source,
+    const held = new Set(this.harmful.flatMap(({ parts }) => parts));
+    before
+      .flatMap(({ parts }) => parts)
+      .filter((part) => !held.has(part))
+      .forEach((part) => {
+        const soundAtMs = this.known.soundAtMs.get(part);
+        log.warn('decision', {
+          step: 'quarantine',
+          what: 'part of prompts released',
+          part,
+          soundForMs: soundAtMs === undefined ? undefined : Math.round(clock.nowMs() - soundAtMs),
+          source,
+        });
       });
-    });
   }
 
-  private listCrashIds(part: PromptPartId): ReadonlyArray<string> {
+  private listCrashIds(parts: ReadonlyArray<PromptPartId>): ReadonlyArray<string> {
     return this.known.crashes
-      .filter(({ suspects }) => suspects.some(({ parts }) => parts.includes(part)))
+      .filter(({ suspects }) =>
+        suspects.some((suspect) => parts.every((part) => suspect.parts.includes(part))),
+      )
       .map(({ crashId }) => crashId);
   }
 }
--- a/src/plugins/quarantine/TrialGrants.ts
+++ b/src/plugins/quarantine/TrialGrants.ts
@@ -1,30 +1,42 @@
 /**
  * Grants trials of quarantined parts, one at a time in the fleet.
  *
- * For each part one node is in charge, by rendezvous hashing over the live nodes. It grants a trial
- * if by its own evidence the part may be tried and no other trial of it is running.
+ * For parts that are quarantined together one node is in charge, by rendezvous hashing over the live
+ * nodes. It grants a trial if by its own evidence they may be tried and no other trial of them is
+ * running.
  */
 import * as z from 'zod';
 import { promptPartIdSchema, ServingError, type PromptPartId } from '../../core';
-import { pickByRendezvous } from '../../decisions';
+import { CRASH_EVIDENCE_OPTIONS, getHarmfulKey, pickByRendezvous } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Members, PeerHandler, Peers, Quarantine, type Peer } from '../../services';
 import { QUARANTINE_OPTIONS } from './options';
 
 const MESSAGE_TYPE = 'quarantine.trial';
 
-const requestSchema = z.object({ part: promptPartIdSchema }).readonly();
+const { maxPartsPerSuspect } = CRASH_EVIDENCE_OPTIONS;
+
+const requestSchema = z
+  .object({
+    /** Identifies the parts that are quarantined together. */
+    key: z.string(),
+    /** Those of them that the request has. */
+    tried: z.array(promptPartIdSchema).min(1).max(maxPartsPerSuspect).readonly(),
+  })
+  .readonly();
+type TrialRequest = z.infer<typeof requestSchema>;
 
 const replySchema = z.object({ isGranted: z.boolean() }).readonly();
 
 /** @internal */
 export class TrialGrants {
-  private readonly grantedAtMs = new Map<PromptPartId, number>();
+  /** By key. */
+  private readonly grantedAtMs = new Map<string, number>();
 
   constructor(private readonly kernel: Kernel) {}
 
   /** Asks the node in charge; an unreachable one grants nothing. */
-  async take(part: PromptPartId): Promise<boolean> {
+  async take(key: string, tried: ReadonlyArray<PromptPartId>): Promise<boolean> {
     const { clock, log, settings } = this.kernel;
     const nodes = [
       settings.vmId,
@@ -33,27 +45,29 @@
         .listLive()
         .map(({ vmId }) => vmId),
     ];
-    const inCharge = pickByRendezvous(`trial ${part}`, nodes);
-    if (inCharge === undefined || inCharge === settings.vmId) return this.grant(part);
+    const inCharge = pickByRendezvous(`trial ${key}`, nodes);
+    if (inCharge === undefined || inCharge === settings.vmId) return this.grant({ key, tried });
     try {
       const deadlineMs = clock.nowMs() + QUARANTINE_OPTIONS.trialCallTimeoutMs;
-      const reply = await this.kernel.get(Peers).call(inCharge, MESSAGE_TYPE, { part }, deadlineMs);
+      const request: TrialRequest = { key, tried };
+      const reply = await this.kernel.get(Peers).call(inCharge, MESSAGE_TYPE, request, deadlineMs);
       return replySchema.parse(reply).isGranted;
     } catch (thrown) {
-      log.info('trial not granted', { part, member: inCharge, cause: ServingError.from(thrown) });
+      log.info('trial not granted', { tried, member: inCharge, cause: ServingError.from(thrown) });
       return false;
     }
   }
 
   /** Grants a trial as the node in charge. */
-  grant(part: PromptPartId): boolean {
+  grant({ key, tried }: TrialRequest): boolean {
     const nowMs = this.kernel.clock.nowMs();
     const { trialTimeoutMs, maxTrials } = QUARANTINE_OPTIONS;
-    const lastMs = this.grantedAtMs.get(part) ?? -Infinity;
-    const isDue = this.kernel.get(Quarantine).check([part]).outcome === 'trial';
+    const lastMs = this.grantedAtMs.get(key) ?? -Infinity;
+    const verdict = this.kernel.get(Quarantine).check(tried);
+    const isDue = verdict.outcome === 'trial' && getHarmfulKey(verdict.harmful) === key;
     if (!isDue || nowMs - lastMs < trialTimeoutMs) return false;
-    this.grantedAtMs.delete(part);
-    this.grantedAtMs.set(part, nowMs);
+    this.grantedAtMs.delete(key);
+    this.grantedAtMs.set(key, nowMs);
     const [oldest] = this.grantedAtMs.keys();
     if (this.grantedAtMs.size > maxTrials && oldest) this.grantedAtMs.delete(oldest);
     return true;
@@ -70,7 +84,7 @@
     super();
   }
 
-  async handle(_from: Peer, { part }: z.infer<typeof requestSchema>): Promise<unknown> {
-    return { isGranted: this.trials.grant(part) };
+  async handle(_from: Peer, request: TrialRequest): Promise<unknown> {
+    return { isGranted: this.trials.grant(request) };
   }
 }
--- a/src/services/Quarantine.ts
+++ b/src/services/Quarantine.ts
@@ -2,27 +2,18 @@
  * Quarantine of parts of prompts that crash endpoints.
  */
 import type { PromptPartId } from '../core';
-import type { CrashSuspect } from '../decisions';
-
-/** @public */
-export type QuarantineVerdict =
-  | { readonly outcome: 'admit' }
-  /** The part was held long enough; one request in the fleet may be tried. */
-  | { readonly outcome: 'trial'; readonly part: PromptPartId }
-  | {
-      readonly outcome: 'refuse';
-      readonly part: PromptPartId;
-      readonly crashes: number;
-      readonly retryAfterMs: number;
-    };
+import type { CrashSuspect, HarmfulParts, QuarantineVerdict } from '../decisions';
 
 /** @public */
 export abstract class Quarantine {
   /** Decides by the shared parts of a request's prompt; parts of sound requests are admitted. */
   abstract check(parts: ReadonlyArray<PromptPartId>): QuarantineVerdict;
 
-  /** Returns whether this request is the one that may be tried; at most one in the fleet is. */
-  abstract takeTrial(part: PromptPartId): Promise<boolean>;
+  /**
+   * Returns whether a request with these parts is the one that may be tried because of quarantined
+   * ones; at most one in the fleet is.
+   */
+  abstract takeTrial(parts: ReadonlyArray<PromptPartId>, harmful: HarmfulParts): Promise<boolean>;
 
   /**
    * Records a request that a crash ended at its beginning.
