Answer streams that don't begin before their callers leave

Cause: the wait for the head had no limit of its own. A change of the configuration plays no part; a request keeps the route it came by.

Change: a route says when its callers abandon a stream. Shortly before, a stream without a head gets 504, may have run; the connection to its engine ends and the failure counts for the engine's health. The opening of streams moves from StreamDelivery to StreamOpening.

--- a/src/core/ServingConfiguration.ts
+++ b/src/core/ServingConfiguration.ts
@@ -28,6 +28,8 @@
   readonly answerWithinMs: number;
   /** Goal for the time to the response, or to the first event of a stream. */
   readonly latencyGoalMs: number;
+  /** Time without an event after which callers abandon a stream; unlimited for other responses. */
+  readonly abandonedAfterMs: number;
   /** Scheduling priority; 0 is the highest. */
   readonly rank: number;
   /** Maximum number of endpoints to which one request may be sent. */
--- a/src/decisions/servingFixtures.ts
+++ b/src/decisions/servingFixtures.ts
@@ -28,6 +28,7 @@
     isResumable: false,
     answerWithinMs: 1_000,
     latencyGoalMs: 200,
+    abandonedAfterMs: Infinity,
     rank: 1,
     maxEndpoints: 2,
     targets: [{ service: 'desk', weight: 1 }],
--- a/src/platform/configurationValue.ts
+++ b/src/platform/configurationValue.ts
@@ -33,6 +33,8 @@
   kind: z.enum(['safe', 'unsafe', 'streaming']),
   timeoutMs: durationSchema,
   latencyGoalMs: durationSchema.default(0),
+  /** Longest pause between events with which a stream is on time. */
+  gapTargetMs: durationSchema.default(0),
   priority: z.number().default(0),
   service: z.string().optional(),
   weightedServices: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
@@ -41,6 +43,24 @@
   streamResume: z.boolean().default(false),
 });
 
+/** Callers abandon a stream after the longest of these times without an event. */
+const MIN_ABANDONED_AFTER_MS = 2_000;
+const ABANDONED_AFTER_GOALS = 4;
+const ABANDONED_AFTER_GAPS = 8;
+
+function getAbandonedAfterMs({
+  kind,
+  latencyGoalMs,
+  gapTargetMs,
+}: z.infer<typeof routeSchema>): number {
+  if (kind !== 'streaming') return Infinity;
+  return Math.max(
+    MIN_ABANDONED_AFTER_MS,
+    latencyGoalMs * ABANDONED_AFTER_GOALS,
+    gapTargetMs * ABANDONED_AFTER_GAPS,
+  );
+}
+
 const engineSchema = z.object({
   kvCapacity: z.number(),
   moves: z.boolean().default(false),
@@ -93,6 +113,7 @@
     isResumable: route.kind === 'streaming' && route.streamResume,
     answerWithinMs: route.timeoutMs,
     latencyGoalMs: route.latencyGoalMs,
+    abandonedAfterMs: getAbandonedAfterMs(route),
     rank: route.priority,
     maxEndpoints: route.maxAttempts,
     targets:
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -20,6 +20,7 @@
 import { SegmentOpener } from './SegmentOpener';
 import { SilenceWatch } from './SilenceWatch';
 import { StreamDelivery } from './StreamDelivery';
+import { StreamOpening } from './StreamOpening';
 import { WholeDelivery } from './WholeDelivery';
 
 /** Admits callers while this node is serving and its configuration is recently confirmed. */
@@ -81,13 +82,13 @@
       whole: new WholeDelivery(kernel, placer, sender, retries, crashes),
       stream: new StreamDelivery(kernel, {
         placer,
+        opening: new StreamOpening(kernel, placer, opener, retries, this.nodeDrain),
         opener,
         retries,
         migrator,
         silence: new SilenceWatch(kernel, placer, retries, migrator, opener),
         estimator: this.estimator,
         crashes,
-        drain: this.nodeDrain,
       }),
       retries,
       drain: this.nodeDrain,
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -10,19 +10,19 @@
 import { ServingMetrics } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { CrashReporter } from './CrashReporter';
-import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
+import type { EndpointPlacer } from './EndpointPlacer';
 import { isSuccess } from './EndpointSender';
 import { EventSplitter } from './EventSplitter';
 import { FORWARDING_OPTIONS } from './options';
-import type { NodeDrain } from './NodeDrain';
 import type { OutputEstimator } from './OutputEstimator';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
 import type { RunMigrator } from './RunMigrator';
 import type { SegmentOpener } from './SegmentOpener';
 import type { SilenceWatch } from './SilenceWatch';
+import type { StreamOpening } from './StreamOpening';
 import { StreamProgress } from './StreamProgress';
-import { StreamSegment, type NextSegment } from './StreamSegment';
+import type { NextSegment, StreamSegment } from './StreamSegment';
 import type { RunningStream } from './Takeover';
 
 type SegmentEnd =
@@ -38,13 +38,13 @@
 /** @internal */
 export interface StreamParts {
   readonly placer: EndpointPlacer;
+  readonly opening: StreamOpening;
   readonly opener: SegmentOpener;
   readonly retries: RetryPolicy;
   readonly migrator: RunMigrator;
   readonly silence: SilenceWatch;
   readonly estimator: OutputEstimator;
   readonly crashes: CrashReporter;
-  readonly drain: NodeDrain;
 }
 
 /** @internal */
@@ -62,7 +62,7 @@
     const { exchange, work } = admitted;
     const profile = work.configuration.services.get(work.service)?.engine;
     const progress = new StreamProgress(profile?.tokensPerEvent ?? 1);
-    let segment = await this.open(admitted, progress);
+    let segment = await this.begin(admitted, await this.parts.opening.open(admitted), progress);
     while (segment) {
       const ended = await this.relay(admitted, segment, progress);
       if (ended.end === 'complete' || admitted.signal.aborted) this.abandonNext(segment);
@@ -104,75 +104,7 @@
     return this.continueStream(admitted, segment, progress, reason);
   }
 
-  /** Sends the request until an engine answers it; forwards an error response as it is. */
-  private async open(
-    admitted: AdmittedRequest,
-    progress: StreamProgress,
-  ): Promise<StreamSegment | undefined> {
-    let excluded: ReadonlyArray<EndpointId> = [];
-    let lostReason: string | undefined;
-    for (let isFirst = true; ; isFirst = false) {
-      let placed: RequestReservation;
-      try {
-        placed = isFirst
-          ? await this.placeFirst(admitted)
-          : this.parts.placer.place(admitted.work, excluded, 'retry');
-        this.checkBeforeSend(admitted, placed);
-      } catch (thrown) {
-        throw this.explainUnsent(admitted, thrown, lostReason);
-      }
-      const sent = await this.parts.opener.open(admitted, placed);
-      if (sent instanceof StreamSegment) return this.begin(admitted, sent, progress);
-      admitted.signal.throwIfAborted();
-      if (sent.outcome === 'lost') lostReason = sent.reason;
-      excluded = [...excluded, placed.backEnd.endpointId];
-      const isUnsent = sent.outcome === 'not-run' && !sent.wasSent;
-      const mayRetry = isUnsent || sent.outcome === 'not-run' || admitted.route.isResumable;
-      if (mayRetry && (isUnsent || this.parts.retries.takeRetry(admitted))) continue;
-      throw this.explainUnsent(
-        admitted,
-        new ServingError('overloaded', {
-          detail: sent.reason,
-          clause: admitted.clause,
-          retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
-        }),
-        lostReason,
-      );
-    }
-  }
-
-  /** A refusal of one attempt says nothing of an earlier one that was lost and may have run. */
-  private explainUnsent(
-    { clause }: AdmittedRequest,
-    thrown: unknown,
-    lostReason: string | undefined,
-  ): unknown {
-    if (lostReason === undefined) return thrown;
-    return new ServingError('answer-lost', { detail: lostReason, clause, cause: thrown });
-  }
-
-  /** A part may have been quarantined, or a shutdown begun, while the request was held. */
-  private checkBeforeSend(admitted: AdmittedRequest, placed: RequestReservation): void {
-    const refusal = this.guard.findRefusal(admitted) ?? this.parts.drain.findRefusal(admitted);
-    if (!refusal) return;
-    placed.release();
-    throw refusal;
-  }
-
-  /** Waits up to a share of the latency goal while no engine has capacity. */
-  private async placeFirst({
-    work,
-    route,
-    signal,
-    exchange,
-  }: AdmittedRequest): Promise<RequestReservation> {
-    const holdMs = route.latencyGoalMs * FORWARDING_OPTIONS.maxHoldShare;
-    const placed = await this.parts.placer.placeOrWait(work, exchange.arrivedAtMs + holdMs, signal);
-    if (signal.aborted) placed.release();
-    signal.throwIfAborted();
-    return placed;
-  }
-
+  /** Forwards an error response as it is; returns the segment of a stream. */
   private async begin(
     admitted: AdmittedRequest,
     segment: StreamSegment,
--- /dev/null
+++ b/src/plugins/forwarding/StreamOpening.ts
@@ -0,0 +1,125 @@
+/**
+ * Sends a new stream to engines until one of them answers with a head.
+ *
+ * A caller abandons a stream that doesn't begin. Shortly before, the request is answered with an
+ * error, so that it never ends without any answer because its engine is silent.
+ */
+import { ServingError, startDeadline, type EndpointId } from '../../core';
+import type { Kernel } from '../../kernel';
+import type { AdmittedRequest } from './AdmittedRequest';
+import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
+import type { NodeDrain } from './NodeDrain';
+import { FORWARDING_OPTIONS } from './options';
+import { QuarantineGuard } from './QuarantineGuard';
+import type { RetryPolicy } from './RetryPolicy';
+import type { SegmentOpener, UnansweredOutcome } from './SegmentOpener';
+import { StreamSegment } from './StreamSegment';
+
+/** @internal */
+export class StreamOpening {
+  private readonly guard: QuarantineGuard;
+
+  constructor(
+    private readonly kernel: Kernel,
+    private readonly placer: EndpointPlacer,
+    private readonly opener: SegmentOpener,
+    private readonly retries: RetryPolicy,
+    private readonly drain: NodeDrain,
+  ) {
+    this.guard = new QuarantineGuard(kernel);
+  }
+
+  /** @throws ServingError when no engine has answered. */
+  async open(admitted: AdmittedRequest): Promise<StreamSegment> {
+    let excluded: ReadonlyArray<EndpointId> = [];
+    let lostReason: string | undefined;
+    for (let isFirst = true; ; isFirst = false) {
+      let placed: RequestReservation;
+      try {
+        placed = isFirst
+          ? await this.placeFirst(admitted)
+          : this.placer.place(admitted.work, excluded, 'retry');
+        this.checkBeforeSend(admitted, placed);
+      } catch (thrown) {
+        throw this.explainUnsent(admitted, thrown, lostReason);
+      }
+      const sent = await this.send(admitted, placed);
+      if (sent instanceof StreamSegment) return sent;
+      admitted.signal.throwIfAborted();
+      if (sent.outcome === 'lost') lostReason = sent.reason;
+      excluded = [...excluded, placed.backEnd.endpointId];
+      const isUnsent = sent.outcome === 'not-run' && !sent.wasSent;
+      const mayRetry = isUnsent || sent.outcome === 'not-run' || admitted.route.isResumable;
+      if (mayRetry && (isUnsent || this.retries.takeRetry(admitted))) continue;
+      throw this.explainUnsent(
+        admitted,
+        new ServingError('overloaded', {
+          detail: sent.reason,
+          clause: admitted.clause,
+          retryAfterMs: FORWARDING_OPTIONS.retryAfterMs,
+        }),
+        lostReason,
+      );
+    }
+  }
+
+  /**
+   * Sends the request to one engine.
+   * @throws ServingError `answer-timeout` if its caller is about to abandon it.
+   */
+  private async send(
+    admitted: AdmittedRequest,
+    placed: RequestReservation,
+  ): Promise<StreamSegment | UnansweredOutcome> {
+    const { route, exchange, signal } = admitted;
+    const waitMs = route.abandonedAfterMs - FORWARDING_OPTIONS.abandonMarginMs;
+    const headDeadlineMs = Math.min(exchange.arrivedAtMs + waitMs, admitted.deadlineMs);
+    const limit = startDeadline(headDeadlineMs - this.kernel.clock.nowMs());
+    try {
+      const sent = await this.opener.open(admitted, placed, {
+        signal: AbortSignal.any([signal, limit.signal]),
+      });
+      const isLate = limit.signal.aborted && !signal.aborted;
+      if (sent instanceof StreamSegment || sent.outcome !== 'lost' || !isLate) return sent;
+    } finally {
+      limit.stop();
+    }
+    this.placer.recordOutcome(placed.backEnd.endpointId, 'failed');
+    throw new ServingError('answer-timeout', {
+      detail: `The stream did not begin within ${Math.round(waitMs)} ms.`,
+      clause: `${admitted.clause}.latencyGoalMs`,
+    });
+  }
+
+  /** A refusal of one attempt says nothing of an earlier one that was lost and may have run. */
+  private explainUnsent(
+    { clause }: AdmittedRequest,
+    thrown: unknown,
+    lostReason: string | undefined,
+  ): unknown {
+    if (lostReason === undefined) return thrown;
+    return new ServingError('answer-lost', { detail: lostReason, clause, cause: thrown });
+  }
+
+  /** A part may have been quarantined, or a shutdown begun, while the request was held. */
+  private checkBeforeSend(admitted: AdmittedRequest, placed: RequestReservation): void {
+    const refusal = this.guard.findRefusal(admitted) ?? this.drain.findRefusal(admitted);
+    if (!refusal) return;
+    placed.release();
+    throw refusal;
+  }
+
+  /** Waits up to a share of the latency goal while no engine has capacity. */
+  private async placeFirst({
+    work,
+    route,
+    signal,
+    exchange,
+  }: AdmittedRequest): Promise<RequestReservation> {
+    const holdMs = route.latencyGoalMs * FORWARDING_OPTIONS.maxHoldShare;
+    const placed = await this.placer.placeOrWait(work, exchange.arrivedAtMs + holdMs, signal);
+    if (signal.aborted) placed.release();
+    signal.throwIfAborted();
+    return placed;
+  }
+}
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -35,6 +35,8 @@
   retryAfterMs: 150,
   /** `Retry-After` when the caller should use another node. */
   otherNodeRetryAfterMs: 20,
+  /** How long before its caller would abandon a stream without a head is answered with an error. */
+  abandonMarginMs: 300,
   /** Share of the latency goal after which a repeatable request is hedged. */
   hedgeDelayShare: 0.45,
   /** Share of the latency goal that a request waits at the node for capacity. */
