Check again that an engine is in service before a run moves there

A caller's run could be sent to an engine that had begun to leave while the run's memory was copied there: up to 2.5 s after it was chosen, and up to 5 s with the order to stop the run.

Cause: the target was checked when it was chosen only.

Change: the target is looked at again before the order to stop the run; one that is leaving or has restarted counts as if it had refused. The check is the one that backups already had.

Test: 'a run moves past an engine that leaves during the copy' fails without the change (that engine gets the run) and passes with it. What remains: up to 2.5 s between the order to stop and the sending.

--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -136,9 +136,7 @@
 
   private findBackupEngine({ backup }: StreamSegment): KnownBackEnd | undefined {
     if (!backup) return undefined;
-    const known = this.kernel.get(Deployment).find(backup.backEnd.endpointId);
-    const isSame = known?.startedAtWallMs === backup.backEnd.startedAtWallMs;
-    return isSame && known.leavingSinceMs === undefined ? known : undefined;
+    return this.isInService(backup.backEnd) ? backup.backEnd : undefined;
   }
 
   private async migrate(stream: RunningStream): Promise<NextSegment | undefined> {
@@ -149,7 +147,11 @@
       const placed = this.placeOnOtherEngine(stream, [from.endpointId, ...refusedBy]);
       if (placed) {
         const first = await this.copy(stream, placed.backEnd, false);
-        if (first.outcome === 'copied') return this.handOver(stream, placed, first.handle);
+        // The copy takes a while, in which the other engine may have begun to leave as well.
+        const isInService = this.isInService(placed.backEnd);
+        if (first.outcome === 'copied' && isInService) {
+          return this.handOver(stream, placed, first.handle);
+        }
         placed.release();
         if (first.outcome === 'no-such-run') return undefined;
         refusedBy = [...refusedBy, placed.backEnd.endpointId];
@@ -163,6 +165,11 @@
     return undefined;
   }
 
+  private isInService({ endpointId, startedAtWallMs }: KnownBackEnd): boolean {
+    const known = this.kernel.get(Deployment).find(endpointId);
+    return known?.startedAtWallMs === startedAtWallMs && known.leavingSinceMs === undefined;
+  }
+
   /** Stops the run on its engine. The stream closes incomplete, and the next segment takes over. */
   private handOver(stream: RunningStream, placed: RequestReservation, handle: string): NextSegment {
     const { segment } = stream;
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -27,6 +27,8 @@
   readonly callMs?: number;
   /** Part of a prompt under which the engine crashes when it begins to write the answer. */
   readonly deadlyPart?: string;
+  /** Time that a copy of a run takes. */
+  readonly copyDelayMs?: number;
   /** Whether streams have neither a length nor chunks, and end with their connection. */
   readonly isUnframed?: boolean;
 }
@@ -303,6 +305,7 @@
     }
     if (request.final && this.ignoresFinalCopies) return new Promise(() => {});
     if (request.final) run.isStopped = true;
+    await pause(this.options.copyDelayMs ?? 0);
     const handle = `${request.id}-copy`;
     await sendCopy(request.to, handle);
     return context.json({ handle, created: run.producedEvents });
--- a/tests/takeovers.test.ts
+++ b/tests/takeovers.test.ts
@@ -127,3 +127,30 @@
   },
   TEST_TIMEOUT_MS,
 );
+
+// Guards against a run that is sent to an engine which began to leave while the run was copied there.
+test('a run moves past an engine that leaves during the copy', async () => {
+  configure(false);
+  const ids = ['i-1', 'i-2', 'i-3'];
+  const options = { events: 300, eventIntervalMs: 10 };
+  const engines: PlatformEngine[] = [];
+  for (const instanceId of ids) {
+    engines.push(await fixture.addEngine('writers', { instanceId, ...options, copyDelayMs: 600 }));
+  }
+  const node = await fixture.addReadyNode(ids.length);
+  const answer = callFront(node, '/report/a', { method: 'POST', headers: HEADERS });
+  const primary = await waitUntil('the run', () =>
+    engines.find(({ runningCount }) => runningCount > 0),
+  );
+  const leave = (engine: PlatformEngine): void =>
+    fixture.store.put(
+      `servers/${ids[engines.indexOf(engine)]}`,
+      engine.createEntry('writers', { state: 'draining' }),
+    );
+  leave(primary);
+  const line = await waitUntil('the choice', () => node.lines.find(({ step }) => step === 'place'));
+  const chosen = engines[ids.indexOf(String(line.endpointId))] as PlatformEngine;
+  leave(chosen);
+  expect(countEvents(await answer)).toBe(options.events);
+  expect(chosen.receivedRequests).toEqual([]);
+});
