Answer unbegun streams within the deadline that their callers state

Callers with less time left than the time after which callers abandon a stream, as on a second try, still got nothing from a mute engine: the error was sent at their deadline and arrived after it.

Cause: the margin applied to the one limit and not to the other.

Test: two deadlines in unbegunStreams.test.ts.

--- a/src/plugins/forwarding/StreamOpening.ts
+++ b/src/plugins/forwarding/StreamOpening.ts
@@ -1,8 +1,9 @@
 /**
  * Sends a new stream to engines until one of them answers with a head.
  *
- * A caller abandons a stream that doesn't begin. Shortly before, the request is answered with an
- * error, so that it never ends without any answer because its engine is silent.
+ * A caller leaves a stream that doesn't begin, at its own deadline or earlier. Shortly before, the
+ * request is answered with an error, so that it never ends without any answer because its engine is
+ * silent.
  */
 import { ServingError, startDeadline, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
@@ -65,15 +66,15 @@
 
   /**
    * Sends the request to one engine.
-   * @throws ServingError `answer-timeout` if its caller is about to abandon it.
+   * @throws ServingError `answer-timeout` if its caller is about to leave.
    */
   private async send(
     admitted: AdmittedRequest,
     placed: RequestReservation,
   ): Promise<StreamSegment | UnansweredOutcome> {
-    const { route, exchange, signal } = admitted;
-    const waitMs = route.abandonedAfterMs - FORWARDING_OPTIONS.abandonMarginMs;
-    const headDeadlineMs = Math.min(exchange.arrivedAtMs + waitMs, admitted.deadlineMs);
+    const { exchange, signal } = admitted;
+    const headWithinMs = this.computeHeadWithinMs(admitted);
+    const headDeadlineMs = exchange.arrivedAtMs + headWithinMs;
     const limit = startDeadline(headDeadlineMs - this.kernel.clock.nowMs());
     try {
       const sent = await this.opener.open(admitted, placed, {
@@ -86,11 +87,18 @@
     }
     this.placer.recordOutcome(placed.backEnd.endpointId, 'failed');
     throw new ServingError('answer-timeout', {
-      detail: `The stream did not begin within ${Math.round(waitMs)} ms.`,
+      detail: `The stream did not begin within ${Math.round(headWithinMs)} ms.`,
       clause: `${admitted.clause}.latencyGoalMs`,
     });
   }
 
+  /** Returns the time from the arrival in which an error still reaches the caller. */
+  private computeHeadWithinMs({ route, exchange, deadlineMs }: AdmittedRequest): number {
+    const { maxLeavingMarginMs, leavingMarginShare } = FORWARDING_OPTIONS;
+    const waitsMs = Math.min(route.abandonedAfterMs, deadlineMs - exchange.arrivedAtMs);
+    return waitsMs - Math.min(maxLeavingMarginMs, waitsMs * leavingMarginShare);
+  }
+
   /** A refusal of one attempt says nothing of an earlier one that was lost and may have run. */
   private explainUnsent(
     { clause }: AdmittedRequest,
--- a/tests/unbegunStreams.test.ts
+++ b/tests/unbegunStreams.test.ts
@@ -72,6 +72,19 @@
   },
 );
 
+// Guards against an error that reaches the caller only after its own deadline.
+test.each([300, 1_200])('a deadline of %i ms is kept at a mute engine', async (deadlineMs) => {
+  fixture.store.put('op/config', createConfiguration());
+  const engine = await fixture.addEngine('writers', { instanceId: 'i-writer', events: 3 });
+  const node = await fixture.addReadyNode(1);
+  engine.behaviour = 'silent';
+  const headers = { ...GENERATION_HEADERS, 'x-bramleyvane-deadline-ms': String(deadlineMs) };
+  const startedAtMs = performance.now();
+  const { status } = await callFront(node, '/label/a', { method: 'POST', headers });
+  expect(performance.now() - startedAtMs).toBeLessThan(deadlineMs);
+  expect(status).toBe(504);
+});
+
 // Guards against a stream that is cut because it lasts longer than its caller waits for its beginning.
 test('a stream that has begun goes on beyond that time', async () => {
   fixture.store.put('op/config', createConfiguration());
