Move the listeners of the deployment out of DeploymentStore

Who is told of changes, and which waits and calls end with them, is DeploymentEvents now; the report of unreadable entries is a function of its own.

--- a/src/plugins/deployment/DeploymentStore.ts
+++ b/src/plugins/deployment/DeploymentStore.ts
@@ -20,7 +20,6 @@
   type ServingBounds,
   type ServingConfiguration,
   type SourcePosition,
-  type UnreadableEntry,
 } from '../../core';
 import { isRegisteredAnew, type ClockReading } from '../../decisions';
 import type { Kernel } from '../../kernel';
@@ -33,12 +32,11 @@
   type PublishedValue,
 } from '../../services';
 import { Confirmations } from './Confirmations';
+import { DeploymentEvents } from './DeploymentEvents';
 import { DepartureMemory, type AnnouncedDeparture, type Departure } from './DepartureMemory';
 import { DEPLOYMENT_OPTIONS } from './options';
 import { ReportedValues } from './ReportedValues';
-
-type LeavingListener = (backEnd: KnownBackEnd) => void;
-type ConfigurationListener = (configuration: ServingConfiguration) => void;
+import { reportUnreadableEntries } from './reportUnreadable';
 
 /** @internal */
 export class DeploymentStore extends Deployment {
@@ -67,19 +65,12 @@
 
   private readonly confirmations: Confirmations;
 
-  /** Of calls that end when the confirmed age becomes unknown, or a newer era is heard of. */
-  private readonly interruptions = new Set<AbortController>();
-
-  private readonly changeWaiters = new Set<AbortController>();
+  private readonly events: DeploymentEvents;
 
   private unavailableReason: string | undefined;
 
   private sourceRecoveredAtMs = -Infinity;
 
-  private leavingListeners: ReadonlyArray<LeavingListener> = [];
-
-  private configurationListeners: ReadonlyArray<ConfigurationListener> = [];
-
   constructor(
     private readonly kernel: Kernel,
     readonly bounds: ServingBounds,
@@ -87,6 +78,7 @@
   ) {
     super();
     this.confirmations = new Confirmations(kernel.clock);
+    this.events = new DeploymentEvents(kernel);
   }
 
   get configuration(): ServingConfiguration | undefined {
@@ -128,7 +120,7 @@
     const isFirst = this.latestComplete.revision === 0;
     this.highestEra = era;
     if (!isFirst) this.departures.beginEra();
-    this.interrupt();
+    this.events.interrupt();
   }
 
   /**
@@ -151,7 +143,7 @@
     });
     this.kernel.get(ServingMetrics).countSourceEra();
     this.restartGrace();
-    this.notifyChange();
+    this.events.notifyChange();
     return true;
   }
 
@@ -201,12 +193,12 @@
     return this.regions.get(dataCentre);
   }
 
-  onLeaving(listener: LeavingListener): void {
-    this.leavingListeners = [...this.leavingListeners, listener];
+  onLeaving(listener: (backEnd: KnownBackEnd) => void): void {
+    this.events.onLeaving(listener);
   }
 
-  onConfiguration(listener: ConfigurationListener): void {
-    this.configurationListeners = [...this.configurationListeners, listener];
+  onConfiguration(listener: (configuration: ServingConfiguration) => void): void {
+    this.events.onConfiguration(listener);
   }
 
   /** @param isComplete whether the change is part of a full read. */
@@ -241,11 +233,11 @@
       keys: configuration.keyHolders?.size,
       unreadable: configuration.unreadable.entries.length,
     });
-    this.reportUnreadable(configuration);
+    reportUnreadableEntries(this.kernel, configuration);
     this.current = configuration;
     this.publishedConfiguration = value;
-    this.notifyListeners(this.configurationListeners, configuration);
-    this.notifyChange();
+    this.events.notifyConfiguration(configuration);
+    this.events.notifyChange();
   }
 
   /**
@@ -263,17 +255,6 @@
     });
   }
 
-  private reportUnreadable({ version, unreadable }: ServingConfiguration): void {
-    unreadable.entries
-      .slice(0, DEPLOYMENT_OPTIONS.maxReportedEntries)
-      .forEach(({ path, reason }) =>
-        this.kernel.log.warn('configuration entry ignored', { version, path, reason }),
-      );
-    const counts = new Map<UnreadableEntry['part'], number>();
-    unreadable.entries.forEach(({ part }) => counts.set(part, (counts.get(part) ?? 0) + 1));
-    counts.forEach((count, part) => this.kernel.get(ServingMetrics).countUnreadable(part, count));
-  }
-
   /**
    * Ignores states older than the known one, which stale reads and other nodes may deliver.
    * @param wasHeld whether the entry was held back, and so is part of what is known as complete.
@@ -306,9 +287,9 @@
       this.logChange(known, isRestarted ? 'restarted' : 'listed');
     }
     if (known.leavingSinceMs !== undefined) this.recordDeparture(known);
-    if (before && isRestarted) this.notifyLeaving(before);
+    if (before && isRestarted) this.events.notifyLeaving(before);
     else if (known.leavingSinceMs !== undefined && wasLeaving === undefined) {
-      this.notifyLeaving(known);
+      this.events.notifyLeaving(known);
     }
   }
 
@@ -411,11 +392,7 @@
 
   /** Resolves at the next change of the configuration or of an endpoint, or after the time. */
   async waitForChange(maxWaitMs: number): Promise<void> {
-    if (maxWaitMs <= 0) return;
-    const waiter = new AbortController();
-    this.changeWaiters.add(waiter);
-    await this.kernel.clock.sleep(maxWaitMs, waiter.signal);
-    this.changeWaiters.delete(waiter);
+    await this.events.waitForChange(maxWaitMs);
   }
 
   markSourceUnavailable(reason: string): void {
@@ -429,9 +406,7 @@
 
   /** Aborts after a suspension of the machine, or when a newer era of the source is heard of. */
   watchForInterruption(): Deadline {
-    const watch = new AbortController();
-    this.interruptions.add(watch);
-    return { signal: watch.signal, stop: () => this.interruptions.delete(watch) };
+    return this.events.watchForInterruption();
   }
 
   /** Applies what follows from the time that has passed. */
@@ -448,7 +423,7 @@
   private checkForSuspension(): void {
     if (!this.confirmations.clearAfterSuspension()) return;
     this.kernel.log.warn('wall clock ran ahead of the monotonic clock');
-    this.interrupt();
+    this.events.interrupt();
   }
 
   /** Marks endpoints as leaving whose expired entries were not written again in time. */
@@ -487,11 +462,6 @@
     this.applyDeparture({ endpointId, startedAtWallMs, position, atMs }, 'entry unreadable');
   }
 
-  private interrupt(): void {
-    this.interruptions.forEach((watch) => watch.abort());
-    this.interruptions.clear();
-  }
-
   /** Gives all expired entries the full time to be written again. */
   private restartGrace(): void {
     this.sourceRecoveredAtMs = this.kernel.clock.nowMs();
@@ -517,7 +487,7 @@
     this.endpoints.set(known.endpointId, leaving);
     this.recordDeparture(leaving);
     this.logChange(leaving, reason);
-    this.notifyLeaving(leaving);
+    this.events.notifyLeaving(leaving);
   }
 
   private recordDeparture({ endpointId, startedAtWallMs }: KnownBackEnd): void {
@@ -526,25 +496,6 @@
     this.departures.record({ endpointId, startedAtWallMs, position, atMs }, this.highestEra);
   }
 
-  private notifyLeaving(backEnd: KnownBackEnd): void {
-    this.notifyListeners(this.leavingListeners, backEnd);
-  }
-
-  /** A listener that throws must not keep later values from being applied. */
-  private notifyListeners<T>(listeners: ReadonlyArray<(value: T) => void>, value: T): void {
-    listeners.forEach((listener) => {
-      try {
-        listener(value);
-      } catch (thrown) {
-        this.kernel.log.error('listener failed', { cause: thrown });
-      }
-    });
-  }
-
-  private notifyChange(): void {
-    this.changeWaiters.forEach((waiter) => waiter.abort('changed'));
-  }
-
   private logChange({ endpointId, service, address, ...known }: KnownBackEnd, why: string): void {
     this.kernel.log.info('endpoint', {
       endpointId,
@@ -554,6 +505,6 @@
       isLeaving: known.leavingSinceMs !== undefined,
       why,
     });
-    this.notifyChange();
+    this.events.notifyChange();
   }
 }
