Shorten the margin before callers leave an unbegun stream

A caller that is refused 0.3 s before its deadline comes back with a request that can't begin in time, and a crowded engine that was slow to begin was counted as failing.

Cause: margin and failure were meant for mute engines, and act on crowded ones too.

Change: a twentieth of the time, 0.1 s at most; no failure is recorded.

--- a/src/plugins/forwarding/StreamOpening.ts
+++ b/src/plugins/forwarding/StreamOpening.ts
@@ -85,7 +85,6 @@
     } finally {
       limit.stop();
     }
-    this.placer.recordOutcome(placed.backEnd.endpointId, 'failed');
     throw new ServingError('answer-timeout', {
       detail: `The stream did not begin within ${Math.round(headWithinMs)} ms.`,
       clause: `${admitted.clause}.latencyGoalMs`,
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -36,9 +36,9 @@
   /** `Retry-After` when the caller should use another node. */
   otherNodeRetryAfterMs: 20,
   /** How long before its caller would leave a stream without a head is answered with an error. */
-  maxLeavingMarginMs: 300,
+  maxLeavingMarginMs: 100,
   /** The same as a share of the time that the caller waits. */
-  leavingMarginShare: 0.1,
+  leavingMarginShare: 0.05,
   /** Share of the latency goal after which a repeatable request is hedged. */
   hedgeDelayShare: 0.45,
   /** Share of the latency goal that a request waits at the node for capacity. */
