Search the routes once for a request where all of them are readable

The check for unreadable routes searched all routes again for each request. It returns at once where there are none now.

--- a/src/decisions/findRoute.ts
+++ b/src/decisions/findRoute.ts
@@ -44,6 +44,8 @@
   host: string,
   target: string,
 ): UnreadableRoute | undefined {
+  // Nearly always; the search through all routes would be repeated for each request.
+  if (unreadable.routes.length === 0) return undefined;
   const found = findLongest(unreadable.routes, host, target);
   const readable = findLongest(routes, host, target);
   const isBetter = (readable?.pathPrefix.length ?? -1) < (found?.pathPrefix.length ?? 0);
