Log the connections that a limit closes, and the limit of each listener

A node whose listener refused a connection counted it, but logged nothing, so a play's logs could not tell a refusal by a limit from a failing network or a busy process. Connections that were not accepted and idle ones that were closed had one reason.

The lines of the listeners that start to listen give maxConnections. No decision is changed.

--- a/src/plugins/forwarding/CallerListener.ts
+++ b/src/plugins/forwarding/CallerListener.ts
@@ -5,8 +5,13 @@
 import { rejectOnAbort, type CallerLimits, type ConnectionSettings } from '../../core';
 import { estimateRequestBytes, type ConnectionBudget } from '../../decisions';
 import type { Kernel } from '../../kernel';
-import { ServingMetrics } from '../../services';
-import { closeServers, ConnectionLimiter, listenOn, type CoalescingRequest } from '../../wire';
+import {
+  ClosedConnections,
+  closeServers,
+  ConnectionLimiter,
+  listenOn,
+  type CoalescingRequest,
+} from '../../wire';
 import { CallerExchange } from './CallerExchange';
 import { CallerServer } from './CallerServer';
 import { ConnectionGuard, type CloseReason } from './ConnectionGuard';
@@ -59,16 +64,14 @@
       heldBytes * ordinaryHeldShare,
       ordinaryRequestBytes + ordinaryBodyBytes,
     );
-    const countClosed = (reason: CloseReason): void =>
-      kernel.get(ServingMetrics).countClosedConnection('callers', reason);
-    this.limiter = new ConnectionLimiter(this.server, budget.callers, () =>
-      countClosed('idle'),
-    ).watch();
+    const closed = new ClosedConnections(kernel, 'callers');
+    const recordClosed = (reason: CloseReason): void => closed.record(reason);
+    this.limiter = new ConnectionLimiter(this.server, budget.callers, recordClosed).watch();
     this.guard = new ConnectionGuard(
       this.server,
       this.memory,
       settings.maxPipelinedRequests,
-      countClosed,
+      recordClosed,
     );
     this.server.on('request', (request, response) => {
       void this.serve(request, response);
--- a/src/plugins/forwarding/ConnectionGuard.ts
+++ b/src/plugins/forwarding/ConnectionGuard.ts
@@ -8,14 +8,19 @@
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
 import { estimatePartialHeadBytes } from '../../decisions';
-import type { CoalescingRequest } from '../../wire';
+import type { CoalescingRequest, ShedReason } from '../../wire';
 import { ChunkThrottle } from './ChunkThrottle';
 import type { HeldMemory, HeldPart } from './HeldMemory';
 import { FORWARDING_OPTIONS } from './options';
 
 /** Why a connection was closed. @internal */
 export type CloseReason =
-  'idle' | 'head too large' | 'body framing' | 'pipelined requests' | 'memory' | 'unread answer';
+  | ShedReason
+  | 'head too large'
+  | 'body framing'
+  | 'pipelined requests'
+  | 'memory'
+  | 'unread answer';
 
 const HEAD_TOO_LARGE =
   'HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -169,7 +169,10 @@
   override async start(): Promise<void> {
     const { callerAddress } = this.kernel.settings;
     await this.listener.listen(callerAddress);
-    this.kernel.log.info('listening for callers', { callerAddress });
+    this.kernel.log.info('listening for callers', {
+      callerAddress,
+      maxConnections: this.listener.limiter.max,
+    });
     this.kernel.runTask('end overdue requests', async (signal) => {
       while (!signal.aborted) {
         await this.kernel.clock.sleep(FORWARDING_OPTIONS.overdueCheckIntervalMs, signal);
--- a/src/plugins/frontHttp/FrontHttpPlugin.ts
+++ b/src/plugins/frontHttp/FrontHttpPlugin.ts
@@ -6,8 +6,14 @@
 import { Hono } from 'hono';
 import { computeConnectionBudget } from '../../decisions';
 import { Plugin, registerPlugin } from '../../kernel';
-import { FrontSettingsStore, HttpRoutes, ServingMetrics, type HttpAudience } from '../../services';
-import { closeServers, createBoundedServer, listenOn, readProcessResources } from '../../wire';
+import { FrontSettingsStore, HttpRoutes, type HttpAudience } from '../../services';
+import {
+  ClosedConnections,
+  closeServers,
+  createBoundedServer,
+  listenOn,
+  readProcessResources,
+} from '../../wire';
 import { createOperatorApp } from '../http/createOperatorApp';
 
 /** @internal */
@@ -41,14 +47,15 @@
   private async listen(audience: HttpAudience, app: Hono, address: string): Promise<void> {
     const { connections } = this.kernel.get(FrontSettingsStore).settings;
     const budget = computeConnectionBudget(readProcessResources(connections.maxDescriptors));
+    const closed = new ClosedConnections(this.kernel, audience);
     const server = createBoundedServer({
       fetch: app.fetch,
       maxConnections: budget.others,
-      onShed: () => this.kernel.get(ServingMetrics).countClosedConnection(audience, 'idle'),
+      onClosed: (reason) => closed.record(reason),
     });
     await listenOn(server, address);
     this.servers = [...this.servers, server];
-    this.kernel.log.info('listening', { address });
+    this.kernel.log.info('listening', { address, maxConnections: budget.others });
   }
 }
 
--- a/src/plugins/peers/PeersPlugin.ts
+++ b/src/plugins/peers/PeersPlugin.ts
@@ -6,8 +6,14 @@
 import { WebSocketServer } from 'ws';
 import { computeConnectionBudget } from '../../decisions';
 import { Plugin, registerPlugin } from '../../kernel';
-import { ControlTraffic, PeerHandler, Peers, ServingMetrics } from '../../services';
-import { closeServers, ConnectionLimiter, listenOn, readProcessResources } from '../../wire';
+import { ControlTraffic, PeerHandler, Peers } from '../../services';
+import {
+  ClosedConnections,
+  closeServers,
+  ConnectionLimiter,
+  listenOn,
+  readProcessResources,
+} from '../../wire';
 import { limitHandshake } from './limitHandshake';
 import { MessageDispatcher } from './MessageDispatcher';
 import { PEER_OPTIONS } from './options';
@@ -44,7 +50,10 @@
     const boundAddress = await listenOn(server, this.kernel.settings.peerAddress);
     server.on('error', (cause) => this.kernel.log.error('peer listener failed', { cause }));
     this.kernel.recordAddress('peerAddress', boundAddress);
-    this.kernel.log.info('peers listening', { peerAddress: boundAddress });
+    this.kernel.log.info('peers listening', {
+      peerAddress: boundAddress,
+      maxConnections: server.maxConnections,
+    });
     this.kernel.runTask('close idle peer links', async (signal) => this.closeIdleLinks(signal));
   }
 
@@ -68,15 +77,14 @@
       },
     );
     server.maxHeadersCount = maxHeadLines;
-    const onShed = (reason: string): void =>
-      this.kernel.get(ServingMetrics).countClosedConnection('peers', reason);
+    const closed = new ClosedConnections(this.kernel, 'peers');
     const { peers } = computeConnectionBudget(readProcessResources());
-    const limiter = new ConnectionLimiter(server, peers, () => onShed('idle')).watch();
+    const limiter = new ConnectionLimiter(server, peers, (reason) => closed.record(reason)).watch();
     server.on('upgrade', (request, duplex, head) => {
       const socket = duplex as Socket;
       limiter.keep(socket);
       socket.on('error', () => {});
-      const endLimit = limitHandshake(socket, () => onShed('handshake too large'));
+      const endLimit = limitHandshake(socket, () => closed.record('handshake too large'));
       this.server.handleUpgrade(request, socket, head, (link) => {
         this.links.accept(link, `${socket.remoteAddress}:${socket.remotePort}`, endLimit);
       });
--- a/src/wire/ConnectionLimiter.ts
+++ b/src/wire/ConnectionLimiter.ts
@@ -8,6 +8,9 @@
 /** Part of the connections above which idle ones are closed for each new one. */
 const SHED_SHARE = 0.9;
 
+/** Closed while idle to make room, or not accepted as no connection was left. @internal */
+export type ShedReason = 'idle' | 'full';
+
 /** @internal */
 export class ConnectionLimiter {
   /** Connections that have sent no complete head yet, in the order in which they were opened. */
@@ -24,7 +27,7 @@
   constructor(
     private readonly server: Server,
     private readonly maxConnections: number,
-    private readonly onShed: () => void,
+    private readonly onShed: (reason: ShedReason) => void,
   ) {}
 
   /** Begins to count; called before the server listens. */
@@ -32,7 +35,7 @@
     const { server } = this;
     // Node.js closes connections above this number as it accepts them.
     server.maxConnections = this.maxConnections;
-    server.on('drop', this.onShed);
+    server.on('drop', () => this.onShed('full'));
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('request', ({ socket }, response) => {
       this.addRequests(socket, 1);
@@ -78,7 +81,7 @@
     if (!closable) return;
     this.unused.delete(closable);
     this.idle.delete(closable);
-    this.onShed();
+    this.onShed('idle');
     closable.destroy();
   }
 
--- a/src/wire/createBoundedServer.ts
+++ b/src/wire/createBoundedServer.ts
@@ -22,11 +22,14 @@
   readonly fetch: (request: Request, environment: HttpBindings) => Response | Promise<Response>;
   readonly maxConnections: number;
   /** Called for each connection that a limit has closed. */
-  readonly onShed: () => void;
+  readonly onClosed: (reason: string) => void;
 }
 
 /** Serves a request unless its connection has too many that are open. */
-function boundPipelining(serve: RequestListener, onShed: () => void): RequestListener {
+function boundPipelining(
+  serve: RequestListener,
+  onClosed: (reason: string) => void,
+): RequestListener {
   const openRequests = new WeakMap<object, number>();
   return (request, response) => {
     const { socket } = request;
@@ -38,7 +41,7 @@
       serve(request, response);
       return;
     }
-    onShed();
+    onClosed('pipelined requests');
     socket.destroy();
   };
 }
@@ -56,10 +59,10 @@
           requestTimeout: OPTIONS.requestTimeoutMs,
           connectionsCheckingInterval: OPTIONS.checkIntervalMs,
         },
-        boundPipelining(serve, limits.onShed),
+        boundPipelining(serve, limits.onClosed),
       )) as typeof createServer,
   }) as Server;
   server.maxHeadersCount = OPTIONS.maxHeadLines;
-  new ConnectionLimiter(server, limits.maxConnections, limits.onShed).watch();
+  new ConnectionLimiter(server, limits.maxConnections, limits.onClosed).watch();
   return server;
 }
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -7,6 +7,7 @@
 export * from './peerFrames';
 export * from './problem';
 export * from './SingleConnection';
+export * from './ClosedConnections';
 export * from './closeServers';
 export * from './CoalescingRequest';
 export * from './ConnectionLimiter';
