--- a/src/plugins/peers/fleetLinks.test.ts
+++ b/src/plugins/peers/fleetLinks.test.ts
@@ -3,13 +3,27 @@
  */
 import * as z from 'zod';
 import { startNodes, type TestNode } from '../../../tests/TestNode';
+import { computeConnectionBudget } from '../../decisions';
 import { Plugin } from '../../kernel';
-import { PeerHandler, Peers } from '../../services';
+import { FrontSettingsStore, PeerHandler, Peers } from '../../services';
+
+const STATED = { heapLimitBytes: 125_829_120, descriptors: 4_100 };
 
 jest.mock('../../wire/readProcessResources', () => ({
-  readProcessResources: () => ({ heapLimitBytes: 125_829_120, descriptors: 200 }),
+  readProcessResources: (descriptors = 200) => ({ heapLimitBytes: 125_829_120, descriptors }),
 }));
 
+class StatedDescriptorsPlugin extends Plugin {
+  static override readonly type = 'stated-descriptors';
+
+  override setUp(): void {
+    const connections = { maxDescriptors: STATED.descriptors };
+    this.kernel.provide(FrontSettingsStore, {
+      settings: { connections },
+    } as unknown as FrontSettingsStore);
+  }
+}
+
 class EchoHandler extends PeerHandler {
   readonly type = 'echo';
 
@@ -57,3 +71,11 @@
     ),
   ).toEqual(new Set(others.map(({ settings }) => settings.vmId)));
 });
+
+// Guards against a port that accepts a handful of connections because the limit of the process stands
+// for the number of descriptors that the settings state.
+test('the port for peers divides the stated descriptors', async () => {
+  nodes = await startNodes([{ vmId: 'vm-1', plugins: [StatedDescriptorsPlugin] }]);
+  const line = nodes[0]?.logLines.find(({ event }) => event === 'peers listening');
+  expect(line?.maxConnections).toBe(computeConnectionBudget(STATED).peers);
+});
