Don't count the links of the fleet against the bound for strangers

Cause: the bound on the connections of the peers' port counted authenticated links. A fleet with more nodes than the bound refuses its own: only the first links of a seed or aggregator are accepted, all later dials are reset. The refused nodes don't learn the loads of others, place generations on full engines, and read the store themselves.

Change: a connection is exempt from the bound once its remote end is authenticated, and counts before; formerly it was never closed from the upgrade on, but counted all along.

--- a/src/plugins/peers/PeersPlugin.ts
+++ b/src/plugins/peers/PeersPlugin.ts
@@ -82,11 +82,13 @@
     const limiter = new ConnectionLimiter(server, peers, (reason) => closed.record(reason)).watch();
     server.on('upgrade', (request, duplex, head) => {
       const socket = duplex as Socket;
-      limiter.keep(socket);
       socket.on('error', () => {});
-      const endLimit = limitHandshake(socket, () => closed.record('handshake too large'));
+      const endHandshakeLimit = limitHandshake(socket, () => closed.record('handshake too large'));
       this.server.handleUpgrade(request, socket, head, (link) => {
-        this.links.accept(link, `${socket.remoteAddress}:${socket.remotePort}`, endLimit);
+        this.links.accept(link, `${socket.remoteAddress}:${socket.remotePort}`, () => {
+          endHandshakeLimit();
+          limiter.exemptFromLimit(socket);
+        });
       });
     });
     return server;
--- a/src/wire/ConnectionLimiter.ts
+++ b/src/wire/ConnectionLimiter.ts
@@ -1,6 +1,7 @@
 /**
  * Bounds the connections of an HTTP server. When few are left, the connections that have been idle
- * longest are closed, first those that have never sent a request.
+ * longest are closed, first those that have never sent a request. Connections whose remote end is known
+ * to be trusted can be exempted.
  */
 import type { Server } from 'node:http';
 import type { Socket } from 'node:net';
@@ -21,6 +22,9 @@
 
   private readonly openRequests = new WeakMap<Socket, number>();
 
+  /** Connections that the bound doesn't count. */
+  private readonly exempt = new Set<Socket>();
+
   private connections = 0;
 
   /** @param onShed called for each connection that is closed or not accepted. */
@@ -33,8 +37,7 @@
   /** Begins to count; called before the server listens. */
   watch(): this {
     const { server } = this;
-    // Node.js closes connections above this number as it accepts them.
-    server.maxConnections = this.maxConnections;
+    this.setServerLimit();
     server.on('drop', () => this.onShed('full'));
     server.on('connection', (socket: Socket) => this.add(socket));
     server.on('request', ({ socket }, response) => {
@@ -52,10 +55,12 @@
     return this.maxConnections;
   }
 
-  /** Exempts a connection that serves no requests any more, such as a web socket. */
-  keep(socket: Socket): void {
-    this.unused.delete(socket);
-    this.idle.delete(socket);
+  /** No longer counts or closes a connection that was accepted, such as the link of another node. */
+  exemptFromLimit(socket: Socket): void {
+    if (socket.destroyed || this.exempt.has(socket)) return;
+    this.forget(socket);
+    this.exempt.add(socket);
+    this.setServerLimit();
   }
 
   /** Whether hardly any connection is left that could be closed for a new one. */
@@ -68,13 +73,23 @@
     this.connections += 1;
     this.unused.add(socket);
     socket.once('close', () => {
-      this.connections -= 1;
-      this.unused.delete(socket);
-      this.idle.delete(socket);
+      if (this.exempt.delete(socket)) this.setServerLimit();
+      else this.forget(socket);
     });
     if (this.connections > this.maxConnections * SHED_SHARE) this.shed(socket);
   }
 
+  /** Node.js closes connections above its limit as it accepts them, and counts those that are exempt. */
+  private setServerLimit(): void {
+    this.server.maxConnections = this.maxConnections + this.exempt.size;
+  }
+
+  private forget(socket: Socket): void {
+    this.connections -= 1;
+    this.unused.delete(socket);
+    this.idle.delete(socket);
+  }
+
   private shed(newest: Socket): void {
     const [oldest = newest] = this.unused;
     const [closable] = oldest === newest ? this.idle : [oldest];
