Divide the stated number of descriptors among the listeners

Every listener of a node accepted 16 connections, callers included.

Cause: the smaller of the stated descriptors and the limit of the process counted, and the port for peers ignored the setting. Where a platform bounds the sockets of a VM by itself, the limit of a process may be just the 200 descriptors for files, which are reserved; nothing is left to divide. The limit was read from the environment to protect a node; a wrong low reading is a fault like one that is too high.

Change: the stated number goes before the limit of the process, at all listeners.

--- a/src/core/ConnectionSettings.ts
+++ b/src/core/ConnectionSettings.ts
@@ -8,7 +8,7 @@
 
 /** @public */
 export interface ConnectionSettings {
-  /** Descriptors of the process; undefined if the system's limit holds. */
+  /** Descriptors that sockets may use; undefined if the limit of the process holds. */
   readonly maxDescriptors: number | undefined;
   /** Memory for what callers have sent or not yet read; undefined if it follows from the heap limit. */
   readonly maxHeldBytes: number | undefined;
--- a/src/plugins/peers/PeersPlugin.ts
+++ b/src/plugins/peers/PeersPlugin.ts
@@ -6,7 +6,7 @@
 import { WebSocketServer } from 'ws';
 import { computeConnectionBudget } from '../../decisions';
 import { Plugin, registerPlugin } from '../../kernel';
-import { ControlTraffic, PeerHandler, Peers } from '../../services';
+import { ControlTraffic, FrontSettingsStore, PeerHandler, Peers } from '../../services';
 import {
   ClosedConnections,
   closeServers,
@@ -78,7 +78,9 @@
     );
     server.maxHeadersCount = maxHeadLines;
     const closed = new ClosedConnections(this.kernel, 'peers');
-    const { peers } = computeConnectionBudget(readProcessResources());
+    const [front] = this.kernel.getAll(FrontSettingsStore);
+    const resources = readProcessResources(front?.settings.connections.maxDescriptors);
+    const { peers } = computeConnectionBudget(resources);
     const limiter = new ConnectionLimiter(server, peers, (reason) => closed.record(reason)).watch();
     server.on('upgrade', (request, duplex, head) => {
       const socket = duplex as Socket;
--- a/src/wire/readProcessResources.ts
+++ b/src/wire/readProcessResources.ts
@@ -17,10 +17,13 @@
   }
 }
 
-/** @param maxDescriptors a limit that the operator states, such as that of the VM. */
-export function readProcessResources(maxDescriptors = Infinity): ProcessResources {
+/**
+ * @param statedDescriptors number that the operator states. It goes before the limit of the process,
+ *   which counts only files where the platform bounds the sockets of a VM by itself.
+ */
+export function readProcessResources(statedDescriptors?: number): ProcessResources {
   return {
     heapLimitBytes: getHeapStatistics().heap_size_limit,
-    descriptors: Math.min(maxDescriptors, readDescriptorLimit()),
+    descriptors: statedDescriptors ?? readDescriptorLimit(),
   };
 }
