Log the rate limits that endpoints name in their answers

The logs of the incident didn't tell whether an answer named a limit, nor whether a node knew of one.

Change: the header is decoded with the other headers of an answer, and NamedLimits keeps the limit of each process: in force from an answer that names it until an answer to a later request names none. The line 'endpoint limit' tells when one is named, changes and ends. No decision is changed: nothing asks for the limit yet.

--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -204,6 +204,7 @@
       isSigned: headers.get(HEADER_NAMES.signature) !== undefined,
       isLeaving: this.saysLeaving(list),
       coldRemainingMs: headers.getNumber(HEADER_NAMES.coldRemainingMs, MAX_COLD_REMAINING_MS),
+      requestLimitPerSecond: headers.getNumber(HEADER_NAMES.requestLimit),
     };
   }
 
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -16,6 +16,8 @@
   notRun: 'X-Bramleyvane-Not-Executed',
   /** `1` in all answers of an endpoint that is leaving. */
   leaving: 'Server-Leaving',
+  /** In answers of an endpoint in need: the requests a second that it takes from all nodes together. */
+  requestLimit: 'Server-Limit',
   /** In answers of an endpoint: for how many milliseconds more it is cold. */
   coldRemainingMs: 'X-Bramleyvane-Cold-Ms',
   authorization: 'Authorization',
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -18,6 +18,7 @@
 import type { EndpointResponse } from './EndpointResponse';
 import type { EndpointConnections } from './EndpointConnections';
 import type { EndpointPlacer } from './EndpointPlacer';
+import type { NamedLimits } from './NamedLimits';
 import type { NodeDrain } from './NodeDrain';
 
 /** Outcome of one attempt. @internal */
@@ -74,6 +75,7 @@
     private readonly connections: EndpointConnections,
     private readonly placer: EndpointPlacer,
     private readonly drain: NodeDrain,
+    private readonly limits: NamedLimits,
   ) {}
 
   async send(
@@ -110,6 +112,7 @@
     message: ReturnType<AdmittedRequest['createMessage']>,
     signal: AbortSignal,
   ): Promise<SendOutcome> {
+    const sentAtMs = this.kernel.clock.nowMs();
     let answer: EndpointResponse;
     try {
       answer = await this.connections.send(backEnd, message, signal);
@@ -133,6 +136,7 @@
       this.kernel.get(Deployment).recordLeavingAnswer(backEnd);
     }
     this.recordCold(admitted, backEnd, head);
+    if (!head.isOtherEndpoint) this.limits.record(backEnd, head.requestLimitPerSecond, sentAtMs);
     if (head.isNotRun || head.isOtherEndpoint) {
       void answer.drain();
       const reason = head.isOtherEndpoint ? 'the address belongs to another endpoint' : 'shed';
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -31,6 +31,7 @@
 import { OutputEstimator } from './OutputEstimator';
 import { LocalLoad } from './LocalLoad';
 import { LoopDelay } from './LoopDelay';
+import { NamedLimits } from './NamedLimits';
 import { NodeDrain } from './NodeDrain';
 import { PlacementExplainer } from './PlacementExplainer';
 import { PromptGauges } from './PromptGauges';
@@ -90,6 +91,8 @@
     coldQuota: this.coldQuota,
   });
 
+  private readonly namedLimits = new NamedLimits(this.kernel);
+
   private readonly table = new RequestTable(this.kernel);
 
   private readonly nodeDrain = new NodeDrain(this.kernel, this.estimator, this.pace);
@@ -103,7 +106,13 @@
   override setUp(): void {
     const { kernel, connections, placer } = this;
     const deployment = kernel.get(Deployment);
-    const sender = new EndpointSender(kernel, connections, placer, this.nodeDrain);
+    const sender = new EndpointSender(
+      kernel,
+      connections,
+      placer,
+      this.nodeDrain,
+      this.namedLimits,
+    );
     const retries = new RetryPolicy(kernel, this.nodeDrain);
     const crashes = new CrashReporter(kernel, this.health);
     const opener = new SegmentOpener(placer, sender, crashes);
@@ -190,6 +199,7 @@
       while (!signal.aborted) {
         this.connections.closeExpired();
         this.coldQuota.sweep();
+        this.namedLimits.sweep();
         await this.kernel.clock.sleep(FORWARDING_OPTIONS.reuseDelayMs, signal);
       }
     });
--- a/src/services/ServingRequest.ts
+++ b/src/services/ServingRequest.ts
@@ -78,6 +78,11 @@
   readonly isLeaving: boolean;
   /** How much longer the endpoint that sent the answer is cold; undefined if it doesn't say. */
   readonly coldRemainingMs: number | undefined;
+  /**
+   * Requests a second that the endpoint that sent the answer takes from all nodes together; undefined
+   * if it names no limit.
+   */
+  readonly requestLimitPerSecond: number | undefined;
 }
 
 /** Answer of an engine to an order to copy the KV cache of a run. @public */
--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -101,6 +101,9 @@
   /** Value of the header that tells for how much longer the engine is cold. */
   coldHeader: string | undefined;
 
+  /** Value of the header that names the requests a second that the engine takes from all nodes. */
+  limitHeader: string | undefined;
+
   /** Number of copy requests that are still to be refused. */
   copiesToRefuse = 0;
 
@@ -200,6 +203,9 @@
       if (this.leavingHeader !== undefined) {
         context.res.headers.set('Server-Leaving', this.leavingHeader);
       }
+      if (this.limitHeader !== undefined) {
+        context.res.headers.set('Server-Limit', this.limitHeader);
+      }
       if (this.coldHeader !== undefined) {
         context.res.headers.set('X-Bramleyvane-Cold-Ms', this.coldHeader);
       }
