Separate the shares of an endpoint's quota from the reason for the quota

The shares, the window of sends and the waiting for room were written for cold endpoints, and an endpoint that names a rate limit needs the same. ColdQuota becomes EndpointQuotas, which asks abstract QuotaSources; ColdQuotas is the first of them. The counter of requests at endpoints with a quota is called quota_requests_total, as it will count both reasons, and texts no longer say that an endpoint is cold where any quota may be meant. The tests keep their assertions.

--- a/src/decisions/EndpointSpeeds.test.ts
+++ b/src/decisions/EndpointSpeeds.test.ts
@@ -58,7 +58,7 @@
     slowness: 1,
     timeFactor,
     hasConnection: true,
-    hasColdQuota: true,
+    hasQuota: true,
   };
 }
 
--- a/src/decisions/explainPlacement.ts
+++ b/src/decisions/explainPlacement.ts
@@ -57,7 +57,7 @@
   mayWait: boolean,
 ): string | undefined {
   if (!candidate.hasConnection) return 'this node has no connection left to it';
-  if (!candidate.hasColdQuota) return 'it is cold and its quota of requests is used up';
+  if (!candidate.hasQuota) return 'this node has used its share of the requests that it takes';
   if (mayWait && !canStartNow(candidate, need)) return 'it has no room for the prompt now';
   return undefined;
 }
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -8,7 +8,7 @@
 export * from './checkPromptParts';
 export * from './chooseEntryAddresses';
 export * from './chooseExchangePartners';
-export * from './coldQuota';
+export * from './requestQuota';
 export * from './confirmation';
 export * from './connectionBudget';
 export * from './crashEvidence';
--- a/src/decisions/placement.test.ts
+++ b/src/decisions/placement.test.ts
@@ -34,7 +34,7 @@
     slowness: 1,
     timeFactor: 1,
     hasConnection: true,
-    hasColdQuota: true,
+    hasQuota: true,
     ...changes,
   };
 }
@@ -57,7 +57,7 @@
   ['one that is lastingly faster', { timeFactor: 2.4 }],
   ['one that is not ejected', { isEjected: true }],
   ['one with a free connection', { hasConnection: false }],
-  ['one with cold quota left', { hasColdQuota: false }],
+  ['one with cold quota left', { hasQuota: false }],
 ])('prefers %s', (_name, changes) => {
   expect(choose([createCandidate('worse', changes), createCandidate('better')])).toBe('better');
 });
@@ -169,7 +169,7 @@
 
 // Guards against a backup that can't be used when its run is lost, though another engine had room.
 test('a backup prefers an engine with cold quota left', () => {
-  const cold = createCandidate('cold', { heldTokens: 0, finalTokens: 0, hasColdQuota: false });
+  const cold = createCandidate('cold', { heldTokens: 0, finalTokens: 0, hasQuota: false });
   expect(chooseBackupEngine([cold, createCandidate('warm')], NEED)).toBe('warm');
   expect(chooseBackupEngine([cold], NEED)).toBe('cold');
 });
--- a/src/decisions/placement.ts
+++ b/src/decisions/placement.ts
@@ -78,8 +78,8 @@
   readonly timeFactor: number;
   /** Whether this node has a free connection in its share of the endpoint's connections. */
   readonly hasConnection: boolean;
-  /** False while the endpoint is cold and this node's share of its request quota is used up. */
-  readonly hasColdQuota: boolean;
+  /** False while this node's share of a request quota of the endpoint is used up. */
+  readonly hasQuota: boolean;
 }
 
 /** Memory and prefill work that a request needs. @public */
@@ -248,7 +248,7 @@
 ): Placement {
   const { migrationWeights, minFreeMemoryWeight } = PLACEMENT_OPTIONS;
   const weighted = candidates
-    .filter(({ hasColdQuota }) => hasColdQuota)
+    .filter(({ hasQuota }) => hasQuota)
     .filter(({ isEjected, distance }) => !isEjected && migrationWeights[distance] > 0)
     .map((candidate) => {
       const takenShare = computePeakMemoryShare(candidate, need);
@@ -281,7 +281,7 @@
 
 /**
  * Chooses the engine of the same region with the lowest expected memory use, to back up a
- * generation as it grows; a cold one without quota left could not take the run over now, so others
+ * generation as it grows; one without quota left could not take the run over now, so others
  * go first. Undefined when all are so full that a backup would take memory that
  * requests need.
  */
@@ -294,13 +294,13 @@
     .filter(({ isEjected, distance }) => !isEjected && migrationWeights[distance] > 0)
     .map((candidate) => ({
       endpointId: candidate.endpointId,
-      hasColdQuota: candidate.hasColdQuota,
+      hasQuota: candidate.hasQuota,
       share:
         (candidate.finalTokens + need.knownTokens + need.growthTokens) /
         (candidate.memoryTokens ?? Infinity),
     }))
     .filter(({ share }) => share <= maxBackupMemoryShare)
-    .sort((a, b) => Number(b.hasColdQuota) - Number(a.hasColdQuota) || a.share - b.share);
+    .sort((a, b) => Number(b.hasQuota) - Number(a.hasQuota) || a.share - b.share);
   return best?.endpointId;
 }
 
@@ -316,9 +316,9 @@
   return { outcome: 'refuse', reason, candidates };
 }
 
-/** The placement of a request that only the quotas of cold endpoints keep from one. */
-export function explainNoColdQuota(candidates: number, mayWait: boolean): NoPlacement {
-  const reason = 'all endpoints are cold and this node has used its share of their quota';
+/** The placement of a request that only the request quotas of endpoints keep from one. */
+export function explainNoQuota(candidates: number, mayWait: boolean): NoPlacement {
+  const reason = 'this node has used its shares of the request quotas of all endpoints';
   return mayWait
     ? { outcome: 'wait', waitsFor: 'capacity', reason, candidates }
     : { outcome: 'refuse', reason, candidates };
@@ -372,9 +372,9 @@
   loadAgeMs: number,
 ): CandidateRanking {
   const connected = candidates.filter(({ hasConnection }) => hasConnection);
-  const permitted = connected.filter(({ hasColdQuota }) => hasColdQuota);
+  const permitted = connected.filter(({ hasQuota }) => hasQuota);
   if (permitted.length === 0 && connected.length > 0) {
-    return explainNoColdQuota(candidates.length, mayWait);
+    return explainNoQuota(candidates.length, mayWait);
   }
   const startable = permitted.filter((candidate) => !mayWait || canStartNow(candidate, need));
   const paced = pacePrompt(startable, need);
--- a/src/decisions/promptFixtures.ts
+++ b/src/decisions/promptFixtures.ts
@@ -255,7 +255,7 @@
       slowness: 1,
       timeFactor: 1,
       hasConnection: true,
-      hasColdQuota: true,
+      hasQuota: true,
     };
   }
 
--- a/src/decisions/promptPacing.test.ts
+++ b/src/decisions/promptPacing.test.ts
@@ -175,7 +175,7 @@
     isEjected: false,
     timeFactor: 1,
     hasConnection: true,
-    hasColdQuota: true,
+    hasQuota: true,
   } as const;
   const need = { ...PROMPT, knownTokens: 3_000, growthTokens: 100 };
   const paced = choosePlacement([candidate], { ...need, pacing: PACING }, 0, true);
--- a/src/decisions/coldQuota.test.ts
+++ b/src/decisions/requestQuota.test.ts
@@ -1,5 +1,5 @@
 import type { EndpointId, VmId } from '../core';
-import { computeColdShare, type NodeRoster } from './coldQuota';
+import { computeQuotaShare, type NodeRoster } from './requestQuota';
 import { hashText } from './hashText';
 
 jest.mock('./hashText', () => ({
@@ -15,7 +15,7 @@
 test('the hashes of a roster are computed once', () => {
   const roster = createRoster();
   const getShare = (endpoint: string, bound: number, by = roster): number =>
-    computeColdShare(endpoint as EndpointId, VM_IDS[0] as VmId, by, bound);
+    computeQuotaShare(endpoint as EndpointId, VM_IDS[0] as VmId, by, bound);
   const first = getShare('i-1', 400);
   const hashes = jest.mocked(hashText).mock.calls.length;
   expect(getShare('i-1', 400)).toBe(first);
--- a/src/decisions/coldQuota.ts
+++ b/src/decisions/requestQuota.ts
@@ -1,5 +1,5 @@
 /**
- * Division of the request quota of a cold endpoint among nodes that can't ask each other.
+ * Division of the request quota of an endpoint among nodes that can't ask each other.
  *
  * The quota is dealt out in units of one request, in the order of a rendezvous hash over the nodes. A
  * node computes its own share alone. The shares don't add up to more than the quota even when nodes
@@ -9,11 +9,21 @@
 import type { EndpointId, ServingBounds, VmId } from '../core';
 import { hashText } from './hashText';
 
-export const COLD_QUOTA_OPTIONS = {
-  /** Sliding window of the quota: a second, and a margin for the differing delays to an endpoint. */
-  windowMs: 1_100,
+export const REQUEST_QUOTA_OPTIONS = {
+  /**
+   * Sliding window of the quota of a cold endpoint: a second, and a margin for the differing delays to
+   * an endpoint.
+   */
+  coldWindowMs: 1_100,
 } as const;
 
+/** What an endpoint takes from all nodes together. @public */
+export interface RequestQuota {
+  /** Requests in a sliding window. */
+  readonly requests: number;
+  readonly windowMs: number;
+}
+
 /** The nodes that may send requests, as far as one of them knows. @public */
 export interface NodeRoster {
   /** All nodes that may be running, including this one. */
@@ -33,12 +43,14 @@
   readonly writtenAtMs: number | undefined;
 }
 
-/** Returns the number of requests that all nodes together may send to a cold endpoint in a second. */
-export function computeColdRequestBound(
+export function computeColdQuota(
   coldRequestsPerSecond: number,
   { coldRequestFactor, coldRequestAllowance }: ServingBounds,
-): number {
-  return Math.floor(coldRequestsPerSecond * coldRequestFactor + coldRequestAllowance);
+): RequestQuota {
+  return {
+    requests: Math.floor(coldRequestsPerSecond * coldRequestFactor + coldRequestAllowance),
+    windowMs: REQUEST_QUOTA_OPTIONS.coldWindowMs,
+  };
 }
 
 /** Returns how many nodes may precede a node in the order for an endpoint. */
@@ -64,25 +76,26 @@
   return rank;
 }
 
-/** Returns this node's share of the quota of a cold endpoint, in requests of one window. */
-export function computeColdShare(
+/** Returns this node's share of a quota, in requests of one window. */
+export function computeQuotaShare(
   endpointId: EndpointId,
   self: VmId,
   roster: NodeRoster,
-  bound: number,
+  requests: number,
 ): number {
   if (!roster.isComplete) return 0;
   const nodes = roster.vmIds.length + roster.unheardCount;
   const rank = getLowestRank(endpointId, self, roster);
-  return Math.max(0, Math.ceil((bound - rank) / nodes));
+  return Math.max(0, Math.ceil((requests - rank) / nodes));
 }
 
 /** Returns the requests that count: those written within the window, and those not yet written. */
 export function listCountedSends<T extends PlacedSend>(
   sends: ReadonlyArray<T>,
+  windowMs: number,
   nowMs: number,
 ): ReadonlyArray<T> {
-  const sinceMs = nowMs - COLD_QUOTA_OPTIONS.windowMs;
+  const sinceMs = nowMs - windowMs;
   return sends.filter(({ writtenAtMs }) => writtenAtMs === undefined || writtenAtMs > sinceMs);
 }
 
@@ -90,17 +103,18 @@
  * Returns the time until a share has room for another request: 0 if it has now, undefined if that
  * isn't known, as the share is empty or requests that aren't written yet use it up.
  */
-export function computeColdDelayMs(
+export function computeQuotaDelayMs(
   sends: ReadonlyArray<PlacedSend>,
   share: number,
+  windowMs: number,
   nowMs: number,
 ): number | undefined {
-  const counted = listCountedSends(sends, nowMs);
+  const counted = listCountedSends(sends, windowMs, nowMs);
   if (counted.length < share) return 0;
   if (share === 0) return undefined;
   const expiriesMs = counted
     .flatMap(({ writtenAtMs }) => writtenAtMs ?? [])
-    .map((writtenAtMs) => writtenAtMs + COLD_QUOTA_OPTIONS.windowMs)
+    .map((writtenAtMs) => writtenAtMs + windowMs)
     .sort((a, b) => a - b);
   const expiryMs = expiriesMs[counted.length - share];
   return expiryMs === undefined ? undefined : Math.max(0, expiryMs - nowMs);
--- a/src/plugins/forwarding/EndpointPlacer.test.ts
+++ b/src/plugins/forwarding/EndpointPlacer.test.ts
@@ -1,5 +1,5 @@
 import { setImmediate as turn } from 'node:timers/promises';
-import { COLD_QUOTA_OPTIONS, type NodeRoster } from '../../decisions';
+import { REQUEST_QUOTA_OPTIONS, type NodeRoster } from '../../decisions';
 import { Members, ServingMetrics } from '../../services';
 import type { PlacementInput } from './EndpointPlacer';
 import { createScene, type Scene } from './placementFixtures';
@@ -27,7 +27,7 @@
   expect(() => scene.placer.place(work, [], 'route')).toThrow(
     expect.objectContaining({
       kind: 'no-endpoint',
-      retryAfterMs: COLD_QUOTA_OPTIONS.windowMs,
+      retryAfterMs: REQUEST_QUOTA_OPTIONS.coldWindowMs,
     }),
   );
   expect(scene.kernel.logLines.filter(({ outcome }) => outcome === 'place')).toEqual([]);
@@ -54,13 +54,13 @@
 ])('a wait counts as refused by quota when %s lack it', async (_name, coldEngines, isCounted) => {
   const scene = createScene(undefined, 1);
   const { kernel, placer } = scene;
-  const countColdRequest = jest.fn();
+  const countQuotaRequest = jest.fn();
   for (let held = 0; held < 4; held += 1) placer.place(scene.work, [], 'route');
   const work = limit(scene, 0, coldEngines);
-  Object.assign(kernel.get(ServingMetrics), { countColdRequest });
+  Object.assign(kernel.get(ServingMetrics), { countQuotaRequest });
   const leaving = new AbortController();
   const waiting = placer.placeOrWait(work, kernel.clock.nowMs() + 5_000, leaving.signal);
   leaving.abort();
   await Promise.allSettled([waiting]);
-  expect(countColdRequest.mock.calls.length > 0).toBe(isCounted);
+  expect(countQuotaRequest.mock.calls.length > 0).toBe(isCounted);
 });
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -12,7 +12,7 @@
   chooseBackupEngine,
   choosePlacement,
   chooseMigrationTarget,
-  explainNoColdQuota,
+  explainNoQuota,
   explainPlacement,
   PrefillSpeed,
   type EndpointHealth,
@@ -30,7 +30,7 @@
 import { FairPlacement } from './FairPlacement';
 import { FORWARDING_OPTIONS } from './options';
 import type { EstimateInput, OutputEstimator } from './OutputEstimator';
-import type { ColdQuota } from './ColdQuota';
+import type { EndpointQuotas } from './EndpointQuotas';
 import type { LocalLoad } from './LocalLoad';
 import { PlacementQueue } from './PlacementQueue';
 import { PromptPacer } from './PromptPacer';
@@ -62,7 +62,7 @@
 export interface RequestReservation extends EndpointReservation {
   /** Starts timing the endpoint's next output; called when this node is ready to read it. */
   readonly markReadStart: () => void;
-  /** False if the endpoint has turned cold since the reservation and its quota is used up. */
+  /** False if a quota of the endpoint has come into force since the reservation and is used up. */
   readonly mayWrite: () => boolean;
   /** Records that the request is about to be written to a connection. */
   readonly markWriting: () => void;
@@ -98,7 +98,7 @@
 
   private readonly localLoad: LocalLoad;
 
-  private readonly coldQuota: ColdQuota;
+  private readonly quotas: EndpointQuotas;
 
   private readonly candidates: PlacementCandidates;
 
@@ -120,7 +120,7 @@
     this.health = parts.health;
     this.pace = parts.pace;
     this.localLoad = parts.localLoad;
-    this.coldQuota = parts.coldQuota;
+    this.quotas = parts.quotas;
     this.candidates = new PlacementCandidates(kernel, parts);
     this.queue = new PlacementQueue(kernel.clock);
     this.usable = new UsableEndpoints(kernel);
@@ -237,7 +237,7 @@
 
   /**
    * Reserves capacity at the engine that holds the backup of the run's KV cache; undefined if the
-   * request may not use that engine, or if it is cold and this node has no quota left there.
+   * request may not use that engine, or if this node has no quota left there.
    */
   placeAtBackup(
     work: PlacementInput,
@@ -300,10 +300,10 @@
     const reserved = this.reserveChosen(attempt, need, candidates, chosen);
     // The share may have fallen since the candidates were listed.
     const isShareLost = chosen.outcome === 'place' && !reserved;
-    const placement = isShareLost ? explainNoColdQuota(candidates.length, mayWait) : chosen;
+    const placement = isShareLost ? explainNoQuota(candidates.length, mayWait) : chosen;
     if (placement.outcome === 'wait') {
       if (placement.waitsFor === 'prompt-work') attempt.promptWait?.begin();
-      else this.retryWithColdQuota(work, backEnds);
+      else this.retryWithQuota(work, backEnds);
       return undefined;
     }
     const unusable = usable.length === 0 ? this.usable.explainNone(work) : undefined;
@@ -319,7 +319,7 @@
     return reserved;
   }
 
-  /** Returns undefined if no endpoint was chosen, or if it is cold and has no quota left. */
+  /** Returns undefined if no endpoint was chosen, or if it has no quota left. */
   private reserveChosen(
     { work, producedTokens }: PlacementAttempt,
     need: ResourceNeed,
@@ -374,26 +374,26 @@
     return explainPlacement(candidates, need, mayWait, loadAgeMs);
   }
 
-  /** Has the queue tried again as soon as a cold endpoint's quota has room. */
-  private retryWithColdQuota(
+  /** Has the queue tried again as soon as a quota has room. */
+  private retryWithQuota(
     { service, configuration }: PlacementInput,
     backEnds: ReadonlyArray<KnownBackEnd>,
   ): void {
-    const delayMs = this.coldQuota.getNextRoomMs(backEnds, configuration);
+    const delayMs = this.quotas.getNextRoomMs(backEnds, configuration);
     if (delayMs === undefined) return;
-    if (this.coldQuota.getRetryAfterMs(backEnds, configuration) !== undefined) {
-      this.kernel.get(ServingMetrics).countColdRequest(service, 'refused');
+    if (this.quotas.getRetryAfterMs(backEnds, configuration) !== undefined) {
+      this.kernel.get(ServingMetrics).countQuotaRequest(service, 'refused');
     }
-    this.coldQuota.scheduleRetry(delayMs);
+    this.quotas.scheduleRetry(delayMs);
   }
 
   private getRetryAfterMs(
     { service, configuration }: PlacementInput,
     backEnds: ReadonlyArray<KnownBackEnd>,
   ): number {
-    const delayMs = this.coldQuota.getRetryAfterMs(backEnds, configuration);
+    const delayMs = this.quotas.getRetryAfterMs(backEnds, configuration);
     if (delayMs === undefined) return FORWARDING_OPTIONS.retryAfterMs;
-    this.kernel.get(ServingMetrics).countColdRequest(service, 'refused');
+    this.kernel.get(ServingMetrics).countQuotaRequest(service, 'refused');
     return Math.ceil(delayMs);
   }
 
@@ -433,7 +433,7 @@
     { queuedPrefillTokens, cachedTokens }: PrefillEstimate,
   ): RequestReservation | undefined {
     const { endpointId } = backEnd;
-    const quotaUse = this.coldQuota.use(backEnd, work.configuration);
+    const quotaUse = this.quotas.use(backEnd, work.configuration);
     if (!quotaUse) return undefined;
     const { clock } = this.kernel;
     const placedAtMs = clock.nowMs();
--- a/src/plugins/forwarding/ColdQuota.test.ts
+++ b/src/plugins/forwarding/EndpointQuotas.test.ts
@@ -1,16 +1,17 @@
 import { setImmediate as turn } from 'node:timers/promises';
 import { ManualClock, type EndpointId, type VmId } from '../../core';
-import { COLD_QUOTA_OPTIONS } from '../../decisions';
+import { REQUEST_QUOTA_OPTIONS } from '../../decisions';
 import { BOUNDS, createConfiguration } from '../../decisions/servingFixtures';
 import type { Kernel } from '../../kernel';
 import { TestKernel } from '../../kernel/TestKernel';
 import { Deployment, Members, type KnownBackEnd } from '../../services';
-import { ColdQuota } from './ColdQuota';
+import { ColdQuotas } from './ColdQuotas';
+import { EndpointQuotas } from './EndpointQuotas';
 
 const SELF = 'front-1' as VmId;
 
 function createQuota(coldRequestsPerSecond: number): {
-  readonly quota: ColdQuota;
+  readonly quota: EndpointQuotas;
   readonly clock: ManualClock;
   readonly setWarmUp: (untilMs: number) => void;
   readonly backEnd: KnownBackEnd;
@@ -33,10 +34,10 @@
   const kernel = {
     clock,
     settings: { vmId: SELF },
-    get: (key: unknown) => parts.get(key) ?? { countColdRequest: () => {} },
+    get: (key: unknown) => parts.get(key) ?? { countQuotaRequest: () => {} },
   } as unknown as Kernel;
   return {
-    quota: new ColdQuota(kernel, () => {}),
+    quota: new EndpointQuotas(kernel, [new ColdQuotas(kernel)], () => {}),
     clock,
     setWarmUp: (warmUpUntilMs) => {
       backEnd = { ...backEnd, warmUpUntilMs };
@@ -55,7 +56,7 @@
   clock.advance(5_000);
   expect(quota.use(backEnd, configuration)).toBeUndefined();
   use?.markWriting();
-  clock.advance(COLD_QUOTA_OPTIONS.windowMs - 1);
+  clock.advance(REQUEST_QUOTA_OPTIONS.coldWindowMs - 1);
   expect(quota.use(backEnd, configuration)).toBeUndefined();
   clock.advance(1);
   expect(quota.use(backEnd, configuration)).toBeDefined();
@@ -85,11 +86,11 @@
 test('a retry comes after a window at the latest', async () => {
   const kernel = new TestKernel([]);
   let retries = 0;
-  const quota = new ColdQuota(kernel, () => {
+  const quota = new EndpointQuotas(kernel, [], () => {
     retries += 1;
   });
   quota.scheduleRetry(2 ** 40);
-  kernel.manualClock.advance(COLD_QUOTA_OPTIONS.windowMs - 1);
+  kernel.manualClock.advance(REQUEST_QUOTA_OPTIONS.coldWindowMs - 1);
   await turn();
   expect(retries).toBe(0);
   kernel.manualClock.advance(1);
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -19,10 +19,10 @@
   Members,
 } from '../../services';
 import { readProcessResources } from '../../wire';
-import { ColdQuota } from './ColdQuota';
-import { ColdQuotaGauges } from './ColdQuotaGauges';
+import { ColdQuotas } from './ColdQuotas';
 import { EndpointConnections } from './EndpointConnections';
 import { EndpointPlacer } from './EndpointPlacer';
+import { EndpointQuotas } from './EndpointQuotas';
 import { EndpointSender } from './EndpointSender';
 import { CallerListener } from './CallerListener';
 import { ConnectionAdmission, ConnectionGauges } from './connectionLoad';
@@ -35,6 +35,7 @@
 import { NodeDrain } from './NodeDrain';
 import { PlacementExplainer } from './PlacementExplainer';
 import { PromptGauges } from './PromptGauges';
+import { QuotaGauges } from './QuotaGauges';
 import { RetryPolicy } from './RetryPolicy';
 import { RequestForwarder } from './RequestForwarder';
 import { RequestTable } from './RequestTable';
@@ -80,7 +81,11 @@
 
   private readonly localLoad = new LocalLoad(this.estimator, this.pace, this.kernel.clock);
 
-  private readonly coldQuota: ColdQuota = new ColdQuota(this.kernel, () => this.retryQueued());
+  private readonly coldQuotas = new ColdQuotas(this.kernel);
+
+  private readonly quotas: EndpointQuotas = new EndpointQuotas(this.kernel, [this.coldQuotas], () =>
+    this.retryQueued(),
+  );
 
   private readonly placer = new EndpointPlacer(this.kernel, this.estimator, {
     connections: this.connections,
@@ -88,7 +93,7 @@
     health: this.health,
     pace: this.pace,
     speeds: this.speeds,
-    coldQuota: this.coldQuota,
+    quotas: this.quotas,
   });
 
   private readonly namedLimits = new NamedLimits(this.kernel);
@@ -152,7 +157,13 @@
     kernel.provide(LoadSource, this.localLoad);
     kernel.provide(HttpRoutes, new WhereRoutes(new PlacementExplainer(kernel, placer)));
     kernel.provide(GaugeSource, new PromptGauges(kernel, placer.pacer, this.localLoad));
-    kernel.provide(GaugeSource, new ColdQuotaGauges(this.coldQuota));
+    kernel.provide(
+      GaugeSource,
+      new QuotaGauges(this.quotas, this.coldQuotas, {
+        kind: 'cold',
+        endpoints: 'Cold endpoints whose service limits the requests to them',
+      }),
+    );
     kernel.provide(GaugeSource, new SpeedGauges(this.speeds, kernel.clock));
     kernel.provide(
       CallerAdmission,
@@ -198,7 +209,7 @@
     this.kernel.runTask('close expired connections', async (signal) => {
       while (!signal.aborted) {
         this.connections.closeExpired();
-        this.coldQuota.sweep();
+        this.quotas.sweep();
         this.namedLimits.sweep();
         await this.kernel.clock.sleep(FORWARDING_OPTIONS.reuseDelayMs, signal);
       }
--- a/src/plugins/forwarding/PlacementCandidates.ts
+++ b/src/plugins/forwarding/PlacementCandidates.ts
@@ -12,7 +12,7 @@
 } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Deployment, Members, type KnownBackEnd } from '../../services';
-import type { ColdQuota } from './ColdQuota';
+import type { EndpointQuotas } from './EndpointQuotas';
 import type { EndpointConnections } from './EndpointConnections';
 import type { PlacementInput } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
@@ -25,7 +25,7 @@
   readonly health: EndpointHealth;
   readonly pace: EndpointPace;
   readonly speeds: EndpointSpeeds;
-  readonly coldQuota: ColdQuota;
+  readonly quotas: EndpointQuotas;
 }
 
 /** @internal */
@@ -55,7 +55,7 @@
     const knownPacesMs = pacesMs.filter((paceMs) => paceMs !== undefined);
     return described.map(({ backEnd, view }, index) => ({
       ...view,
-      hasColdQuota: this.parts.coldQuota.hasRoom(backEnd, work.configuration),
+      hasQuota: this.parts.quotas.hasRoom(backEnd, work.configuration),
       hasConnection: this.parts.connections.countBusy(backEnd) < connectionShare,
       endpointsInRegion: countsByRegion.get(this.getRegion(backEnd.dataCentre)) ?? 1,
       slowness: computeSlowness(pacesMs[index], knownPacesMs),
@@ -93,7 +93,7 @@
     nearDataCentre: string,
   ): Omit<
     PlacementCandidate,
-    'endpointsInRegion' | 'slowness' | 'paceMs' | 'timeFactor' | 'hasConnection' | 'hasColdQuota'
+    'endpointsInRegion' | 'slowness' | 'paceMs' | 'timeFactor' | 'hasConnection' | 'hasQuota'
   > {
     const nowMs = this.kernel.clock.nowMs();
     const own = this.parts.localLoad.getLoad(backEnd.endpointId);
--- /dev/null
+++ b/src/plugins/forwarding/QuotaSource.ts
@@ -0,0 +1,23 @@
+/**
+ * Quotas that limit what endpoints get from all nodes together.
+ */
+import type { ServingConfiguration } from '../../core';
+import type { NodeRoster, RequestQuota } from '../../decisions';
+import type { KnownBackEnd } from '../../services';
+
+/** @internal */
+export interface QuotaInForce extends RequestQuota {
+  /** The nodes among which it is divided. */
+  readonly roster: NodeRoster;
+  /** Monotonic time at which it ends; infinite if that isn't known. */
+  readonly endsAtMs: number;
+}
+
+/** One reason to limit what an endpoint gets. @internal */
+export abstract class QuotaSource {
+  /** Returns the quota of an endpoint; undefined while this reason doesn't limit it. */
+  abstract find(
+    backEnd: KnownBackEnd,
+    configuration: ServingConfiguration,
+  ): QuotaInForce | undefined;
+}
--- a/src/plugins/forwarding/SegmentOpener.ts
+++ b/src/plugins/forwarding/SegmentOpener.ts
@@ -40,7 +40,7 @@
     // A migration is placed some time before it is sent.
     if (!placed.mayWrite()) {
       placed.release();
-      return { outcome: 'not-run', reason: 'the endpoint has turned cold', wasSent: false };
+      return { outcome: 'not-run', reason: 'the quota of the endpoint is used up', wasSent: false };
     }
     const target = admitted;
     const sentToBefore = admitted.sentTo;
--- a/src/plugins/forwarding/placementFixtures.ts
+++ b/src/plugins/forwarding/placementFixtures.ts
@@ -19,7 +19,8 @@
   type KnownBackEnd,
 } from '../../services';
 import { DeploymentStore } from '../deployment/DeploymentStore';
-import { ColdQuota } from './ColdQuota';
+import { ColdQuotas } from './ColdQuotas';
+import { EndpointQuotas } from './EndpointQuotas';
 import type { EndpointConnections } from './EndpointConnections';
 import { EndpointPlacer, type PlacementInput } from './EndpointPlacer';
 import { LocalLoad } from './LocalLoad';
@@ -71,7 +72,7 @@
 
 /** Creates a node with an engine in each data centre, and one in a data centre without a region. */
 export function createScene(allowedRegions: AllowedRegions, slots = 4): Scene {
-  const metrics = { countRegionConstraint: () => {}, countColdRequest: () => {} };
+  const metrics = { countRegionConstraint: () => {}, countQuotaRequest: () => {} };
   const kernel = new TestKernel([], { dataCentre: 'brisbane' });
   const store = new DeploymentStore(kernel, BOUNDS, REGIONS);
   const estimator = new OutputEstimator();
@@ -92,7 +93,7 @@
     health: new EndpointHealth(),
     pace,
     speeds: new EndpointSpeeds(),
-    coldQuota: new ColdQuota(kernel, () => {}),
+    quotas: new EndpointQuotas(kernel, [new ColdQuotas(kernel)], () => {}),
   });
   const configuration = configure(1, allowedRegions);
   const work: PlacementInput = {
--- a/src/plugins/members/FleetRoster.test.ts
+++ b/src/plugins/members/FleetRoster.test.ts
@@ -1,6 +1,11 @@
 import fc from 'fast-check';
 import { ManualClock, type EndpointId, type VmId } from '../../core';
-import { computeColdDelayMs, computeColdShare, type PlacedSend } from '../../decisions';
+import {
+  computeQuotaDelayMs,
+  computeQuotaShare,
+  REQUEST_QUOTA_OPTIONS,
+  type PlacedSend,
+} from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { FleetRoster } from './FleetRoster';
 
@@ -148,9 +153,9 @@
   private send(node: FleetNode): FleetNode {
     const nowMs = this.clock.nowMs();
     node.roster.followSeeds();
-    const share = computeColdShare(ENDPOINT, node.vmId, node.roster.describe(), this.bound);
+    const share = computeQuotaShare(ENDPOINT, node.vmId, node.roster.describe(), this.bound);
     let { sends } = node;
-    while (computeColdDelayMs(sends, share, nowMs) === 0) {
+    while (computeQuotaDelayMs(sends, share, REQUEST_QUOTA_OPTIONS.coldWindowMs, nowMs) === 0) {
       sends = [...sends, { writtenAtMs: nowMs }];
       this.arrivalsMs.push(nowMs + this.draw() * MAX_JITTER_MS);
     }
--- a/src/plugins/metrics/PrometheusMetrics.ts
+++ b/src/plugins/metrics/PrometheusMetrics.ts
@@ -8,7 +8,7 @@
 import {
   ServingMetrics,
   type AttemptOutcome,
-  type ColdRequestOutcome,
+  type QuotaRequestOutcome,
   type ContinuationOutcome,
   type GaugeReading,
   type MetricLabels,
@@ -121,9 +121,9 @@
     ['outcome'],
   );
 
-  private readonly coldRequests = this.createCounter(
-    'cold_requests',
-    'Requests placed at cold endpoints, and attempts that only their quota kept from one.',
+  private readonly quotaRequests = this.createCounter(
+    'quota_requests',
+    'Requests placed at endpoints with a quota, and attempts that only quotas kept from one.',
     ['service', 'outcome'],
   );
 
@@ -227,8 +227,8 @@
     this.continuations.inc({ outcome });
   }
 
-  countColdRequest(service: string, outcome: ColdRequestOutcome): void {
-    this.coldRequests.inc({ service, outcome });
+  countQuotaRequest(service: string, outcome: QuotaRequestOutcome): void {
+    this.quotaRequests.inc({ service, outcome });
   }
 
   countCrashLoss(service: string, hadHead: boolean): void {
--- a/src/services/ServingMetrics.ts
+++ b/src/services/ServingMetrics.ts
@@ -17,7 +17,7 @@
 export type AttemptOutcome = 'answered' | 'shed' | 'unreachable' | 'lost';
 
 /** @public */
-export type ColdRequestOutcome = 'placed' | 'refused';
+export type QuotaRequestOutcome = 'placed' | 'refused';
 
 /**
  * How a stream continued after its engine was lost, silent or left. `stayed`: it waits on at its
@@ -79,8 +79,8 @@
   /** Counts one prompt that waited at its node for the prompt work of others. */
   abstract countPromptWait(service: string, outcome: PromptWaitOutcome): void;
 
-  /** Counts one request to a cold endpoint, or one that found no cold endpoint with quota left. */
-  abstract countColdRequest(service: string, outcome: ColdRequestOutcome): void;
+  /** Counts one request to an endpoint with a quota, or one that found none with quota left. */
+  abstract countQuotaRequest(service: string, outcome: QuotaRequestOutcome): void;
 
   /** Counts one stream whose engine was lost or left, or one attempt while it was silent. */
   abstract countContinuation(outcome: ContinuationOutcome): void;
