Keep to the rate limits that endpoints name

Cause: nothing read the header. The only feedback of an endpoint that the placement knew was its entry in the store, its load, its failures and its departure; a wish that it states in an answer was forwarded to the caller and forgotten. The class: a signal of overload that the sender ignores.

Change: NamedLimits keeps what answers say, for one process, and shares it with the other nodes at once; LimitQuotas divides it among the live nodes, through the shares that cold endpoints already have. What was sent before the limit was named counts, so a node that is told stops until its window has room. Each placement asks, so retries, hedges, streams and migrated runs keep to it as well.

--- a/src/decisions/requestQuota.ts
+++ b/src/decisions/requestQuota.ts
@@ -9,12 +9,23 @@
 import type { EndpointId, ServingBounds, VmId } from '../core';
 import { hashText } from './hashText';
 
+const MS_PER_SECOND = 1_000;
+
 export const REQUEST_QUOTA_OPTIONS = {
   /**
    * Sliding window of the quota of a cold endpoint: a second, and a margin for the differing delays to
    * an endpoint.
    */
   coldWindowMs: 1_100,
+  /**
+   * Time over which a named rate limit is kept. A quota of less than a second would have fewer requests
+   * than there are nodes.
+   */
+  limitPeriodMs: 4_000,
+  /** Longest such time; it has one request of a very low limit. */
+  maxLimitPeriodMs: 60_000,
+  /** Added to the window of a named limit, as above. */
+  delayMarginMs: 100,
 } as const;
 
 /** What an endpoint takes from all nodes together. @public */
@@ -53,6 +64,18 @@
   };
 }
 
+/** Returns the quota of an endpoint that takes so many requests a second; none at a limit of 0. */
+export function computeLimitQuota(requestsPerSecond: number): RequestQuota {
+  const { limitPeriodMs, maxLimitPeriodMs, delayMarginMs } = REQUEST_QUOTA_OPTIONS;
+  const requestsPerMs = requestsPerSecond / MS_PER_SECOND;
+  const requests = Math.floor(requestsPerMs * limitPeriodMs);
+  if (requests > 0 || requestsPerSecond === 0) {
+    return { requests, windowMs: limitPeriodMs + delayMarginMs };
+  }
+  const periodMs = Math.min(maxLimitPeriodMs, 1 / requestsPerMs);
+  return { requests: 1, windowMs: periodMs + delayMarginMs };
+}
+
 /** Returns how many nodes may precede a node in the order for an endpoint. */
 function computeLowestRank(endpointId: EndpointId, self: VmId, roster: NodeRoster): number {
   const getWeight = (vmId: VmId): number => hashText(`${endpointId}\n${vmId}`);
--- a/src/plugins/forwarding/EndpointQuotas.ts
+++ b/src/plugins/forwarding/EndpointQuotas.ts
@@ -15,6 +15,12 @@
 import { Deployment, ServingMetrics, type KnownBackEnd } from '../../services';
 import type { QuotaInForce, QuotaSource } from './QuotaSource';
 
+/** Windows of the quotas that may come into force. */
+const KEPT_WINDOWS_MS = [
+  REQUEST_QUOTA_OPTIONS.coldWindowMs,
+  REQUEST_QUOTA_OPTIONS.limitPeriodMs + REQUEST_QUOTA_OPTIONS.delayMarginMs,
+] as const;
+
 /** The part of the quotas that one placed request uses. @internal */
 export interface QuotaUse {
   /** False if a quota has come into force since the placement, and other requests use it. */
@@ -197,7 +203,7 @@
     quotas: ReadonlyArray<QuotaInForce>,
   ): ReadonlyArray<RecordedSend> {
     const windowsMs = quotas.map(({ windowMs }) => windowMs);
-    const windowMs = Math.max(REQUEST_QUOTA_OPTIONS.coldWindowMs, ...windowsMs);
+    const windowMs = Math.max(...KEPT_WINDOWS_MS, ...windowsMs);
     return this.listCounted(endpointId, { windowMs });
   }
 }
--- a/src/plugins/forwarding/ForwardingPlugin.ts
+++ b/src/plugins/forwarding/ForwardingPlugin.ts
@@ -17,6 +17,7 @@
   HttpRoutes,
   LoadSource,
   Members,
+  SharedState,
 } from '../../services';
 import { readProcessResources } from '../../wire';
 import { ColdQuotas } from './ColdQuotas';
@@ -29,6 +30,7 @@
 import { CrashReporter } from './CrashReporter';
 import { FORWARDING_OPTIONS } from './options';
 import { OutputEstimator } from './OutputEstimator';
+import { LimitQuotas } from './LimitQuotas';
 import { LocalLoad } from './LocalLoad';
 import { LoopDelay } from './LoopDelay';
 import { NamedLimits } from './NamedLimits';
@@ -41,6 +43,7 @@
 import { RequestTable } from './RequestTable';
 import { RunMigrator } from './RunMigrator';
 import { SegmentOpener } from './SegmentOpener';
+import { SharedLimits } from './SharedLimits';
 import { SilenceWatch } from './SilenceWatch';
 import { SpeedGauges } from './SpeedGauges';
 import { StreamDelivery } from './StreamDelivery';
@@ -81,10 +84,16 @@
 
   private readonly localLoad = new LocalLoad(this.estimator, this.pace, this.kernel.clock);
 
+  private readonly namedLimits = new NamedLimits(this.kernel);
+
   private readonly coldQuotas = new ColdQuotas(this.kernel);
 
-  private readonly quotas: EndpointQuotas = new EndpointQuotas(this.kernel, [this.coldQuotas], () =>
-    this.retryQueued(),
+  private readonly limitQuotas = new LimitQuotas(this.kernel, this.namedLimits);
+
+  private readonly quotas: EndpointQuotas = new EndpointQuotas(
+    this.kernel,
+    [this.coldQuotas, this.limitQuotas],
+    () => this.retryQueued(),
   );
 
   private readonly placer = new EndpointPlacer(this.kernel, this.estimator, {
@@ -96,8 +105,6 @@
     quotas: this.quotas,
   });
 
-  private readonly namedLimits = new NamedLimits(this.kernel);
-
   private readonly table = new RequestTable(this.kernel);
 
   private readonly nodeDrain = new NodeDrain(this.kernel, this.estimator, this.pace);
@@ -164,6 +171,14 @@
         endpoints: 'Cold endpoints whose service limits the requests to them',
       }),
     );
+    kernel.provide(
+      GaugeSource,
+      new QuotaGauges(this.quotas, this.limitQuotas, {
+        kind: 'limited',
+        endpoints: 'Endpoints that have named a rate limit',
+      }),
+    );
+    kernel.provide(SharedState, new SharedLimits(this.namedLimits, kernel.clock));
     kernel.provide(GaugeSource, new SpeedGauges(this.speeds, kernel.clock));
     kernel.provide(
       CallerAdmission,
--- a/src/plugins/forwarding/NamedLimits.ts
+++ b/src/plugins/forwarding/NamedLimits.ts
@@ -1,19 +1,18 @@
 /**
- * The rate limits that endpoints have named in their answers.
+ * The rate limits that endpoints have named in answers to this node or to another one.
  *
  * A limit holds for one process of an endpoint, from an answer that names it until an answer to a
- * request that was sent later names none.
+ * request that was sent later names none. The later of two statements wins, so nodes that merge what
+ * the others know agree in the end, whatever the order.
  */
 import type { EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import type { KnownBackEnd } from '../../services';
-
-/** Time without an answer after which a limit is forgotten, so that the endpoint is tried again. */
-const LIMIT_MEMORY_MS = 60_000;
+import { Members, type KnownBackEnd } from '../../services';
+import { FORWARDING_OPTIONS } from './options';
 
 type EndpointProcess = Pick<KnownBackEnd, 'endpointId' | 'startedAtWallMs'>;
 
-/** @internal */
+/** What is known of the limit of one process. @internal */
 export interface NamedLimit extends EndpointProcess {
   /** Requests a second from all nodes together. */
   readonly requestsPerSecond: number;
@@ -23,12 +22,30 @@
   readonly clearedAtMs: number;
 }
 
+function isInForce({ namedAtMs, clearedAtMs }: NamedLimit): boolean {
+  return namedAtMs >= clearedAtMs;
+}
+
 /** @internal */
 export class NamedLimits {
   private readonly limits = new Map<EndpointId, NamedLimit>();
 
+  /** When each limit was named last, as far as other nodes were told. */
+  private readonly sharedNamedAtMs = new Map<EndpointId, number>();
+
+  private contentRevision = 0;
+
   constructor(private readonly kernel: Kernel) {}
 
+  /** Grows with each change that other nodes have to know; 0 while there was none. */
+  get revision(): number {
+    return this.contentRevision;
+  }
+
+  list(): ReadonlyArray<NamedLimit> {
+    return [...this.limits.values()];
+  }
+
   /**
    * Records an answer of an endpoint's process.
    * @param requestsPerSecond undefined if the answer names no limit.
@@ -41,48 +58,71 @@
   ): void {
     const known = this.limits.get(endpointId);
     const before = known?.startedAtWallMs === startedAtWallMs ? known : undefined;
+    const why = 'said in an answer';
+    let isChanged = false;
     if (requestsPerSecond !== undefined) {
       const namedAtMs = this.kernel.clock.nowMs();
       const clearedAtMs = before?.clearedAtMs ?? -Infinity;
-      this.update({ endpointId, startedAtWallMs, requestsPerSecond, namedAtMs, clearedAtMs });
+      const limit = { endpointId, startedAtWallMs, requestsPerSecond, namedAtMs, clearedAtMs };
+      isChanged = this.update(limit, why);
     } else if (before && sentAtMs > before.clearedAtMs) {
-      this.update({ ...before, clearedAtMs: sentAtMs });
+      isChanged = this.update({ ...before, clearedAtMs: sentAtMs }, why);
     }
+    if (isChanged) this.kernel.get(Members).announceToPartners();
+  }
+
+  /** Merges what another node knows. */
+  merge(limit: NamedLimit): void {
+    const known = this.limits.get(limit.endpointId);
+    if (known && known.startedAtWallMs > limit.startedAtWallMs) return;
+    const before = known?.startedAtWallMs === limit.startedAtWallMs ? known : undefined;
+    const newest = before && before.namedAtMs >= limit.namedAtMs ? before : limit;
+    const clearedAtMs = Math.max(before?.clearedAtMs ?? -Infinity, limit.clearedAtMs);
+    this.update({ ...newest, clearedAtMs }, 'reported by another node');
   }
 
   /** Returns the requests a second that a process takes now; undefined without a limit. */
   find({ endpointId, startedAtWallMs }: EndpointProcess): number | undefined {
     const known = this.limits.get(endpointId);
-    if (known?.startedAtWallMs !== startedAtWallMs || !this.isInForce(known)) return undefined;
+    if (known?.startedAtWallMs !== startedAtWallMs || !isInForce(known)) return undefined;
     return known.requestsPerSecond;
   }
 
-  /** Forgets limits of which nothing was heard for long. */
+  /** Forgets limits that weren't named for long. */
   sweep(): void {
-    const oldestMs = this.kernel.clock.nowMs() - LIMIT_MEMORY_MS;
-    this.limits.forEach((limit) => {
-      if (Math.max(limit.namedAtMs, limit.clearedAtMs) >= oldestMs) return;
-      if (this.find(limit) !== undefined) this.report(limit, undefined);
-      this.limits.delete(limit.endpointId);
-    });
-  }
-
-  private isInForce({ namedAtMs, clearedAtMs }: NamedLimit): boolean {
-    return namedAtMs >= clearedAtMs;
+    const oldestMs = this.kernel.clock.nowMs() - FORWARDING_OPTIONS.limitMemoryMs;
+    this.list()
+      .filter(({ namedAtMs }) => namedAtMs < oldestMs)
+      .forEach((limit) => {
+        if (isInForce(limit)) this.report(limit, undefined, 'not named for long');
+        this.limits.delete(limit.endpointId);
+        this.sharedNamedAtMs.delete(limit.endpointId);
+        this.contentRevision += 1;
+      });
   }
 
-  private update(limit: NamedLimit): void {
+  /** Returns whether the limit in force has changed. */
+  private update(limit: NamedLimit, why: string): boolean {
+    const { endpointId, namedAtMs } = limit;
     const before = this.find(limit);
-    this.limits.set(limit.endpointId, limit);
+    this.limits.set(endpointId, limit);
     const after = this.find(limit);
-    if (before !== after) this.report(limit, after);
+    const isChanged = before !== after;
+    const sharedAtMs = this.sharedNamedAtMs.get(endpointId) ?? -Infinity;
+    if (isChanged || namedAtMs - sharedAtMs > FORWARDING_OPTIONS.limitRenewalMs) {
+      this.sharedNamedAtMs.set(endpointId, namedAtMs);
+      this.contentRevision += 1;
+    }
+    if (isChanged) this.report(limit, after, why);
+    return isChanged;
   }
 
-  private report({ endpointId }: NamedLimit, requestsPerSecond: number | undefined): void {
-    this.kernel.log.info('endpoint limit', {
-      endpointId,
-      state: requestsPerSecond === undefined ? 'ended' : 'named',
-      requestsPerSecond,
-    });
+  private report(
+    { endpointId }: NamedLimit,
+    requestsPerSecond: number | undefined,
+    why: string,
+  ): void {
+    const state = requestsPerSecond === undefined ? 'ended' : 'named';
+    this.kernel.log.info('endpoint limit', { endpointId, state, requestsPerSecond, why });
   }
 }
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -76,6 +76,12 @@
   maxCrashesAtStart: 2,
   /** Interval at which a held prompt checks whether a new node has heard from another one. */
   joinCheckIntervalMs: 20,
+  /** Time since an endpoint named a rate limit after which it is tried again without one. */
+  limitMemoryMs: 60_000,
+  /** Interval at which other nodes are told that an endpoint still names a rate limit. */
+  limitRenewalMs: 5_000,
+  /** Named limits that nodes share, the newest first. */
+  maxSharedLimits: 4_096,
   /** `Retry-After` while an entry of the configuration isn't readable; the operator corrects it. */
   unreadableRetryAfterMs: 2_000,
   /** `Retry-After` while all endpoints that a request may use are in evacuated data centres. */
