Read the refusal of an engine up to a bound

An engine in trouble that answers a generation of the product's own interface with an error and a body without end filled the memory of the node, whose other requests end with it.

Cause: EngineClient read the body of a refusal whole, only to keep 200 characters of it.

Change: 64 KiB are read at most; the kind of the error still follows from the status.

--- a/src/plugins/generations/EngineClient.ts
+++ b/src/plugins/generations/EngineClient.ts
@@ -6,7 +6,7 @@
 import { Agent, type Dispatcher } from 'undici';
 import { ServingError, type ErrorKind, type GenerationId } from '../../core';
 import type { FleetEndpoint, GenerationRequest } from '../../services';
-import { parseEventStream } from '../../wire';
+import { parseEventStream, readBoundedText } from '../../wire';
 import { GENERATION_OPTIONS, type GenerationOptions } from './options';
 
 /** @internal */
@@ -125,7 +125,10 @@
   ): Promise<EngineConnection> {
     const response = await this.send(endpoint, signal, request);
     if (response.statusCode !== 200) {
-      const detail = await response.body.text();
+      // The status says what the refusal means, also when its body can't be read.
+      const detail = await readBoundedText(response.body, this.options.maxRefusalBytes).catch(
+        (thrown: unknown) => ServingError.from(thrown).detail,
+      );
       throw new ServingError(getRefusalKind(request.method, response.statusCode), {
         detail: `${endpoint.endpointId} answered ${response.statusCode}: ${detail.slice(0, 200)}`,
       });
--- a/src/plugins/generations/options.ts
+++ b/src/plugins/generations/options.ts
@@ -2,6 +2,8 @@
 export const GENERATION_OPTIONS = {
   /** Time limit for opening a connection to an engine. */
   connectTimeoutMs: 1_000,
+  /** Longest body of a refusal that is read; an engine in trouble may send one without end. */
+  maxRefusalBytes: 65_536,
   /** Time limit of a cancel at the engine. */
   cancelTimeoutMs: 2_000,
   /** Attempts of an explicit cancel while callers keep resuming the generation. */
