Bound the events that are read from engines

An engine that sends an event without its end filled the memory of the node on the product's own interface, and each read searched all of it again: 64 MiB took 11 s of processor time.

Cause: parseEventStream kept an incomplete event whatever its length.

Change: an event of more than 1 MiB fails the stream, which closes its connection.

--- a/src/wire/eventStream.ts
+++ b/src/wire/eventStream.ts
@@ -1,6 +1,10 @@
 /**
  * Server-sent events (WHATWG HTML, section 9.2): encoding for callers, parsing from engines.
  */
+import { ServingError } from '../core';
+
+/** Longest event; an engine in trouble may send one without end. */
+const MAX_EVENT_CHARS = 1_048_576;
 
 /** @public */
 export interface StreamEvent {
@@ -35,7 +39,11 @@
   return data.length === 0 ? undefined : { id, event, data: data.join('\n') };
 }
 
-/** Yields each complete event; drops an incomplete one at the end of the stream. @public */
+/**
+ * Yields each complete event; drops an incomplete one at the end of the stream.
+ * @throws ServingError `endpoint-failed` when an event is longer than an event may be.
+ * @public
+ */
 export async function* parseEventStream(
   chunks: AsyncIterable<Uint8Array>,
 ): AsyncGenerator<StreamEvent> {
@@ -48,5 +56,8 @@
       pending = pending.slice(end + 2);
       if (event) yield event;
     }
+    if (pending.length > MAX_EVENT_CHARS) {
+      throw new ServingError('endpoint-failed', { detail: 'An event of the stream is too long.' });
+    }
   }
 }
