--- a/src/plugins/published/options.ts
+++ b/src/plugins/published/options.ts
@@ -10,6 +10,10 @@
   readTimeoutMs: 3_000,
   /** Maximum records per read; 256 contracts of 4 KB come close to the 1 MB limit of a value. */
   pageSize: 256,
+  /**
+   * Longest answer that is read; a page of the configuration has about 1 MB.
+   */
+  maxAnswerBytes: 8_388_608,
   /** Delay before a failed or stale read is retried; after a failure, up to twice as long. */
   retryDelayMs: 500,
   /** Nodes of each data centre that watch a source. */
