Bound the answers of the sources of published records

A configuration service or VM list in trouble that sends a body without end filled the memory of each node that reads it, within the time limit of the read.

Cause: PublishedSource read answers whole. The store of the platform's program already had a bound.

Change: 8 MiB are read at most, as with the answers of the store; a longer answer fails the read, which is repeated and reported like any other failure.

--- a/src/plugins/published/PublishedSource.ts
+++ b/src/plugins/published/PublishedSource.ts
@@ -11,6 +11,7 @@
   type PublishedRecord,
   type PublishedSourceName,
 } from '../../core';
+import { readBoundedText } from '../../wire';
 import { PUBLISHED_OPTIONS } from './options';
 
 /** One response of a publisher. @internal */
@@ -49,7 +50,8 @@
           detail: `${this.name} answered ${response.statusCode}.`,
         });
       }
-      return schema.parse(await response.body.json());
+      const text = await readBoundedText(response.body, PUBLISHED_OPTIONS.maxAnswerBytes);
+      return schema.parse(JSON.parse(text));
     } finally {
       deadline.stop();
     }
