Tell other nodes of a named limit only when it changes much

Change: a limit is shared and logged at once when it is named, changes by more than a tenth or ends, and otherwise every 5 s. Answers of an earlier process are ignored. Tests: NamedLimits.

--- a/src/plugins/forwarding/NamedLimits.test.ts
+++ b/src/plugins/forwarding/NamedLimits.test.ts
@@ -66,6 +66,28 @@
   expect(limits.find(PROCESS)).toBeUndefined();
 });
 
+// Guards against an answer of an earlier process that arrives late and replaces what the next one said.
+test('a late answer of an earlier process changes nothing', () => {
+  const { limits, nowMs } = new Node();
+  const next = { ...PROCESS, startedAtWallMs: 6 };
+  limits.record(next, 7, nowMs);
+  limits.record(PROCESS, 3, nowMs);
+  limits.record(PROCESS, undefined, nowMs + 1);
+  expect(limits.find(next)).toBe(7);
+});
+
+// Guards against an endpoint whose limit changes a little with each answer, and makes the whole fleet
+// exchange states as often; and against a sharp change that other nodes learn of late.
+test('other nodes are told at once of what changes much', () => {
+  const node = new Node();
+  const name = (requestsPerSecond: number): number => {
+    node.limits.record(PROCESS, requestsPerSecond, node.nowMs);
+    return node.announcements;
+  };
+  expect([10, 10.5, 9.5, 10, 5, 5.2].map(name)).toEqual([1, 1, 1, 1, 2, 2]);
+  expect(node.limits.find(PROCESS)).toBe(5.2);
+});
+
 // Guards against an exchange of limits for each answer of an endpoint in need, and against other nodes
 // that forget a limit which is still named.
 test('a limit that is named again is shared at intervals', () => {
--- a/src/plugins/forwarding/NamedLimits.ts
+++ b/src/plugins/forwarding/NamedLimits.ts
@@ -26,12 +26,24 @@
   return namedAtMs >= clearedAtMs;
 }
 
+/** What other nodes were told last of a limit. */
+interface SharedLimit {
+  readonly namedAtMs: number;
+  /** Undefined if it had ended. */
+  readonly requestsPerSecond: number | undefined;
+}
+
+/** Whether a limit differs by enough to tell other nodes at once. */
+function isNews(shared: number | undefined, current: number | undefined): boolean {
+  if (shared === undefined || current === undefined) return shared !== current;
+  return Math.abs(current - shared) > shared * FORWARDING_OPTIONS.limitChangeShare;
+}
+
 /** @internal */
 export class NamedLimits {
   private readonly limits = new Map<EndpointId, NamedLimit>();
 
-  /** When each limit was named last, as far as other nodes were told. */
-  private readonly sharedNamedAtMs = new Map<EndpointId, number>();
+  private readonly shared = new Map<EndpointId, SharedLimit>();
 
   private contentRevision = 0;
 
@@ -57,18 +69,19 @@
     sentAtMs: number,
   ): void {
     const known = this.limits.get(endpointId);
+    if (known && known.startedAtWallMs > startedAtWallMs) return;
     const before = known?.startedAtWallMs === startedAtWallMs ? known : undefined;
     const why = 'said in an answer';
-    let isChanged = false;
+    let hasNews = false;
     if (requestsPerSecond !== undefined) {
       const namedAtMs = this.kernel.clock.nowMs();
       const clearedAtMs = before?.clearedAtMs ?? -Infinity;
       const limit = { endpointId, startedAtWallMs, requestsPerSecond, namedAtMs, clearedAtMs };
-      isChanged = this.update(limit, why);
+      hasNews = this.update(limit, why);
     } else if (before && sentAtMs > before.clearedAtMs) {
-      isChanged = this.update({ ...before, clearedAtMs: sentAtMs }, why);
+      hasNews = this.update({ ...before, clearedAtMs: sentAtMs }, why);
     }
-    if (isChanged) this.kernel.get(Members).announceToPartners();
+    if (hasNews) this.kernel.get(Members).announceToPartners();
   }
 
   /** Merges what another node knows. */
@@ -96,25 +109,26 @@
       .forEach((limit) => {
         if (isInForce(limit)) this.report(limit, undefined, 'not named for long');
         this.limits.delete(limit.endpointId);
-        this.sharedNamedAtMs.delete(limit.endpointId);
+        this.shared.delete(limit.endpointId);
         this.contentRevision += 1;
       });
   }
 
-  /** Returns whether the limit in force has changed. */
+  /** Returns whether other nodes have to know at once. */
   private update(limit: NamedLimit, why: string): boolean {
     const { endpointId, namedAtMs } = limit;
-    const before = this.find(limit);
+    const isOfNextProcess = this.limits.get(endpointId)?.startedAtWallMs !== limit.startedAtWallMs;
+    const before = isOfNextProcess ? undefined : this.shared.get(endpointId);
     this.limits.set(endpointId, limit);
-    const after = this.find(limit);
-    const isChanged = before !== after;
-    const sharedAtMs = this.sharedNamedAtMs.get(endpointId) ?? -Infinity;
-    if (isChanged || namedAtMs - sharedAtMs > FORWARDING_OPTIONS.limitRenewalMs) {
-      this.sharedNamedAtMs.set(endpointId, namedAtMs);
+    const requestsPerSecond = this.find(limit);
+    const hasNews = isNews(before?.requestsPerSecond, requestsPerSecond);
+    const sharedAgeMs = namedAtMs - (before?.namedAtMs ?? -Infinity);
+    if (hasNews || sharedAgeMs > FORWARDING_OPTIONS.limitRenewalMs) {
+      this.shared.set(endpointId, { namedAtMs, requestsPerSecond });
       this.contentRevision += 1;
     }
-    if (isChanged) this.report(limit, after, why);
-    return isChanged;
+    if (hasNews) this.report(limit, requestsPerSecond, why);
+    return hasNews;
   }
 
   private report(
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -78,6 +78,8 @@
   joinCheckIntervalMs: 20,
   /** Time since an endpoint named a rate limit after which it is tried again without one. */
   limitMemoryMs: 60_000,
+  /** Change of a rate limit, as a share, of which other nodes are told at once. */
+  limitChangeShare: 0.1,
   /** Interval at which other nodes are told that an endpoint still names a rate limit. */
   limitRenewalMs: 5_000,
   /** Named limits that nodes share, the newest first. */
