--- a/src/plugins/peers/PeerLinks.ts
+++ b/src/plugins/peers/PeerLinks.ts
@@ -74,8 +74,10 @@
     return [...this.links.keys()].flatMap((vmId) => this.findLink(vmId)?.peer ?? []);
   }
 
-  /** Serves a connection that another node opened. */
-  /** @param onAuthenticated called when the other side is known. */
+  /**
+   * Serves a connection that another node opened.
+   * @param onAuthenticated called when the other side is known.
+   */
   accept(socket: WebSocket, remoteAddress: string, onAuthenticated: () => void): void {
     if (this.kernel.signal.aborted) {
       socket.terminate();
