--- a/src/decisions/requestQuota.ts
+++ b/src/decisions/requestQuota.ts
@@ -17,14 +17,11 @@
    * an endpoint.
    */
   coldWindowMs: 1_100,
-  /**
-   * Time over which a named rate limit is kept. A quota of less than a second would have fewer requests
-   * than there are nodes.
-   */
+  /** Time over which a named rate limit is kept; in a shorter one most nodes would have no request. */
   limitPeriodMs: 4_000,
-  /** Longest such time; it has one request of a very low limit. */
+  /** The same for a limit of less than one request in that time, at most. */
   maxLimitPeriodMs: 60_000,
-  /** Added to the window of a named limit, as above. */
+  /** Margin for differing delays, which is added to the window of a named limit. */
   delayMarginMs: 100,
 } as const;
 
@@ -54,6 +51,7 @@
   readonly writtenAtMs: number | undefined;
 }
 
+/** Returns the quota of an endpoint that is cold. */
 export function computeColdQuota(
   coldRequestsPerSecond: number,
   { coldRequestFactor, coldRequestAllowance }: ServingBounds,
@@ -64,7 +62,7 @@
   };
 }
 
-/** Returns the quota of an endpoint that takes so many requests a second; none at a limit of 0. */
+/** Returns the quota of an endpoint that has named a rate limit. */
 export function computeLimitQuota(requestsPerSecond: number): RequestQuota {
   const { limitPeriodMs, maxLimitPeriodMs, delayMarginMs } = REQUEST_QUOTA_OPTIONS;
   const requestsPerMs = requestsPerSecond / MS_PER_SECOND;
