--- a/tests/namedLimits.test.ts
+++ b/tests/namedLimits.test.ts
@@ -98,8 +98,7 @@
   expect(countPeak(limited.receivedRequests, 500)).toBeLessThanOrEqual(MAX_IN_WINDOW);
 });
 
-// Guards against streams that go around the limit, and against calls that are kept waiting where none
-// of the endpoints takes more.
+// Guards against streams that go around the limit.
 test('an engine that names a limit gets no more streams', async () => {
   const options = { instanceId: 'i-writer-1', events: 2, eventIntervalMs: 1 };
   const limited = await fixture.addEngine('writers', options);
