--- a/review/lib-2/Deployment.mjs
+++ b/review/lib-2/Deployment.mjs
@@ -1,13 +1,16 @@
 /**
  * The nodes of a small deployment, with one store.
  */
-/* eslint-disable import-x/extensions, no-await-in-loop -- modules of Node.js whose steps follow each other */
 import { mkdtempSync, rmSync } from 'node:fs';
 import os from 'node:os';
 import path from 'node:path';
-import { findFreePort } from './net.mjs';
+/* eslint-disable import-x/extensions -- modules of Node.js */
+import { findFreePorts } from './net.mjs';
 import { Node, readDeployFile } from './Node.mjs';
 
+/** For callers, readiness, other nodes, the directory and operators. */
+const PORTS_PER_NODE = 5;
+
 export class Deployment {
   constructor(record, store) {
     this.record = record;
@@ -22,11 +25,11 @@
 
   async addNodes(count) {
     const zones = ['seq-brisbane', 'seq-goldcoast'];
+    const ports = await findFreePorts(PORTS_PER_NODE * count);
     for (let index = 0; index < count; index += 1) {
-      const ports = [];
-      for (let each = 0; each < 5; each += 1) ports.push(await findFreePort());
       const name = `front-${this.nodes.length + 1}`;
-      this.nodes.push(new Node(this, name, zones[index % zones.length], ports));
+      const own = ports.slice(index * PORTS_PER_NODE, (index + 1) * PORTS_PER_NODE);
+      this.nodes.push(new Node(this, name, zones[index % zones.length], own));
     }
     this.seeds = this.nodes.slice(0, 3).map(({ listen: { control } }) => control);
     this.nodes.forEach((node) => node.start());
--- a/review/lib-2/Engine.mjs
+++ b/review/lib-2/Engine.mjs
@@ -19,6 +19,9 @@
     this.runs = new Map();
     this.copies = new Map();
     this.executed = [];
+    /** Each run with the times at which it began and ended. */
+    this.spans = [];
+    this.isSilent = false;
     this.arrived = [];
     this.isLeaving = false;
     this.extraHeaders = {};
@@ -139,20 +142,36 @@
   }
 
   async stream({ id, headers }, head, request, response) {
-    const run = { made: Number(headers['last-event-id'] ?? 0), isStopped: false, response };
+    const made = Number(headers['last-event-id'] ?? 0);
+    const run = { id, made, isStopped: false, response, startedAtMs: performance.now() };
     this.runs.set(id, run);
+    this.spans.push(run);
     response.on('close', () => {
       run.isStopped = true;
+      run.endedAtMs ??= performance.now();
       if (this.runs.get(id) === run) this.runs.delete(id);
     });
-    response.writeHead(200, { ...head, 'Content-Type': 'text/event-stream' });
+    const backup = Engine.byAddress.get(headers['x-bramleyvane-kv-backup']);
+    const type = { 'Content-Type': 'text/event-stream' };
+    if (this.options.isUnframed?.()) {
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
+    response.writeHead(200, { ...head, ...type });
+    response.flushHeaders();
     while (run.made < this.options.events && !run.isStopped) {
       await sleep(this.options.intervalMs);
+      while (this.isSilent && !run.isStopped) await sleep(10);
       if (run.isStopped) break;
       run.made += 1;
       response.write(`id: ${run.made}\ndata: token ${run.made}\n\n`);
+      backup?.copies.set(`${backup.address}/${id}`, id);
+    }
+    if (!run.isStopped) {
+      run.endedAtMs = performance.now();
+      backup?.copies.delete(`${backup.address}/${id}`);
+      response.end();
     }
-    if (!run.isStopped) response.end();
     if (this.runs.get(id) === run) this.runs.delete(id);
   }
 
@@ -168,14 +187,19 @@
       answer(404, {});
       return;
     }
+    if (!final && this.options.refusesCopy?.()) {
+      answer(503, {});
+      return;
+    }
     const handle = `h-${id}`;
     if (final) {
       run.isStopped = true;
+      run.endedAtMs = performance.now();
       run.response.destroy();
       this.runs.delete(id);
     }
     this.record.write('engine copies a run', { engine: this.options.id, id, to, final });
-    await sleep(this.options.copyMs ?? 20);
+    await sleep(this.options.copyMs?.() ?? 20);
     if (!target) {
       answer(503, { handle });
       return;
--- a/review/lib-2/Node.mjs
+++ b/review/lib-2/Node.mjs
@@ -124,6 +124,8 @@
     const untilMs = performance.now() + timeoutMs;
     while (performance.now() < untilMs) {
       if (await this.isReady()) return;
+      // The platform starts a process again that has ended, here because another one took a port.
+      if (this.exit !== undefined) this.start();
       await sleep(50);
     }
     throw new Error(`${this.name} did not become ready`);
