--- a/review/lib-2/Deployment.mjs
+++ b/review/lib-2/Deployment.mjs
@@ -19,6 +19,8 @@
     this.deployFile = readDeployFile();
     this.nodes = [];
     this.seeds = [];
+    /** Other processes that a script has started. */
+    this.children = [];
     /** Lets a script put a proxy of its own between a node and the store. */
     this.storeAddress = () => store.address;
   }
@@ -38,6 +40,7 @@
 
   /** Ends all processes that were started. */
   async stop() {
+    this.children.forEach((child) => child.kill('SIGKILL'));
     this.nodes.forEach((node) => node.kill('SIGKILL'));
     await Promise.all(this.nodes.map(({ ended }) => ended));
     rmSync(this.folder, { recursive: true, force: true });
