--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -15,12 +15,15 @@
 /** Well below `limits.maxBodyBytes`, 4,194,304. */
 const BODY_BYTES = 100_000;
 const SMALL_BODY_BYTES = 2_600;
-const STREAMS = 4;
+const STREAMS = 12;
+/** One of six leaves: a share of 0.17. */
+const ENGINES = 6;
 const EVENTS = 60;
 
 await runCase(import.meta.dirname, async ({ record, store, deployment }) => {
   const engines = [];
-  for (const id of ['i-7f3a91c2', 'i-2b60d4e8']) {
+  for (let index = 0; index < ENGINES; index += 1) {
+    const id = `i-7f3a91c${index}`;
     const engine = new Engine(record, { id, service: 'vane-writers', events: EVENTS });
     await engine.start();
     engine.register(store);
@@ -31,7 +34,7 @@
   await sleep(1_000);
   const bodyHashes = new Map();
   const answers = Array.from({ length: STREAMS }, async (_each, index) => {
-    const isSmall = index === STREAMS - 1;
+    const isSmall = index % 4 === 3;
     const body = Buffer.alloc(isSmall ? SMALL_BODY_BYTES : BODY_BYTES, `text ${index} `);
     const node = deployment.nodes[index % deployment.nodes.length];
     const answer = await call(node.listen.front, '/summary/2f', {
@@ -51,7 +54,9 @@
   });
   await sleep(1_000);
   if (TROUBLE) {
-    const leaving = engines.find(({ runs }) => runs.size > 0);
+    const leaving = engines.find(({ executed }) =>
+      executed.some(({ bodyBytes }) => bodyBytes === BODY_BYTES),
+    );
     leaving.isLeaving = true;
     leaving.register(store);
     record.write('the store acknowledges that an engine is draining', { id: leaving.options.id });
