--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -2,7 +2,7 @@
  * Streams with bodies of 100,000 bytes run on an engine that leaves as planned. Every engine that runs
  * such a request must get the body that the client sent.
  */
-/* eslint-disable import-x/extensions, no-await-in-loop, no-restricted-syntax -- modules of Node.js whose steps follow each other */
+/* eslint-disable import-x/extensions, no-await-in-loop -- modules of Node.js whose steps follow each other */
 import { Buffer } from 'node:buffer';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { call, generationHeaders } from '../lib-2/callers.mjs';
