Log the bytes of the body that each attempt has sent

Change: the line has `bodyBytes`, what was received of the body, and each attempt the bytes that were handed to its connection; `why` names them where an attempt lacks a part.

--- a/src/decisions/LogExplanation.test.ts
+++ b/src/decisions/LogExplanation.test.ts
@@ -52,6 +52,19 @@
   expect(explain([])).toHaveLength(0);
 });
 
+// Guards against an attempt without its whole body that looks like the others.
+test('an attempt that lacks a part of the body is told', () => {
+  const attempts = [
+    { endpointId: 'i-1', outcome: '200', afterMs: 3, bodyBytes: 100_000 },
+    { endpointId: 'i-2', outcome: '200', afterMs: 900, bodyBytes: 0 },
+  ];
+  const end = { ...placed, event: 'request', outcome: '200', totalMs: 950, bodyBytes: 100_000 };
+  const sentence = explain([placed, { ...end, attempts }])[1];
+  expect(sentence).toContain(
+    'Sent to i-1 after 3 ms: 200; i-2 after 900 ms: 200 (0 of 100000 bytes of the body).',
+  );
+});
+
 // Guards against a cut stream whose explanation doesn't tell that its engine crashed, and how far the
 // answer was.
 test.each([
--- a/src/decisions/describeLogLine.ts
+++ b/src/decisions/describeLogLine.ts
@@ -11,6 +11,7 @@
   readonly endpointId: string;
   readonly outcome: string;
   readonly afterMs: number;
+  readonly bodyBytes?: number;
 }
 
 function describePromptWait({ promptWaitMs }: LogLine): string {
@@ -51,11 +52,19 @@
   return `${String(line.what)}${from}${to}${made}: ${String(line.outcome ?? 'noted')}${reason}${clause}.`;
 }
 
+/** Names the bytes of an attempt's body only if they aren't all that the caller has sent. */
+function describeAttempt(
+  { endpointId, outcome, afterMs, bodyBytes }: SentAttempt,
+  receivedBytes: unknown,
+): string {
+  const isWhole = bodyBytes === undefined || bodyBytes === receivedBytes;
+  const part = isWhole ? '' : ` (${bodyBytes} of ${String(receivedBytes)} bytes of the body)`;
+  return `${endpointId} after ${afterMs} ms: ${outcome}${part}`;
+}
+
 function describeEnd(line: LogLine): string {
   const attempts = (line.attempts ?? []) as ReadonlyArray<SentAttempt>;
-  const sent = attempts.map(
-    ({ endpointId, outcome, afterMs }) => `${endpointId} after ${afterMs} ms: ${outcome}`,
-  );
+  const sent = attempts.map((attempt) => describeAttempt(attempt, line.bodyBytes));
   const where = sent.length === 0 ? 'It was sent to no endpoint.' : `Sent to ${sent.join('; ')}.`;
   return `Ended as ${String(line.outcome)} after ${String(line.totalMs)} ms on route ${String(line.route ?? 'none')}. ${where}`;
 }
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -7,17 +7,24 @@
 import type { EndpointMessage } from './EndpointConnection';
 import type { PlacementInput } from './EndpointPlacer';
 import type { RunningRequest } from './RunningRequest';
+import { SentBody } from './SentBody';
 
 /** One attempt to send a request to an endpoint, as it is logged. @internal */
 export interface SentAttempt {
   readonly endpointId: EndpointId;
   readonly outcome: string;
   readonly afterMs: number;
+  /** Bytes of the body that were handed to the connection so far. */
+  readonly bodyBytes: number;
+}
+
+interface RecordedAttempt extends Omit<SentAttempt, 'bodyBytes'> {
+  readonly body: SentBody;
 }
 
 /** @internal */
 export class AdmittedRequest {
-  attempts: ReadonlyArray<SentAttempt> = [];
+  private recordedAttempts: ReadonlyArray<RecordedAttempt> = [];
 
   /** Endpoints that crashed before this request had any output there. */
   crashesAtStart = 0;
@@ -64,19 +71,32 @@
     return this.body.form === 'whole';
   }
 
-  recordAttempt(endpointId: EndpointId, outcome: string, nowMs: number): void {
+  get attempts(): ReadonlyArray<SentAttempt> {
+    return this.recordedAttempts.map(({ endpointId, outcome, afterMs, body }) => ({
+      endpointId,
+      outcome,
+      afterMs,
+      bodyBytes: body.bytes,
+    }));
+  }
+
+  recordAttempt(endpointId: EndpointId, outcome: string, body: SentBody, nowMs: number): void {
     const afterMs = Math.round(nowMs - this.exchange.arrivedAtMs);
-    this.attempts = [...this.attempts, { endpointId, outcome, afterMs }];
+    this.recordedAttempts = [...this.recordedAttempts, { endpointId, outcome, afterMs, body }];
   }
 
-  createMessage(dialect: RequestDialect, order: DispatchParameters): EndpointMessage {
+  createMessage(
+    dialect: RequestDialect,
+    order: DispatchParameters,
+    { content }: SentBody,
+  ): EndpointMessage {
     const { method, target } = this.request;
     const headers = dialect.writeHeaders(this.request, order);
-    return { method, target, headers, body: this.getBodyToSend() };
+    return { method, target, headers, body: content };
   }
 
-  private getBodyToSend(): EndpointMessage['body'] {
-    if (this.body.form === 'stream') return this.body.chunks;
-    return this.body.bytes.length === 0 ? undefined : this.body.bytes;
+  openBody(): SentBody {
+    if (this.body.form === 'stream') return new SentBody(this.body.chunks);
+    return new SentBody(this.body.bytes.length === 0 ? undefined : this.body.bytes);
   }
 }
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -47,6 +47,8 @@
 
   private outcomeKind: ExchangeOutcome | undefined;
 
+  private receivedBytes = 0;
+
   /** Resolves when the answer has been handed to the system, or the connection is closed. */
   readonly closed: Promise<void>;
 
@@ -103,6 +105,11 @@
     return pairHeaders(this.request.rawHeaders);
   }
 
+  /** Bytes of the request's body that were read so far. */
+  get bodyBytes(): number {
+    return this.receivedBytes;
+  }
+
   get hasAnswered(): boolean {
     return this.response.headersSent;
   }
@@ -265,11 +272,10 @@
   }
 
   private async *readChunks(maxBytes: number): AsyncGenerator<Uint8Array> {
-    let size = 0;
     try {
       for await (const chunk of this.request) {
-        size += (chunk as Uint8Array).length;
-        if (size > maxBytes) throw this.createTooLargeError(maxBytes);
+        this.receivedBytes += (chunk as Uint8Array).length;
+        if (this.receivedBytes > maxBytes) throw this.createTooLargeError(maxBytes);
         yield chunk as Uint8Array;
       }
     } catch (thrown) {
--- a/src/plugins/forwarding/EndpointConnection.ts
+++ b/src/plugins/forwarding/EndpointConnection.ts
@@ -7,13 +7,14 @@
 import { ConnectionUsedError, pairHeaders, SingleConnection } from '../../wire';
 import { FORWARDING_OPTIONS } from './options';
 import { probeEndpoint } from './probeEndpoint';
+import type { BodyContent } from './SentBody';
 
 /** @internal */
 export interface EndpointMessage {
   readonly method: string;
   readonly target: string;
   readonly headers: HeaderList;
-  readonly body: Uint8Array | AsyncIterable<Uint8Array> | undefined;
+  readonly body: BodyContent;
   /** Called with the connection open, right before the request is written. */
   readonly markWriting?: () => void;
 }
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -20,6 +20,7 @@
 import type { EndpointPlacer } from './EndpointPlacer';
 import type { NamedLimits } from './NamedLimits';
 import type { NodeDrain } from './NodeDrain';
+import type { SentBody } from './SentBody';
 
 /** Outcome of one attempt. @internal */
 export type SendOutcome =
@@ -87,7 +88,8 @@
     const { clock } = this.kernel;
     const deadlineMs = this.drain.limitDeadline(admitted.deadlineMs);
     const dialect = this.kernel.get(RequestDialect);
-    const message = admitted.createMessage(dialect, {
+    const body = admitted.openBody();
+    const order = {
       expectedEndpointId: backEnd.endpointId,
       customer: admitted.work.customer,
       remainingMs: Math.max(1, Math.floor(deadlineMs - clock.nowMs())),
@@ -95,14 +97,15 @@
       continueFrom: continuation?.continueFrom,
       backUpTo,
       priority: this.placer.pacer.findPriority(admitted.work),
-    });
+    };
+    const message = admitted.createMessage(dialect, order, body);
     const outcome = await this.sendAndClassify(
       admitted,
       backEnd,
       { ...message, markWriting },
       signal,
     );
-    this.recordAttempt(admitted, backEnd.endpointId, outcome);
+    this.recordAttempt(admitted, backEnd.endpointId, outcome, body);
     return outcome;
   }
 
@@ -178,16 +181,17 @@
     admitted: AdmittedRequest,
     endpointId: EndpointId,
     outcome: SendOutcome,
+    body: SentBody,
   ): void {
     const nowMs = this.kernel.clock.nowMs();
     const metrics = this.kernel.get(ServingMetrics);
     metrics.countAttempt(admitted.work.service, classifyAttempt(outcome));
     if (outcome.outcome === 'answered') {
       this.placer.health.recordReceived(endpointId, nowMs);
-      admitted.recordAttempt(endpointId, String(outcome.head.status), nowMs);
+      admitted.recordAttempt(endpointId, String(outcome.head.status), body, nowMs);
       return;
     }
-    admitted.recordAttempt(endpointId, `${outcome.outcome}: ${outcome.reason}`, nowMs);
+    admitted.recordAttempt(endpointId, `${outcome.outcome}: ${outcome.reason}`, body, nowMs);
     // A disconnect of the caller is no failure of the endpoint; an expired deadline is one.
     if (!admitted.exchange.disconnectSignal.aborted && outcome.reason !== CANCELLED) {
       this.placer.recordOutcome(endpointId, 'failed');
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -237,6 +237,7 @@
       route: admitted?.route.name,
       configurationVersion: admitted?.work.configuration.version,
       outcome,
+      bodyBytes: exchange.bodyBytes,
       attempts: admitted?.attempts,
       firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
       ...describeStream(admitted),
