--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -16,9 +16,9 @@
   readonly receivedAtMs: number;
 }
 
-/** @public */
+/** `shed` doesn't name the request that it refuses, `refuse` does. @public */
 export type EngineBehaviour =
-  'answer' | 'shed' | 'fail' | 'reset' | 'silent' | 'crossed' | 'unsigned' | 'crash';
+  'answer' | 'shed' | 'refuse' | 'fail' | 'reset' | 'silent' | 'crossed' | 'unsigned' | 'crash';
 
 /** @public */
 export interface PlatformEngineOptions {
@@ -78,6 +78,9 @@
 
   behaviour: EngineBehaviour = 'answer';
 
+  /** Chooses the behaviour for one request; undefined leaves it to `behaviour`. */
+  chooseBehaviour: (request: ReceivedRequest) => EngineBehaviour | undefined = () => undefined;
+
   receivedRequests: ReadonlyArray<ReceivedRequest> = [];
 
   /** Requests that were executed, in order. */
@@ -235,13 +238,18 @@
     if (decodeHeader(headers['x-bramleyvane-expect-instance']) !== instanceId) {
       return context.body(null, 421, { 'X-Bramleyvane-Instance-Id': encodeHeader(instanceId) });
     }
-    if (this.behaviour === 'shed') {
+    const behaviour = this.chooseBehaviour(received) ?? this.behaviour;
+    if (behaviour === 'shed') {
       return context.body(null, 503, { 'X-Bramleyvane-Not-Executed': '1' });
     }
-    if (this.behaviour === 'crash') void this.stop();
-    if (this.behaviour === 'reset') resetConnection(context.env.incoming);
-    if (['reset', 'crash'].includes(this.behaviour)) return new Promise(() => {});
-    if (this.behaviour === 'silent') await this.awake;
+    if (behaviour === 'refuse') {
+      const head = { 'X-Bramleyvane-Not-Executed': '1', [REQUEST_ID_HEADER]: requestId };
+      return context.body(null, 503, head);
+    }
+    if (behaviour === 'crash') void this.stop();
+    if (behaviour === 'reset') resetConnection(context.env.incoming);
+    if (['reset', 'crash'].includes(behaviour)) return new Promise(() => {});
+    if (behaviour === 'silent') await this.awake;
     if (headers['last-event-id'] !== undefined) await pause(this.continuationDelayMs);
     if (context.env.incoming.socket.destroyed) return new Promise(() => {});
     if (!this.takeCopy(headers)) {
--- a/tests/FrontFixture.ts
+++ b/tests/FrontFixture.ts
@@ -170,7 +170,7 @@
       readinessAddress: readiness,
       directoryAddress: directory,
       seeds: this.nodes.slice(0, 1).map((node) => node.settings.node.peerAddress),
-      regions: { brisbane: 'seq', cairns: 'fnq' },
+      regions: { brisbane: 'seq', goldcoast: 'seq', cairns: 'fnq' },
       bounds,
       scheduling: this.scheduling,
     });
