Count memory of callers that the node can do without

Cause: what is to be kept of a body beyond its first attempt must not refuse a request that is served today, and has to stay within the memory of a node.

The gauge kept_body_bytes shows them.

--- a/src/plugins/forwarding/connectionLoad.ts
+++ b/src/plugins/forwarding/connectionLoad.ts
@@ -35,6 +35,11 @@
         help: 'Estimated memory of what callers have sent or not yet read.',
         value: memory.bytes,
       },
+      {
+        name: 'kept_body_bytes',
+        help: 'Memory of request bodies that are kept to be sent again, and given up when it is short.',
+        value: memory.reclaimableBytes,
+      },
       {
         name: 'held_bytes_limit',
         help: 'Limit of the estimated memory.',
