Send each attempt the whole body of its request

Callers saw nothing: a stream whose body is longer than 65,536 bytes and whose engine left, crashed or fell silent went on at another engine and was complete. That engine ran the request with an empty body (UNASKED).

Cause: such a body was an async generator that the first attempt used up, and every further attempt was given the same one. Retries asked whether the body was buffered; continuations from a copy or a backup did not, and nothing made them.

Evidence: the lines `request` of eleven moved streams have all bytes received and sent to the first engine, and 0 bytes sent to the second for the six bodies above 65,536 bytes; up to that size both are equal.

Change: the content of a body is reached only through a SendableBody, which is the whole body from its first byte; a sender needs one for each attempt, and a continuation can't be described without a KeptBody, which stays in memory until it is released. A long body is still passed on while it arrives, and recorded meanwhile, in reclaimable memory. A run whose body isn't kept, because memory is short, stays with its engine, and a line says so. What arrives is recorded in blocks, as a chunk may be a small part of the buffer that it would hold.

The test of six bodies of 1 MB on a node with 4 MiB fails on the code before (all six with 0 bytes).

--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -3,11 +3,12 @@
  */
 import type { EndpointId, Route } from '../../core';
 import type { DispatchParameters, RequestDialect, ServingRequest } from '../../services';
-import type { CallerBody, CallerExchange } from './CallerExchange';
+import { BufferedBody, type CallerBody } from './CallerBody';
+import type { CallerExchange } from './CallerExchange';
 import type { EndpointMessage } from './EndpointConnection';
 import type { PlacementInput } from './EndpointPlacer';
 import type { RunningRequest } from './RunningRequest';
-import { SentBody } from './SentBody';
+import type { SentBody } from './SentBody';
 
 /** One attempt to send a request to an endpoint, as it is logged. @internal */
 export interface SentAttempt {
@@ -68,7 +69,7 @@
 
   /** Whether the body is buffered, so that it can be sent again. */
   get isReplayable(): boolean {
-    return this.body.form === 'whole';
+    return this.body instanceof BufferedBody;
   }
 
   get attempts(): ReadonlyArray<SentAttempt> {
@@ -94,9 +95,4 @@
     const headers = dialect.writeHeaders(this.request, order);
     return { method, target, headers, body: content };
   }
-
-  openBody(): SentBody {
-    if (this.body.form === 'stream') return new SentBody(this.body.chunks);
-    return new SentBody(this.body.bytes.length === 0 ? undefined : this.body.bytes);
-  }
 }
--- a/src/plugins/forwarding/CallerExchange.ts
+++ b/src/plugins/forwarding/CallerExchange.ts
@@ -6,17 +6,13 @@
 import { getErrorAnswer, rejectOnAbort, ServingError, type Clock } from '../../core';
 import type { HeaderList } from '../../services';
 import { ChunkList, pairHeaders } from '../../wire';
+import { BufferedBody, StreamedBody, type CallerBody } from './CallerBody';
 import { createNoMemoryError } from './createNoMemoryError';
 import type { HeldPart } from './HeldMemory';
 import { FORWARDING_OPTIONS } from './options';
 
 const MS_PER_SECOND = 1_000;
 
-/** Body of a request: buffered if small, otherwise a stream that can be read once. @internal */
-export type CallerBody =
-  | { readonly form: 'whole'; readonly bytes: Uint8Array }
-  | { readonly form: 'stream'; readonly chunks: AsyncIterable<Uint8Array> };
-
 /**
  * How an exchange ended. `answered`: the answer is complete, and the system may still be sending it.
  * `cut`: its connection was closed, so that an incomplete answer can't look complete. @internal
@@ -146,7 +142,7 @@
   }
 
   /**
-   * Reads the body. A body larger than `maxBufferedBytes` is returned as a stream.
+   * Reads the body. A body larger than `maxBufferedBytes` is read while it is sent.
    * @throws ServingError `request-too-large`, `malformed-request`, `overloaded`; another error if the
    *   signal aborts.
    */
@@ -167,10 +163,12 @@
       if (buffer.length > maxBufferedBytes) {
         // What the parser, the body and the connection to the endpoint buffer besides.
         if (!this.hold(FORWARDING_OPTIONS.streamedBodyBytes)) throw createNoMemoryError();
-        return { form: 'stream', chunks: this.prepend(buffer.read(), source) };
+        return new StreamedBody(buffer.read(), source, (onReclaimed) =>
+          this.held?.createReclaimable(onReclaimed),
+        );
       }
     }
-    return { form: 'whole', bytes: buffer.read() };
+    return new BufferedBody(buffer.read());
   }
 
   writeHead(status: number, headers: HeaderList): void {
@@ -283,14 +281,6 @@
     }
   }
 
-  private async *prepend(
-    first: Uint8Array,
-    rest: AsyncIterable<Uint8Array>,
-  ): AsyncGenerator<Uint8Array> {
-    yield first;
-    yield* rest;
-  }
-
   /** @throws the signal's reason when the request ends while the caller doesn't read. */
   private async waitForDrain(signal: AbortSignal): Promise<void> {
     if (this.disconnectSignal.aborted) return;
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -20,7 +20,8 @@
 import type { EndpointPlacer } from './EndpointPlacer';
 import type { NamedLimits } from './NamedLimits';
 import type { NodeDrain } from './NodeDrain';
-import type { SentBody } from './SentBody';
+import type { SendableBody } from './CallerBody';
+import { SentBody } from './SentBody';
 
 /** Outcome of one attempt. @internal */
 export type SendOutcome =
@@ -81,6 +82,7 @@
 
   async send(
     admitted: AdmittedRequest,
+    sendable: SendableBody,
     backEnd: KnownBackEnd,
     signal: AbortSignal,
     { continuation, backUpTo, markWriting }: SendOptions = {},
@@ -88,7 +90,7 @@
     const { clock } = this.kernel;
     const deadlineMs = this.drain.limitDeadline(admitted.deadlineMs);
     const dialect = this.kernel.get(RequestDialect);
-    const body = admitted.openBody();
+    const body = new SentBody(sendable.open());
     const order = {
       expectedEndpointId: backEnd.endpointId,
       customer: admitted.work.customer,
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -13,7 +13,7 @@
   type ServingRequest,
 } from '../../services';
 import { AdmittedRequest } from './AdmittedRequest';
-import type { CallerBody } from './CallerExchange';
+import type { CallerBody } from './CallerBody';
 import { FORWARDING_OPTIONS } from './options';
 import type { LoopDelay } from './LoopDelay';
 import type { DrainedRequest, NodeDrain } from './NodeDrain';
@@ -207,7 +207,7 @@
     const { limits } = this.kernel.get(Deployment).configuration ?? {};
     if (limits) exchange.checkHeaders(limits.maxHeaderBytes);
     const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-    return exchange.readBody(FORWARDING_OPTIONS.maxReplayableBodyBytes, maxBytes, signal);
+    return exchange.readBody(FORWARDING_OPTIONS.maxBufferedBodyBytes, maxBytes, signal);
   }
 
   private fail(
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -18,6 +18,7 @@
 } from '../../services';
 import { pairHeaders, readBoundedText } from '../../wire';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { KeptBody } from './CallerBody';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
 import type { OutputEstimator } from './OutputEstimator';
@@ -91,10 +92,12 @@
 
   /**
    * Lets the backup's engine take the run over, or else migrates it; both need this engine, so they
-   * can't wait until it ends. A run that is nearly done first gets some time to finish here.
+   * can't wait until it ends. A run that is nearly done first gets some time to finish here. One whose
+   * body isn't kept stays, as no other engine could be sent its request.
    */
   private async move(stream: RunningStream): Promise<NextSegment | undefined> {
     const { segment } = stream;
+    await this.waitForBody(stream);
     const { minMigrationTokens, nearlyDoneGraceMs } = FORWARDING_OPTIONS;
     if (this.estimateRemaining(stream) < minMigrationTokens) {
       await this.kernel.clock.sleep(nearlyDoneGraceMs, segment.done);
@@ -103,6 +106,13 @@
     return this.mayMove(stream) ? this.migrate(stream) : undefined;
   }
 
+  /** An engine may begin to answer before the whole body has arrived. */
+  private async waitForBody({ admitted, segment }: RunningStream): Promise<void> {
+    while (segment.isCurrent && admitted.body.isArriving) {
+      await this.kernel.clock.sleep(FORWARDING_OPTIONS.migrationRetryMs, segment.done);
+    }
+  }
+
   /** Whether the run is still on its engine, and no part of its prompt was quarantined meanwhile. */
   private mayMove({ admitted, segment }: RunningStream): boolean {
     return segment.isCurrent && !this.guard.findRefusal(admitted);
@@ -132,12 +142,29 @@
     if (!engine) return undefined;
     const placed = this.placer.placeAtBackup(admitted.work, engine, progress.outputTokens);
     if (!placed) return undefined;
-    if (!this.retries.takeFromBudget(admitted.work.service)) {
+    const body = this.keepBody(stream);
+    if (!body || !this.retries.takeFromBudget(admitted.work.service)) {
+      body?.release();
       placed.release();
       return undefined;
     }
     const handle = this.kernel.get(RequestDialect).getBackupHandle(admitted.request.requestId);
-    return { placed, continueFrom: { address: engine.address, handle }, laterCopy: undefined };
+    const continueFrom = { address: engine.address, handle };
+    return { placed, body, continueFrom, laterCopy: undefined };
+  }
+
+  private keepBody({ admitted, segment, progress }: RunningStream): KeptBody | undefined {
+    const body = admitted.body.keep();
+    if (body) return body;
+    this.kernel.log.info('decision', {
+      requestId: admitted.request.requestId,
+      step: 'place',
+      what: 'continue the run on another engine',
+      from: segment.placed.backEnd.endpointId,
+      outcome: 'stays: the body of the request is not kept',
+      outputTokens: progress.outputTokens,
+    });
+    return undefined;
   }
 
   private findBackupEngine({ admitted, segment }: RunningStream): KnownBackEnd | undefined {
@@ -146,6 +173,18 @@
   }
 
   private async migrate(stream: RunningStream): Promise<NextSegment | undefined> {
+    // Kept from here on: a run that was stopped can't go on without its body.
+    const body = this.keepBody(stream);
+    if (!body) return undefined;
+    const next = await this.copyToOtherEngine(stream, body);
+    if (!next) body.release();
+    return next;
+  }
+
+  private async copyToOtherEngine(
+    stream: RunningStream,
+    body: KeptBody,
+  ): Promise<NextSegment | undefined> {
     const { segment } = stream;
     const from = segment.placed.backEnd;
     let refusedBy: ReadonlyArray<EndpointId> = [];
@@ -157,7 +196,7 @@
         // centre may have been evacuated, or the allowed regions may have changed.
         const mayUse = this.placer.mayUse(stream.admitted.work, placed.backEnd);
         if (first.outcome === 'copied' && mayUse) {
-          return this.handOver(stream, placed, first.handle);
+          return this.handOver(stream, placed, body, first.handle);
         }
         placed.release();
         if (first.outcome === 'no-such-run') return undefined;
@@ -173,13 +212,18 @@
   }
 
   /** Stops the run on its engine. The stream closes incomplete, and the next segment takes over. */
-  private handOver(stream: RunningStream, placed: RequestReservation, handle: string): NextSegment {
+  private handOver(
+    stream: RunningStream,
+    placed: RequestReservation,
+    body: KeptBody,
+    handle: string,
+  ): NextSegment {
     const { segment } = stream;
     const continueFrom = { address: segment.placed.backEnd.address, handle };
     const laterCopy = segment.done.aborted
       ? Promise.resolve(undefined)
-      : this.stop(stream, { placed, continueFrom, laterCopy: undefined });
-    return { placed, continueFrom, laterCopy };
+      : this.stop(stream, { placed, body, continueFrom, laterCopy: undefined });
+    return { placed, body, continueFrom, laterCopy };
   }
 
   private async stop(stream: RunningStream, next: NextSegment): Promise<KvCacheCopy | undefined> {
@@ -203,10 +247,13 @@
   private async takeOver(stream: RunningStream, next: NextSegment): Promise<void> {
     const { segment } = stream;
     if (segment.done.aborted || segment.takeover?.isOpen) return;
-    const outcome = await this.runTakeover(stream, next, 'run not stopped');
+    // The migration keeps the body for the case that the engine ends meanwhile.
+    const shared = { ...next, body: next.body.share() };
+    const outcome = await this.runTakeover(stream, shared, 'run not stopped');
     if (outcome === 'committed') return;
     await this.kernel.clock.sleep(FORWARDING_OPTIONS.takeoverPauseMs, segment.done);
     segment.migration = undefined;
+    next.body.release();
     this.start(stream);
   }
 
--- a/src/plugins/forwarding/SegmentOpener.ts
+++ b/src/plugins/forwarding/SegmentOpener.ts
@@ -5,6 +5,7 @@
 import type { EndpointId } from '../../core';
 import type { KnownBackEnd } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { SendableBody } from './CallerBody';
 import type { CrashReporter } from './CrashReporter';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import { isSuccess, type EndpointSender, type RunContinuation } from './EndpointSender';
@@ -34,6 +35,7 @@
   /** Sends the request to the endpoint where it was placed; releases that place without an answer. */
   async open(
     admitted: AdmittedRequest,
+    body: SendableBody,
     placed: RequestReservation,
     { continuation, producedTokens = 0, signal = admitted.signal }: OpenOptions = {},
   ): Promise<StreamSegment | UnansweredOutcome> {
@@ -48,7 +50,7 @@
     const copy = admitted.isTrial
       ? undefined
       : this.placer.placeBackup(admitted.work, placed.backEnd, producedTokens);
-    const sent = await this.sender.send(admitted, placed.backEnd, signal, {
+    const sent = await this.sender.send(admitted, body, placed.backEnd, signal, {
       continuation,
       backUpTo: copy?.backEnd.address,
       markWriting: placed.markWriting,
@@ -69,16 +71,29 @@
   /** Continues a run from a copy of its KV cache; undefined if the engine refuses or fails. */
   async openFromCopy(
     admitted: AdmittedRequest,
-    { placed, continueFrom, laterCopy }: NextSegment,
-    { lastEventId, outputTokens }: StreamPosition,
+    next: NextSegment,
+    position: StreamPosition,
     signal = admitted.signal,
+  ): Promise<StreamSegment | undefined> {
+    try {
+      return await this.openFromEitherCopy(admitted, next, position, signal);
+    } finally {
+      next.body.release();
+    }
+  }
+
+  private async openFromEitherCopy(
+    admitted: AdmittedRequest,
+    { placed, body, continueFrom, laterCopy }: NextSegment,
+    { lastEventId, outputTokens }: StreamPosition,
+    signal: AbortSignal,
   ): Promise<StreamSegment | undefined> {
     if (!this.placer.mayContinueAt(placed.backEnd)) {
       placed.release();
       return undefined;
     }
     const options = { producedTokens: outputTokens, signal };
-    const sent = await this.open(admitted, placed, {
+    const sent = await this.open(admitted, body, placed, {
       ...options,
       continuation: { continueFrom, lastEventId },
     });
@@ -88,7 +103,7 @@
     // The refusal has released the place.
     const placedAgain = this.placer.placeAgain(admitted.work, placed.backEnd, outputTokens);
     if (!placedAgain) return undefined;
-    const again = await this.open(admitted, placedAgain, {
+    const again = await this.open(admitted, body, placedAgain, {
       ...options,
       continuation: { continueFrom: later, lastEventId },
     });
@@ -112,10 +127,20 @@
     { lastEventId }: StreamPosition,
     signal = admitted.signal,
   ): Promise<StreamSegment | undefined> {
-    const continuation = { continueFrom: undefined, lastEventId };
-    const sent = await this.open(admitted, placed, { continuation, signal });
-    return sent instanceof StreamSegment ? this.checkContinued(sent, signal) : undefined;
+    const body = admitted.body.keep();
+    if (!body) {
+      placed.release();
+      return undefined;
+    }
+    try {
+      const continuation = { continueFrom: undefined, lastEventId };
+      const sent = await this.open(admitted, body, placed, { continuation, signal });
+      return sent instanceof StreamSegment ? this.checkContinued(sent, signal) : undefined;
+    } finally {
+      body.release();
+    }
   }
+
   async reportCrash(
     admitted: AdmittedRequest,
     backEnd: KnownBackEnd,
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -223,6 +223,7 @@
       lastEventId,
       outputTokens: progress.outputTokens,
       outcome: next ? 'goes on from copied memory' : (refusal?.detail ?? 'no copy'),
+      isBodyKept: admitted.body.isKept,
     });
     const metrics = this.kernel.get(ServingMetrics);
     if (next) {
--- a/src/plugins/forwarding/StreamOpening.ts
+++ b/src/plugins/forwarding/StreamOpening.ts
@@ -8,8 +8,10 @@
 import { ServingError, startDeadline, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { SendableBody } from './CallerBody';
 import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import type { NodeDrain } from './NodeDrain';
+import { createBodyGoneError } from './createBodyGoneError';
 import { FORWARDING_OPTIONS } from './options';
 import { QuarantineGuard } from './QuarantineGuard';
 import type { RetryPolicy } from './RetryPolicy';
@@ -36,15 +38,17 @@
     let lostReason: string | undefined;
     for (let isFirst = true; ; isFirst = false) {
       let placed: RequestReservation;
+      let body: SendableBody;
       try {
         placed = isFirst
           ? await this.placeFirst(admitted)
           : this.placer.place(admitted.work, excluded, 'retry');
         this.checkBeforeSend(admitted, placed);
+        body = this.takeBody(admitted, placed);
       } catch (thrown) {
         throw this.explainUnsent(admitted, thrown, lostReason);
       }
-      const sent = await this.send(admitted, placed);
+      const sent = await this.send(admitted, body, placed);
       if (sent instanceof StreamSegment) return sent;
       admitted.signal.throwIfAborted();
       if (sent.outcome === 'lost') lostReason = sent.reason;
@@ -70,6 +74,7 @@
    */
   private async send(
     admitted: AdmittedRequest,
+    body: SendableBody,
     placed: RequestReservation,
   ): Promise<StreamSegment | UnansweredOutcome> {
     const { exchange, signal } = admitted;
@@ -77,13 +82,14 @@
     const headDeadlineMs = exchange.arrivedAtMs + headWithinMs;
     const limit = startDeadline(headDeadlineMs - this.kernel.clock.nowMs());
     try {
-      const sent = await this.opener.open(admitted, placed, {
+      const sent = await this.opener.open(admitted, body, placed, {
         signal: AbortSignal.any([signal, limit.signal]),
       });
       const isLate = limit.signal.aborted && !signal.aborted;
       if (sent instanceof StreamSegment || sent.outcome !== 'lost' || !isLate) return sent;
     } finally {
       limit.stop();
+      body.release();
     }
     throw new ServingError('answer-timeout', {
       detail: `The stream did not begin within ${Math.round(headWithinMs)} ms.`,
@@ -116,6 +122,13 @@
     throw refusal;
   }
 
+  private takeBody(admitted: AdmittedRequest, placed: RequestReservation): SendableBody {
+    const body = admitted.body.take();
+    if (body) return body;
+    placed.release();
+    throw createBodyGoneError(admitted.clause);
+  }
+
   private findRefusal(admitted: AdmittedRequest): ServingError | undefined {
     return this.guard.findRefusal(admitted) ?? this.drain.findRefusal(admitted);
   }
@@ -129,8 +142,7 @@
       holdDeadlineMs: arrivedAtMs + route.latencyGoalMs * FORWARDING_OPTIONS.maxHoldShare,
       leavesAtMs: arrivedAtMs + this.computeHeadWithinMs(admitted),
       deadlineMs,
-      bodyBytes:
-        body.form === 'whole' ? body.bytes.length : FORWARDING_OPTIONS.maxReplayableBodyBytes,
+      bodyBytes: body.bufferedBytes,
       findRefusal: () => this.findRefusal(admitted),
     };
     const placed = await this.placer.placeNew(work, patience, signal);
--- a/src/plugins/forwarding/StreamSegment.ts
+++ b/src/plugins/forwarding/StreamSegment.ts
@@ -2,6 +2,7 @@
  * Segment of a stream: the part that one engine produces.
  */
 import type { AnswerHead, CopyOutcome, KvCacheCopy } from '../../services';
+import type { KeptBody } from './CallerBody';
 import type { EndpointResponse } from './EndpointResponse';
 import type { RequestReservation, EndpointReservation } from './EndpointPlacer';
 import type { Takeover } from './Takeover';
@@ -9,6 +10,8 @@
 /** Where a run continues after its engine has stopped or lost it. @internal */
 export interface NextSegment {
   readonly placed: RequestReservation;
+  /** Body of the request, which the next engine gets as well. */
+  readonly body: KeptBody;
   /** KV cache copy to continue from; it may lack the newest tokens. */
   readonly continueFrom: KvCacheCopy;
   /** A later copy, used if the engine refuses the first one. */
@@ -94,12 +97,13 @@
   }
 
   /**
-   * Releases the capacity that a migration has reserved and the run no longer needs.
+   * Releases the capacity and the body that a migration has reserved and the run no longer needs.
    * @param successor segment that has taken over; it may run in that capacity.
    */
   async abandonMigration(successor?: StreamSegment): Promise<void> {
-    const placed = (await this.migration)?.placed;
-    if (placed !== successor?.placed) placed?.release();
+    const next = await this.migration;
+    next?.body.release();
+    if (next?.placed !== successor?.placed) next?.placed.release();
   }
 
   /** Returns whether an event of this segment may be forwarded, or another one has taken over. */
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -9,9 +9,11 @@
 import type { AnswerHead, KnownBackEnd } from '../../services';
 import { ChunkList } from '../../wire';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { SendableBody } from './CallerBody';
 import type { CrashReporter } from './CrashReporter';
-import type { EndpointPlacer } from './EndpointPlacer';
+import type { EndpointPlacer, RequestReservation } from './EndpointPlacer';
 import type { EndpointSender, SendOutcome } from './EndpointSender';
+import { createBodyGoneError } from './createBodyGoneError';
 import { FORWARDING_OPTIONS } from './options';
 import { QuarantineGuard } from './QuarantineGuard';
 import { readFromProcess } from './readFromProcess';
@@ -120,7 +122,7 @@
   ): RunningAttempt {
     const cancelled = new AbortController();
     const settled = new AbortController();
-    const completion = this.runAttempt(admitted, excluded, step, cancelled.signal);
+    const completion = this.attempt(admitted, excluded, step, cancelled.signal);
     const settle = (): void => settled.abort();
     completion.then(settle, settle);
     return { completion, settled: settled.signal, cancel: () => cancelled.abort() };
@@ -148,21 +150,37 @@
     }
   }
 
-  private async runAttempt(
+  /** @throws ServingError when the request can't be placed or sent. */
+  private async attempt(
     admitted: AdmittedRequest,
     excluded: ReadonlyArray<EndpointId>,
     step: 'route' | 'retry',
     cancelled: AbortSignal,
+  ): Promise<AttemptResult> {
+    const body = admitted.body.take();
+    if (!body) throw createBodyGoneError(admitted.clause);
+    try {
+      const placed = this.placer.place(admitted.work, excluded, step);
+      return await this.runAttempt(admitted, body, placed, cancelled);
+    } finally {
+      body.release();
+    }
+  }
+
+  private async runAttempt(
+    admitted: AdmittedRequest,
+    body: SendableBody,
+    placed: RequestReservation,
+    cancelled: AbortSignal,
   ): Promise<AttemptResult> {
     const target = admitted;
-    const placed = this.placer.place(admitted.work, excluded, step);
     const { endpointId } = placed.backEnd;
     target.sentTo = [...admitted.sentTo, endpointId];
     try {
       const signal = AbortSignal.any([admitted.signal, cancelled]);
       const { clock } = this.kernel;
       const sentAtMs = clock.nowMs();
-      const sent = await this.sender.send(admitted, placed.backEnd, signal, {
+      const sent = await this.sender.send(admitted, body, placed.backEnd, signal, {
         markWriting: placed.markWriting,
       });
       // The time until the cancellation is a lower bound of the time that the call takes.
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -21,8 +21,10 @@
   connectionShare: 0.8,
   /** Connections to an endpoint that a node may always open, however many nodes there are. */
   minConnections: 4,
-  /** Request bodies up to this size are buffered, so that they can be sent again. */
-  maxReplayableBodyBytes: 65_536,
+  /** Request bodies up to this size are read before their request is sent. */
+  maxBufferedBodyBytes: 65_536,
+  /** Blocks in which a longer body is kept to be sent again. */
+  keptBodyBlockBytes: 16_384,
   /** Memory of a request body that is passed on while it is read. */
   streamedBodyBytes: 131_072,
   /** Unread bytes of a response at which its endpoint is read no further. */
--- a/tests/FrontFixture.ts
+++ b/tests/FrontFixture.ts
@@ -98,6 +98,9 @@
   /** Feature switches of the nodes that are added next. */
   scheduling: Readonly<Record<string, 'auto' | 'on' | 'off'>> = {};
 
+  /** Limits of the connections of the nodes that are added next. */
+  connections: Readonly<Record<string, number>> = {};
+
   private readonly otherStores: MetadataStore[] = [];
 
   private constructor(readonly store: MetadataStore) {}
@@ -173,6 +176,7 @@
       regions: { brisbane: 'seq', goldcoast: 'seq', cairns: 'fnq' },
       bounds,
       scheduling: this.scheduling,
+      connections: this.connections,
     });
   }
 
--- a/tests/repeatedBodies.test.ts
+++ b/tests/repeatedBodies.test.ts
@@ -216,6 +216,34 @@
   TEST_TIMEOUT_MS,
 );
 
+// Guards against a stream that is lost, moved without its body or refused, because the bodies of all
+// streams don't fit into the memory of the node.
+test(
+  'a run without its body stays where it is',
+  async () => {
+    configure();
+    fixture.connections = { maxHeldMiB: 4 };
+    const first = await addWriter('i-1', NEAR);
+    const second = await addWriter('i-2', FAR);
+    const caller = await startCaller(2, STREAM_HEADERS);
+    const call = async (): Promise<BodyAnswer> =>
+      caller.call('POST', '/report/a', { bytes: 1_000_000, chunkBytes: undefined });
+    const answers = Array.from({ length: 6 }, call);
+    await waitUntil('the runs', () => first.runningCount === answers.length);
+    leave(first);
+    const ended = await Promise.all(answers);
+    expect(listChangedBodies(caller)).toEqual([]);
+    expect(ended.map(countEvents)).toEqual(ended.map(() => EVENTS));
+    expect(second.executedRequests.length).toBeGreaterThan(0);
+    expect(second.executedRequests.length).toBeLessThan(answers.length);
+    const stayed = fixture.nodes[0]?.lines.filter(
+      ({ outcome }) => outcome === 'stays: the body of the request is not kept',
+    );
+    expect(stayed).toHaveLength(answers.length - second.executedRequests.length);
+  },
+  TEST_TIMEOUT_MS,
+);
+
 // Guards against a request that one endpoint doesn't run and that reaches the next one without its
 // body, or not at all because its body is long.
 test.each([
