Retry and hedge requests with long bodies

Callers with a body above 65,536 bytes got an error where others are served: a refused request wasn't sent to another endpoint, a repeatable one whose answer was lost wasn't repeated, a stream that may be resumed was cut when its engine crashed, and slow calls weren't hedged.

Cause: retries asked whether the body had been buffered before the first attempt.

Change: they ask whether it is kept. While it still arrives, or when there was no memory for it, the request is answered as before, and a line names that as the reason. The retry budget and the number of endpoints of the route hold as for other requests.

--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -3,7 +3,7 @@
  */
 import type { EndpointId, Route } from '../../core';
 import type { DispatchParameters, RequestDialect, ServingRequest } from '../../services';
-import { BufferedBody, type CallerBody } from './CallerBody';
+import type { CallerBody } from './CallerBody';
 import type { CallerExchange } from './CallerExchange';
 import type { EndpointMessage } from './EndpointConnection';
 import type { PlacementInput } from './EndpointPlacer';
@@ -67,11 +67,6 @@
     return `routes.${this.route.name}`;
   }
 
-  /** Whether the body is buffered, so that it can be sent again. */
-  get isReplayable(): boolean {
-    return this.body instanceof BufferedBody;
-  }
-
   get attempts(): ReadonlyArray<SentAttempt> {
     return this.recordedAttempts.map(({ endpointId, outcome, afterMs, body }) => ({
       endpointId,
--- a/src/plugins/forwarding/RetryPolicy.ts
+++ b/src/plugins/forwarding/RetryPolicy.ts
@@ -24,12 +24,15 @@
 
   /** Consumes one retry from the budget if the request may be sent to another endpoint. */
   takeRetry(admitted: AdmittedRequest): boolean {
-    const { route, sentTo, signal, work } = admitted;
-    if (signal.aborted || !admitted.isReplayable || sentTo.length >= route.maxEndpoints) {
-      return false;
-    }
+    const { route, sentTo, signal, work, body, request } = admitted;
+    if (signal.aborted || sentTo.length >= route.maxEndpoints) return false;
     // A retry or a hedge late in a shutdown would be cut off.
     if (this.drain.findRefusal(admitted)) return false;
+    if (!body.isKept) {
+      const outcome = body.isArriving ? 'body still arriving' : 'body not kept';
+      this.kernel.log.info('decision', { requestId: request.requestId, step: 'retry', outcome });
+      return false;
+    }
     return this.takeFromBudget(work.service);
   }
 
