--- a/src/plugins/forwarding/BodyRecord.ts
+++ b/src/plugins/forwarding/BodyRecord.ts
@@ -4,8 +4,8 @@
  * They are copied into blocks: a chunk as it was read may be a small part of a buffer that it would
  * keep in memory as a whole.
  */
-import type { ReclaimablePart } from './HeldMemory';
 import { FORWARDING_OPTIONS } from './options';
+import type { ReclaimablePart } from './ReclaimableMemory';
 
 const BLOCK_BYTES = FORWARDING_OPTIONS.keptBodyBlockBytes;
 
@@ -20,7 +20,8 @@
 
   /** Returns false if there is no memory; the record then lacks some of the bytes. */
   append(bytes: Uint8Array): boolean {
-    for (let start = 0; start < bytes.length;) {
+    let start = 0;
+    while (start < bytes.length) {
       const block = this.findFreeBlock();
       if (!block) return false;
       const usedBytes = this.length % BLOCK_BYTES;
--- a/src/plugins/forwarding/CallerBody.ts
+++ b/src/plugins/forwarding/CallerBody.ts
@@ -7,7 +7,7 @@
  */
 import { ServingError } from '../../core';
 import { BodyRecord } from './BodyRecord';
-import type { ReclaimablePart } from './HeldMemory';
+import type { ReclaimablePart } from './ReclaimableMemory';
 import type { BodyContent } from './SentBody';
 
 /** The whole body, for one attempt. @internal */
@@ -36,6 +36,11 @@
   /** Whether the whole body has arrived and is in memory, so that it can be sent again. */
   abstract get isKept(): boolean;
 
+  /** Why the body can't be sent again, for the log. */
+  get missingReason(): string {
+    return this.isArriving ? 'body still arriving' : 'body not kept';
+  }
+
   /** Returns the body for the next attempt; undefined if it can't be sent again. */
   abstract take(): SendableBody | undefined;
 
@@ -56,6 +61,7 @@
     return this;
   }
 
+  /** The bytes are kept until the request ends. */
   release(): void {}
 }
 
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -15,12 +15,12 @@
   type ServingRequest,
 } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
+import type { SendableBody } from './CallerBody';
 import type { EndpointResponse } from './EndpointResponse';
 import type { EndpointConnections } from './EndpointConnections';
 import type { EndpointPlacer } from './EndpointPlacer';
 import type { NamedLimits } from './NamedLimits';
 import type { NodeDrain } from './NodeDrain';
-import type { SendableBody } from './CallerBody';
 import { SentBody } from './SentBody';
 
 /** Outcome of one attempt. @internal */
--- a/src/plugins/forwarding/HeldMemory.ts
+++ b/src/plugins/forwarding/HeldMemory.ts
@@ -1,9 +1,9 @@
 /**
  * Memory that callers make a node hold: heads, buffered bodies and answers that they haven't read.
  *
- * Some of it the node can do without, such as a body that is kept to be sent again. It counts against
- * the same limit, but never keeps anything else out: it is reclaimed when there is no other room.
+ * Reclaimable memory counts against the same limit, but keeps nothing else out.
  */
+import { ReclaimableMemory, type ReclaimablePart } from './ReclaimableMemory';
 
 /** Part of the memory of a node that one request or connection holds. @internal */
 export abstract class HeldPart {
@@ -13,88 +13,23 @@
   /** As `grow`, for bytes that have arrived already: they count, also beyond the limit. */
   abstract growAlways(bytes: number): void;
 
-  /**
-   * Creates a part that is released with this one, or reclaimed before.
-   * @param onReclaimed frees the memory.
-   */
+  /** Creates reclaimable memory that is released with this part, if not before. */
   abstract createReclaimable(onReclaimed: () => void): ReclaimablePart;
 
   abstract release(): void;
 }
 
-/** Memory that is reclaimed when something else needs the room. @internal */
-export abstract class ReclaimablePart {
-  /** Returns false, and changes nothing, when there is no free room. */
-  abstract grow(bytes: number): boolean;
-
-  /** Keeps the part from being reclaimed until `unpin` was called as often. */
-  abstract pin(): void;
-
-  abstract unpin(): void;
-
-  abstract release(): void;
-}
-
-class SparePart extends ReclaimablePart {
-  private pins = 0;
-
-  private size = 0;
-
-  private isReleased = false;
-
-  constructor(
-    private readonly add: (change: number) => boolean,
-    private readonly remove: (part: SparePart) => void,
-    private readonly onReclaimed: () => void,
-  ) {
-    super();
-  }
-
-  get bytes(): number {
-    return this.size;
-  }
-
-  get isPinned(): boolean {
-    return this.pins > 0;
-  }
-
-  grow(bytes: number): boolean {
-    if (this.isReleased || !this.add(bytes)) return false;
-    this.size += bytes;
-    return true;
-  }
-
-  pin(): void {
-    this.pins += 1;
-  }
-
-  unpin(): void {
-    this.pins -= 1;
-  }
-
-  release(): void {
-    if (this.isReleased) return;
-    this.isReleased = true;
-    this.remove(this);
-  }
-
-  reclaim(): void {
-    this.release();
-    this.onReclaimed();
-  }
-}
-
 class Part extends HeldPart {
   private isReleased = false;
 
   private bytes = 0;
 
-  private spare: ReadonlyArray<ReclaimablePart> = [];
+  private reclaimable: ReadonlyArray<ReclaimablePart> = [];
 
   constructor(
     private readonly add: (change: number, partBytes: number) => boolean,
     private readonly addAlways: (change: number) => void,
-    private readonly createSpare: (onReclaimed: () => void) => ReclaimablePart,
+    private readonly addReclaimable: (onReclaimed: () => void) => ReclaimablePart,
   ) {
     super();
   }
@@ -113,8 +48,8 @@
   }
 
   createReclaimable(onReclaimed: () => void): ReclaimablePart {
-    const part = this.createSpare(onReclaimed);
-    this.spare = [...this.spare, part];
+    const part = this.addReclaimable(onReclaimed);
+    this.reclaimable = [...this.reclaimable, part];
     if (this.isReleased) part.release();
     return part;
   }
@@ -123,18 +58,15 @@
     if (this.isReleased) return;
     this.isReleased = true;
     this.addAlways(-this.bytes);
-    this.spare.forEach((part) => part.release());
+    this.reclaimable.forEach((part) => part.release());
   }
 }
 
 /** @internal */
 export class HeldMemory {
-  /** Without what can be reclaimed. */
   private heldBytes = 0;
 
-  private spareBytes = 0;
-
-  private readonly spareParts = new Set<SparePart>();
+  private readonly reclaimable = new ReclaimableMemory();
 
   /**
    * @param ordinaryBytes room that only requests of ordinary size may take.
@@ -146,13 +78,13 @@
     private readonly ordinaryPartBytes: number,
   ) {}
 
-  /** What callers make the node hold, without what can be reclaimed. */
+  /** Without what can be reclaimed. */
   get bytes(): number {
     return this.heldBytes;
   }
 
   get reclaimableBytes(): number {
-    return this.spareBytes;
+    return this.reclaimable.bytes;
   }
 
   /** Returns undefined when there is no room. */
@@ -190,59 +122,25 @@
       },
       (change) => {
         this.heldBytes += change;
-        this.reclaim(this.heldBytes + this.spareBytes - maxBytes);
+        this.reclaimable.reclaimUpTo(this.countMissing(0, maxBytes));
       },
-      (onReclaimed) => this.createSpare(onReclaimed),
-    );
-  }
-
-  private createSpare(onReclaimed: () => void): ReclaimablePart {
-    const part = new SparePart(
-      (change) => this.addSpare(change),
-      (released) => {
-        this.spareParts.delete(released);
-        this.spareBytes -= released.bytes;
+      (onReclaimed) => {
+        const hasRoom = (bytes: number): boolean =>
+          this.countMissing(bytes, maxBytes - ordinaryBytes) <= 0;
+        return this.reclaimable.create(hasRoom, onReclaimed);
       },
-      onReclaimed,
     );
-    this.spareParts.add(part);
-    return part;
   }
 
   private add(change: number, maxBytes: number): boolean {
-    const missingBytes = this.heldBytes + this.spareBytes + change - maxBytes;
-    if (missingBytes > 0) {
-      if (missingBytes > this.countUnpinned()) return false;
-      this.reclaim(missingBytes);
-    }
+    const missingBytes = this.countMissing(change, maxBytes);
+    if (missingBytes > 0 && !this.reclaimable.reclaim(missingBytes)) return false;
     this.heldBytes += change;
     return true;
   }
 
-  private addSpare(change: number): boolean {
-    const freeBytes = this.maxBytes - this.ordinaryBytes - this.heldBytes - this.spareBytes;
-    if (change > freeBytes) return false;
-    this.spareBytes += change;
-    return true;
-  }
-
-  private listUnpinned(): ReadonlyArray<SparePart> {
-    return [...this.spareParts].filter(({ isPinned }) => !isPinned);
-  }
-
-  private countUnpinned(): number {
-    return this.listUnpinned().reduce((sum, { bytes }) => sum + bytes, 0);
-  }
-
-  /** Reclaims the largest parts, so that as few requests as possible lose theirs. */
-  private reclaim(bytes: number): void {
-    if (bytes <= 0) return;
-    let missingBytes = bytes;
-    const parts = [...this.listUnpinned()].sort((a, b) => b.bytes - a.bytes);
-    parts.forEach((part) => {
-      if (missingBytes <= 0) return;
-      missingBytes -= part.bytes;
-      part.reclaim();
-    });
+  /** Bytes that a change would exceed a limit by; negative if there is free room. */
+  private countMissing(change: number, maxBytes: number): number {
+    return this.heldBytes + this.reclaimable.bytes + change - maxBytes;
   }
 }
--- a/src/plugins/forwarding/RetryPolicy.ts
+++ b/src/plugins/forwarding/RetryPolicy.ts
@@ -29,8 +29,11 @@
     // A retry or a hedge late in a shutdown would be cut off.
     if (this.drain.findRefusal(admitted)) return false;
     if (!body.isKept) {
-      const outcome = body.isArriving ? 'body still arriving' : 'body not kept';
-      this.kernel.log.info('decision', { requestId: request.requestId, step: 'retry', outcome });
+      this.kernel.log.info('decision', {
+        requestId: request.requestId,
+        step: 'retry',
+        outcome: body.missingReason,
+      });
       return false;
     }
     return this.takeFromBudget(work.service);
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -161,7 +161,7 @@
       step: 'place',
       what: 'continue the run on another engine',
       from: segment.placed.backEnd.endpointId,
-      outcome: 'stays: the body of the request is not kept',
+      outcome: `stays: ${admitted.body.missingReason}`,
       outputTokens: progress.outputTokens,
     });
     return undefined;
