--- a/tests/uncontrolledClients.test.ts
+++ b/tests/uncontrolledClients.test.ts
@@ -71,6 +71,10 @@
 const EXTENSIONS = Buffer.from(';a=b'.repeat(16_000));
 const BODY = Buffer.alloc(65_536, 'x');
 
+/** All of them together are several times what the node may hold. */
+const LONG_BODY = Buffer.alloc(1_000_000, 'x');
+const LONG_BODY_CROWD = 100;
+
 function sendSlowly(socket: Socket, text: string): void {
   let position = 0;
   const timer = setInterval(() => {
@@ -188,6 +192,22 @@
   await expectSoundNode(node, VM_DESCRIPTORS);
 });
 
+// Guards against bodies within the limits that fill the memory of a node, as they are kept to be sent
+// again until their requests are answered.
+test('survives long bodies that are kept', async () => {
+  node = await RestrictedNode.start();
+  const head = `${createHead('POST /slow/a', `Content-Length: ${LONG_BODY.length}`)}\r\n`;
+  await playCrowd(
+    node.settings.node.callerAddress,
+    (socket) => {
+      socket.write(head);
+      socket.write(LONG_BODY);
+    },
+    LONG_BODY_CROWD,
+  );
+  await expectSoundNode(node, VM_DESCRIPTORS);
+});
+
 // Guards against a crowd whose parts add up, beside an ordinary caller who asks all the while.
 test('survives all of them at once', async () => {
   node = await RestrictedNode.start();
