--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -33,6 +33,8 @@
   readonly copyDelayMs?: number;
   /** Whether streams have neither a length nor chunks, and end with their connection. */
   readonly isUnframed?: boolean;
+  /** Whether streams begin before the body of their request was read. */
+  readonly answersEarly?: boolean;
 }
 
 /** Time between the head of an answer and the crash that its request causes. */
@@ -225,6 +227,11 @@
     const headers = context.req.header();
     const requestId = headers['x-bramleyvane-request-id'] ?? '';
     const { method, url = '' } = context.env.incoming;
+    if (this.options.answersEarly && headers['kv-from'] === undefined) {
+      void context.req.text().catch(() => {});
+      const head = { [REQUEST_ID_HEADER]: requestId, [SEAL_HEADER]: 'seal-early' };
+      return this.stream(context, requestId, head);
+    }
     const received = {
       requestId,
       method: method ?? '',
--- a/tests/BodyCaller.ts
+++ b/tests/BodyCaller.ts
@@ -2,7 +2,8 @@
  * A caller whose requests have bodies of any size and framing.
  */
 import { createHash } from 'node:crypto';
-import { request as sendRequest } from 'node:http';
+import { request as sendRequest, type ClientRequest } from 'node:http';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { splitAddress } from '../src/core';
 import { HOST, type FrontNode } from './FrontFixture';
 
@@ -10,6 +11,8 @@
 export interface BodyForm {
   readonly bytes: number;
   readonly chunkBytes: number | undefined;
+  /** Pause after each chunk. */
+  readonly pauseMs?: number;
 }
 
 export interface BodyAnswer {
@@ -24,6 +27,19 @@
   return createHash('sha256').update(body).digest('hex');
 }
 
+async function sendChunks(
+  request: ClientRequest,
+  body: Buffer,
+  chunkBytes: number,
+  pauseMs: number,
+): Promise<void> {
+  for (let start = 0; start < body.length && !request.destroyed; start += chunkBytes) {
+    request.write(body.subarray(start, start + chunkBytes));
+    if (pauseMs > 0) await sleep(pauseMs);
+  }
+  request.end();
+}
+
 let lastRequest = 0;
 
 /** Sends requests to one node, and remembers the hash of each one's body. */
@@ -40,7 +56,11 @@
     return this.hashes.get(requestId);
   }
 
-  async call(method: string, path: string, { bytes, chunkBytes }: BodyForm): Promise<BodyAnswer> {
+  async call(
+    method: string,
+    path: string,
+    { bytes, chunkBytes, pauseMs = 0 }: BodyForm,
+  ): Promise<BodyAnswer> {
     lastRequest += 1;
     const requestId = `body-${lastRequest}`;
     const body = Buffer.alloc(bytes, `text ${lastRequest} `);
@@ -75,14 +95,8 @@
         response.on('error', () => finish(false));
       });
       request.on('error', () => finish(false));
-      if (chunkBytes === undefined) {
-        request.end(body);
-        return;
-      }
-      for (let start = 0; start < bytes; start += chunkBytes) {
-        request.write(body.subarray(start, start + chunkBytes));
-      }
-      request.end();
+      if (chunkBytes === undefined) request.end(body);
+      else void sendChunks(request, body, chunkBytes, pauseMs);
     });
   }
 }
--- a/tests/repeatedBodies.test.ts
+++ b/tests/repeatedBodies.test.ts
@@ -216,6 +216,27 @@
   TEST_TIMEOUT_MS,
 );
 
+// Guards against a run that is moved while its body still arrives: both engines would share the rest.
+test(
+  'a run that began early is moved with its whole body',
+  async () => {
+    configure();
+    const options = { instanceId: 'i-1', events: EVENTS, eventIntervalMs: EVENT_INTERVAL_MS };
+    const first = await fixture.addEngine('writers', { ...options, answersEarly: true }, NEAR);
+    const second = await addWriter('i-2', FAR);
+    const caller = await startCaller(2, STREAM_HEADERS);
+    const form = { bytes: 300_000, chunkBytes: 30_000, pauseMs: 100 };
+    const answer = caller.call('POST', '/report/a', form);
+    await waitUntil('the run', () => first.runningCount === 1);
+    leave(first);
+    const ended = await answer;
+    expect([ended.isWhole, countEvents(ended)]).toEqual([true, EVENTS]);
+    expect(second.executedRequests).toHaveLength(1);
+    expect(listChangedBodies(caller)).toEqual([]);
+  },
+  TEST_TIMEOUT_MS,
+);
+
 // Guards against a stream that is lost, moved without its body or refused, because the bodies of all
 // streams don't fit into the memory of the node.
 test(
