Log crashes of plain services, and recognise requests in crash lines

`endpoint crashed` is now written for these calls too, from a probe beside the request, and carries a fingerprint of method, path, customer and the first 65,536 bytes of the body, and the number of endpoints that crashed under the attempt before.

No decision changes: such a crash neither ejects the endpoint nor counts as evidence yet.

--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -77,6 +77,16 @@
   .brand<'PromptPartId'>();
 export type PromptPartId = z.infer<typeof promptPartIdSchema>;
 
+/**
+ * Fingerprint of a request: the same for requests with the same method, path, customer and body. It
+ * is never the id of a part of a prompt, as none can have a colon. @public
+ */
+export const requestFingerprintSchema = z
+  .string()
+  .regex(/^request:[\w-]{22}$/)
+  .brand<'RequestFingerprint'>();
+export type RequestFingerprint = z.infer<typeof requestFingerprintSchema>;
+
 /** A part of a prompt that other requests may have too. @public */
 export interface PromptPart {
   readonly id: PromptPartId;
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -56,6 +56,7 @@
 export * from './neighbours';
 export * from './reading';
 export * from './regions';
+export * from './requestFingerprint';
 export * from './reportChange';
 export * from './EndpointPace';
 export * from './EndpointSpeeds';
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -1,7 +1,8 @@
 /**
  * State of an admitted request: its route, and the attempts to send it.
  */
-import type { EndpointId, Route } from '../../core';
+import type { CustomerId, EndpointId, RequestFingerprint, Route } from '../../core';
+import { computeRequestFingerprint } from '../../decisions';
 import type { DispatchParameters, RequestDialect, ServingRequest } from '../../services';
 import type { CallerBody } from './CallerBody';
 import type { CallerExchange } from './CallerExchange';
@@ -23,10 +24,22 @@
   readonly body: SentBody;
 }
 
+/** @internal */
+export function fingerprintRequest(
+  { method, target }: ServingRequest,
+  customer: CustomerId | undefined,
+  { digest }: CallerBody,
+): RequestFingerprint {
+  return computeRequestFingerprint({ method, target, customer }, digest);
+}
+
 /** @internal */
 export class AdmittedRequest {
   private recordedAttempts: ReadonlyArray<RecordedAttempt> = [];
 
+  /** By which the request is recognised when it comes again. */
+  readonly fingerprint: RequestFingerprint;
+
   /** Endpoints that crashed before this request had any output there. */
   crashesAtStart = 0;
 
@@ -38,7 +51,9 @@
     readonly body: CallerBody,
     /** Whether it is the trial of a quarantined part, which is sent to one endpoint only. */
     readonly isTrial: boolean,
-  ) {}
+  ) {
+    this.fingerprint = fingerprintRequest(request, work.customer, body);
+  }
 
   get exchange(): CallerExchange {
     return this.running.exchange;
--- a/src/plugins/forwarding/CallerBody.ts
+++ b/src/plugins/forwarding/CallerBody.ts
@@ -6,6 +6,7 @@
  * byte. So an attempt has the body that the caller sent, or it can't be made.
  */
 import { ServingError } from '../../core';
+import { computeBodyDigest } from '../../decisions';
 import { BodyRecord } from './BodyRecord';
 import type { ReclaimablePart } from './ReclaimableMemory';
 import type { BodyContent } from './SentBody';
@@ -30,6 +31,9 @@
   /** Bytes that were read before the first attempt. */
   abstract readonly bufferedBytes: number;
 
+  /** Digest of the first bytes, by which a request is recognised when it comes again. */
+  abstract readonly digest: string;
+
   /** Whether the rest of the body may still arrive and be kept. */
   abstract get isArriving(): boolean;
 
@@ -69,6 +73,8 @@
 export class BufferedBody extends CallerBody {
   readonly bufferedBytes: number;
 
+  readonly digest: string;
+
   readonly isArriving = false;
 
   readonly isKept = true;
@@ -78,6 +84,7 @@
   constructor(bytes: Uint8Array) {
     super();
     this.bufferedBytes = bytes.length;
+    this.digest = computeBodyDigest(bytes);
     this.copy = new BufferedCopy(bytes);
   }
 
@@ -138,6 +145,8 @@
 export class StreamedBody extends CallerBody {
   readonly bufferedBytes: number;
 
+  readonly digest: string;
+
   private record: BodyRecord | undefined;
 
   /** Undefined once the first attempt has begun to read. */
@@ -160,6 +169,7 @@
     super();
     this.first = first;
     this.bufferedBytes = first.length;
+    this.digest = computeBodyDigest(first);
     this.record = new BodyRecord(createMemory(() => this.dropRecord()));
   }
 
--- a/src/plugins/forwarding/CrashReporter.ts
+++ b/src/plugins/forwarding/CrashReporter.ts
@@ -82,7 +82,9 @@
   ): Promise<boolean> {
     const lostAtMs = this.kernel.clock.nowMs();
     if (!(await this.hasCrashed(backEnd))) return false;
-    this.health.recordCrash(backEnd.endpointId, lostAtMs);
+    if (admitted.request.sharedPromptParts.length > 0) {
+      this.health.recordCrash(backEnd.endpointId, lostAtMs);
+    }
     const crashId = getCrashId(backEnd);
     const outputForMs = outputSinceMs === undefined ? undefined : lostAtMs - outputSinceMs;
     const parts = admitted.request.sharedPromptParts;
@@ -96,6 +98,8 @@
       endpointId: backEnd.endpointId,
       crashId,
       promptParts: parts,
+      fingerprint: admitted.fingerprint,
+      crashesAtStart: admitted.crashesAtStart,
       hadHead,
       outputForMs: outputForMs === undefined ? undefined : Math.round(outputForMs),
     });
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -207,11 +207,14 @@
     }
   }
 
-  /** Calls without a prompt have no part that could be quarantined, and aren't delayed for it. */
+  /** Calls without a prompt aren't delayed by the probe of their endpoint. */
   private async reportLoss(admitted: AdmittedRequest, backEnd: KnownBackEnd): Promise<void> {
-    if (admitted.request.sharedPromptParts.length === 0) return;
     const progress = { hadHead: false, outputSinceMs: undefined };
-    await this.crashes.reportLoss(admitted, backEnd, progress);
+    const report = async (): Promise<void> => {
+      await this.crashes.reportLoss(admitted, backEnd, progress);
+    };
+    if (admitted.request.sharedPromptParts.length > 0) await report();
+    else this.kernel.runTask('report crash', report);
   }
 
   /** An answer for which there is no memory is passed on while it is read. */
--- a/src/plugins/forwarding/options.ts
+++ b/src/plugins/forwarding/options.ts
@@ -1,4 +1,6 @@
 /** Options for forwarding requests to endpoints. */
+import { FINGERPRINTED_BODY_BYTES } from '../../decisions';
+
 export const FORWARDING_OPTIONS = {
   /** Timeout for opening a connection to an endpoint; a lost first packet costs a second. */
   connectTimeoutMs: 500,
@@ -22,7 +24,7 @@
   /** Connections to an endpoint that a node may always open, however many nodes there are. */
   minConnections: 4,
   /** Request bodies up to this size are read before their request is sent. */
-  maxBufferedBodyBytes: 65_536,
+  maxBufferedBodyBytes: FINGERPRINTED_BODY_BYTES,
   /** Blocks in which a longer body is kept to be sent again. */
   keptBodyBlockBytes: 16_384,
   /** Memory of a request body that is passed on while it is read. */
