--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -29,6 +29,8 @@
   readonly callMs?: number;
   /** Part of a prompt under which the engine crashes when it begins to write the answer. */
   readonly deadlyPart?: string;
+  /** Whether the engine crashes when it begins to run a request. */
+  readonly isDeadly?: (request: ReceivedRequest) => boolean;
   /** Time that a copy of a run takes. */
   readonly copyDelayMs?: number;
   /** Whether streams have neither a length nor chunks, and end with their connection. */
@@ -91,7 +93,7 @@
   /** Handles of the KV cache copies that other engines sent here. */
   readonly copies = new Set<string>();
 
-  /** Ids of the requests with the deadly part that were executed. */
+  /** Ids of the requests under which the engine crashed. */
   deadlyRequestIds: ReadonlyArray<string> = [];
 
   /** Called when the engine crashes because of a request. */
@@ -267,13 +269,30 @@
     const head: Record<string, string> = { [REQUEST_ID_HEADER]: responseRequestId };
     if (this.behaviour !== 'unsigned') head[SEAL_HEADER] = `seal-${encodeHeader(instanceId)}`;
     if (this.behaviour === 'fail') return context.body('failed', 500, head);
+    const isDeadly = this.isDeadly(received);
+    if (isDeadly && this.options.events === undefined) {
+      void this.crashUnder(requestId);
+      return new Promise(() => {});
+    }
     if (this.options.callMs !== undefined) {
       await pause(this.options.callMs);
     }
     // The server writes headers before a text as UTF-8, and before bytes as they are.
     const answer = new TextEncoder().encode(`answer to ${requestId}`);
     if (this.options.events === undefined) return context.body(answer, 200, head);
-    return this.stream(context, requestId, head);
+    return this.stream(context, requestId, head, isDeadly);
+  }
+
+  private isDeadly(request: ReceivedRequest): boolean {
+    const { deadlyPart, isDeadly } = this.options;
+    return hasPart(request.headers, deadlyPart) || Boolean(isDeadly?.(request));
+  }
+
+  private async crashUnder(requestId: string): Promise<void> {
+    this.deadlyRequestIds = [...this.deadlyRequestIds, requestId];
+    await pause(CRASH_DELAY_MS);
+    await this.stop();
+    this.onCrash();
   }
 
   /** Uses up the copy from which a request continues; false if there is none. */
@@ -287,6 +306,7 @@
     context: StandInContext,
     requestId: string,
     head: Readonly<Record<string, string>>,
+    isDeadly = false,
   ): Response {
     const headers = context.req.header();
     const { events = 0, eventIntervalMs = 5 } = this.options;
@@ -303,12 +323,7 @@
     if (backupAddress !== undefined) void sendCopy(backupAddress, requestId);
     const body = new ReadableStream<Uint8Array>({
       start: async (controller) => {
-        if (hasPart(headers, this.options.deadlyPart)) {
-          this.deadlyRequestIds = [...this.deadlyRequestIds, requestId];
-          await pause(CRASH_DELAY_MS);
-          await this.stop();
-          this.onCrash();
-        }
+        if (isDeadly) await this.crashUnder(requestId);
         while (run.producedEvents < events && !run.isStopped && !incoming.socket.destroyed) {
           await pause(eventIntervalMs);
           if (this.behaviour === 'silent') await this.awake;
