Recognise a request that crashes endpoints when it comes again

Callers saw services go down again and again: a request that crashes each endpoint that begins to run it came back at any node and was sent on.

Cause: crashes were laid to shared parts of prompts only. A call left no evidence at all, and nothing told a repeat from another request. Ruled out: evidence that comes late (all nodes had the parts within 8 ms of the third crash) and retries of one attempt alone (calls that may not be repeated crashed 13 and 15 endpoints).

Change: the fingerprint of a request is one more part in the evidence that all nodes share. Under a repeat, it comes in every crash, so only that request is held back; under a harmful part of different requests each fingerprint comes once, and the part is found as before. A crash under an attempt that had crashed another endpoint counts by itself, however soon. Calls report crashes like prompts, and eject the endpoint. A request is tried twice, then held for as long as its crashes are remembered. A run that has crashed an engine isn't moved before it has output: a copy could go out between a crash and its report.

While the second crash of an attempt counted for the fingerprint only, `a part that crashes engines at /report/a is refused` failed with 6 crashes in 2 of 12 runs: the request outbid the part.

--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -141,6 +141,13 @@
     reason:
       'Engines crashed under a part of this prompt; such requests are refused until one that is tried succeeds.',
   },
+  'request-quarantined': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason:
+      'Endpoints crashed under this same request; it is refused until one attempt that is tried succeeds.',
+  },
   draining: {
     status: 503,
     run: 'not-run',
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -77,16 +77,27 @@
   .brand<'PromptPartId'>();
 export type PromptPartId = z.infer<typeof promptPartIdSchema>;
 
+export const FINGERPRINT_PREFIX = 'request:';
+
 /**
  * Fingerprint of a request: the same for requests with the same method, path, customer and body. It
  * is never the id of a part of a prompt, as none can have a colon. @public
  */
 export const requestFingerprintSchema = z
   .string()
-  .regex(/^request:[\w-]{22}$/)
+  .regex(new RegExp(`^${FINGERPRINT_PREFIX}[\\w-]{22}$`))
   .brand<'RequestFingerprint'>();
 export type RequestFingerprint = z.infer<typeof requestFingerprintSchema>;
 
+/** What requests that crash endpoints may have in common. @public */
+export const requestPartSchema = z.union([requestFingerprintSchema, promptPartIdSchema]);
+export type RequestPart = z.infer<typeof requestPartSchema>;
+
+/** Whether a part stands for a whole request, and not for a part of its prompt. @public */
+export function isFingerprint(requestPart: RequestPart): requestPart is RequestFingerprint {
+  return requestPart.startsWith(FINGERPRINT_PREFIX);
+}
+
 /** A part of a prompt that other requests may have too. @public */
 export interface PromptPart {
   readonly id: PromptPartId;
--- a/src/decisions/checkPromptParts.ts
+++ b/src/decisions/checkPromptParts.ts
@@ -1,7 +1,7 @@
 /**
  * Decides by the quarantined parts whether a request may be sent to an endpoint.
  */
-import type { PromptPartId } from '../core';
+import type { RequestPart } from '../core';
 import { HARM_OPTIONS, type HarmfulParts } from './findHarmfulParts';
 
 /** @public */
@@ -23,7 +23,7 @@
  */
 function checkOne(
   harmful: HarmfulParts,
-  parts: ReadonlyArray<PromptPartId>,
+  parts: ReadonlyArray<RequestPart>,
   nowMs: number,
 ): QuarantineVerdict {
   const held = harmful.parts.filter((part) => parts.includes(part)).length;
@@ -41,7 +41,7 @@
 /** @param nowMs monotonic time. */
 export function checkPromptParts(
   quarantined: ReadonlyArray<HarmfulParts>,
-  parts: ReadonlyArray<PromptPartId>,
+  parts: ReadonlyArray<RequestPart>,
   nowMs: number,
 ): QuarantineVerdict {
   const verdicts = quarantined.map((harmful) => checkOne(harmful, parts, nowMs));
--- a/src/decisions/crashEvidence.ts
+++ b/src/decisions/crashEvidence.ts
@@ -6,7 +6,7 @@
  * expires, so nodes that merge each other's in any order arrive at the same, but for the small
  * errors of the ages in which they tell each other the times.
  */
-import type { PromptPartId } from '../core';
+import type { RequestFingerprint, RequestPart } from '../core';
 
 export const CRASH_EVIDENCE_OPTIONS = {
   /** Output for this long shows that a request doesn't crash its endpoint as it begins. */
@@ -21,7 +21,8 @@
 
 /** A request that had not begun well when its endpoint crashed. @public */
 export interface CrashSuspect {
-  readonly parts: ReadonlyArray<PromptPartId>;
+  /** The request as a whole, by its fingerprint, and the shared parts of its prompt. */
+  readonly parts: ReadonlyArray<RequestPart>;
   /** Whether the endpoint was beginning to write the answer: the head had arrived, but no output. */
   readonly hadHead: boolean;
 }
@@ -39,6 +40,8 @@
   readonly crashId: string;
   readonly atMs: number;
   readonly suspects: ReadonlyArray<CrashSuspect>;
+  /** Of requests that were sent there after another endpoint had crashed under the same attempt. */
+  readonly resent?: ReadonlyArray<RequestFingerprint>;
 }
 
 /** @public */
@@ -46,7 +49,7 @@
   /** Oldest first. */
   readonly crashes: ReadonlyArray<EndpointCrash>;
   /** When the newest request with a part began that began well. */
-  readonly soundAtMs: ReadonlyMap<PromptPartId, number>;
+  readonly soundAtMs: ReadonlyMap<RequestPart, number>;
 }
 
 export const NO_EVIDENCE: CrashEvidence = { crashes: [], soundAtMs: new Map() };
@@ -81,17 +84,29 @@
 }
 
 /** Returns the parts of the suspects of all crashes. */
-export function listSuspectParts(crashes: ReadonlyArray<EndpointCrash>): ReadonlySet<PromptPartId> {
+export function listSuspectParts(crashes: ReadonlyArray<EndpointCrash>): ReadonlySet<RequestPart> {
   return new Set(crashes.flatMap(({ suspects }) => suspects.flatMap(({ parts }) => parts)));
 }
 
+function mergeResent(
+  before: ReadonlyArray<RequestFingerprint>,
+  added: ReadonlyArray<RequestFingerprint>,
+): ReadonlyArray<RequestFingerprint> {
+  const news = added.filter((fingerprint) => !before.includes(fingerprint));
+  if (news.length === 0) return before;
+  return [...before, ...news].slice(0, CRASH_EVIDENCE_OPTIONS.maxSuspectsPerCrash);
+}
+
 /** Adds a crash, or suspects to a known one; returns the same object if nothing is new. */
 export function addCrash(evidence: CrashEvidence, crash: EndpointCrash): CrashEvidence {
   const known = evidence.crashes.find(({ crashId }) => crashId === crash.crashId);
   const suspects = mergeSuspects(known?.suspects ?? [], crash.suspects);
-  if (suspects.length === 0 || suspects === known?.suspects) return evidence;
+  const knownResent = known?.resent ?? [];
+  const resent = mergeResent(knownResent, crash.resent ?? []);
+  const isKnown = suspects === known?.suspects && resent === knownResent;
+  if (suspects.length === 0 || isKnown) return evidence;
   // The first time that is known stays, so that nodes don't pass ever older times to each other.
-  const changed = { ...crash, atMs: known?.atMs ?? crash.atMs, suspects };
+  const changed = { ...crash, atMs: known?.atMs ?? crash.atMs, suspects, resent };
   const crashes = [...evidence.crashes.filter((other) => other !== known), changed]
     .sort((a, b) => a.atMs - b.atMs)
     .slice(-CRASH_EVIDENCE_OPTIONS.maxCrashes);
@@ -104,7 +119,7 @@
  */
 export function addSound(
   evidence: CrashEvidence,
-  part: PromptPartId,
+  part: RequestPart,
   beganAtMs: number,
 ): CrashEvidence {
   const knownMs = evidence.soundAtMs.get(part);
--- a/src/decisions/findHarmfulParts.test.ts
+++ b/src/decisions/findHarmfulParts.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import { CrashingFleet, FLEET_TIMES } from '../../tests/CrashingFleet';
 import { MixedPositions, SharedFirstParts, type PromptPosition } from '../../tests/PromptMix';
-import type { PromptPartId } from '../core';
+import type { RequestFingerprint, RequestPart } from '../core';
 import {
   addCrash,
   addSound,
@@ -17,7 +17,7 @@
 
 const SEED = 20261204;
 
-const part = (id: string): PromptPartId => id as PromptPartId;
+const part = (id: string): RequestPart => id as RequestPart;
 
 function crash(atMs: number, ...suspects: ReadonlyArray<string>): EndpointCrash {
   return {
@@ -94,6 +94,100 @@
   expect(findParts(collect(crashes, sound))).toEqual(expected);
 });
 
+/** A crash under an attempt after another endpoint had crashed under it. */
+function crashResent(atMs: number, suspect: string): EndpointCrash {
+  const resent = suspect.split(' ').filter((id) => id.startsWith('request:'));
+  return { ...crash(atMs, suspect), resent: resent as RequestFingerprint[] };
+}
+
+// Guards against a repeated request that isn't found, and against sound requests that are refused with
+// it because they have the same parts.
+test.each([
+  ['no prompt', [crash(0, 'request:1'), crash(2e3, 'request:1')], [], ['request:1']],
+  [
+    'parts that sound requests have',
+    [crash(0, 'request:1 a b'), crash(2e3, 'request:1 a b')],
+    ['a 1000', 'b 2500'],
+    ['request:1'],
+  ],
+  [
+    'parts of which nothing else is known',
+    [crash(0, 'request:1 a'), crash(2e3, 'request:1 a')],
+    [],
+    ['a+request:1'],
+  ],
+  [
+    'other calls at each crash',
+    [crash(0, 'request:1', 'request:2'), crash(2e3, 'request:3', 'request:1')],
+    [],
+    ['request:1'],
+  ],
+  [
+    'a call that others send as well',
+    [crash(0, 'request:1', 'request:2'), crash(2e3, 'request:1', 'request:2')],
+    ['request:2 1000'],
+    ['request:1'],
+  ],
+  [
+    'two endpoints under one attempt',
+    [crash(0, 'request:1 a'), crashResent(50, 'request:1 a')],
+    [],
+    ['a+request:1'],
+  ],
+  [
+    'two endpoints at once under a call that others send as well',
+    [crash(0, 'request:1'), crash(50, 'request:1')],
+    ['request:1 -5'],
+    [],
+  ],
+  [
+    'different requests with a harmful part',
+    [crash(0, 'request:1 x'), crash(2e3, 'request:2 x')],
+    [],
+    ['x'],
+  ],
+  [
+    'endpoints under one attempt before another request with the part',
+    [crash(0, 'request:1 x'), crashResent(50, 'request:1 x'), crash(4e3, 'request:2 x')],
+    [],
+    ['x'],
+  ],
+  [
+    'a repeat before another request with the part',
+    [crash(0, 'request:1 x'), crash(2e3, 'request:1 x'), crash(4e3, 'request:2 x')],
+    [],
+    ['x'],
+  ],
+] as const)('finds the request: %s', (_name, crashes, sound, expected) => {
+  expect(findParts(collect(crashes, sound))).toEqual(expected);
+});
+
+// Guards against one request that costs an endpoint at each of its trials, for ever.
+test('one request is tried twice while its crashes are remembered', () => {
+  const { baseHoldMs, maxRequestTrials } = HARM_OPTIONS;
+  let atMs = 2_000;
+  let evidence = collect([crash(0, 'request:1 x'), crash(atMs, 'request:1 x')]);
+  const holdsMs: number[] = [];
+  for (let trial = 0; trial <= maxRequestTrials; trial++) {
+    const { retryAtMs } = findHarmfulParts(evidence)[0]!;
+    holdsMs.push(retryAtMs - atMs);
+    atMs = retryAtMs;
+    evidence = addCrash(evidence, crash(atMs, 'request:1 x'));
+  }
+  const { retentionMs } = CRASH_EVIDENCE_OPTIONS;
+  expect(holdsMs).toEqual([baseHoldMs, 2 * baseHoldMs, retentionMs]);
+});
+
+// Guards against evidence that is merged in another order and then says something else.
+test('resent requests merge in any order', () => {
+  const first = crash(0, 'request:1 a');
+  const again = crashResent(0, 'request:1 a');
+  const oneWay = collect([first, again]);
+  expect(findParts(oneWay)).toEqual(findParts(collect([again, first])));
+  expect(addCrash(oneWay, again)).toBe(oneWay);
+  expect(oneWay.crashes[0]?.resent).toEqual(['request:1']);
+});
+
 // Guards against a part that isn't found on busy engines: at each crash some sound answers have begun
 // so lately that they aren't known as sound yet, while the deadly one has no head.
 test('finds the part beside answers with some output', () => {
--- a/src/decisions/findHarmfulParts.ts
+++ b/src/decisions/findHarmfulParts.ts
@@ -10,9 +10,18 @@
  * Parts that came together in every crash can't be told apart by the crashes, so they are quarantined
  * together: only requests with all of them are held back. A request with some of them tells them
  * apart, whether it begins well or crashes its endpoint.
+ *
+ * A whole request counts as one more part, its fingerprint. Under a request that comes again and again,
+ * the fingerprint and the parts of its prompt come together in every crash, so only that request is held
+ * back. Under different requests with a harmful part, each fingerprint comes once and isn't blamed.
  */
-import type { PromptPartId } from '../core';
-import type { CrashEvidence, CrashSuspect, EndpointCrash } from './crashEvidence';
+import { isFingerprint, type RequestPart } from '../core';
+import {
+  CRASH_EVIDENCE_OPTIONS,
+  type CrashEvidence,
+  type CrashSuspect,
+  type EndpointCrash,
+} from './crashEvidence';
 
 export const HARM_OPTIONS = {
   /** Crashes closer together count once: one cause, such as a rack, can take several at once. */
@@ -26,12 +35,14 @@
   /** Time after a crash until one request is tried; doubles with each failed trial. */
   baseHoldMs: 15_000,
   maxHoldMs: 120_000,
+  /** Failed trials of one request after which it is held for as long as its crashes are remembered. */
+  maxRequestTrials: 2,
 } as const;
 
 /** Parts that are quarantined together; only one unless nothing tells them apart yet. @public */
 export interface HarmfulParts {
   /** In a fixed order, the same at all nodes. */
-  readonly parts: ReadonlyArray<PromptPartId>;
+  readonly parts: ReadonlyArray<RequestPart>;
   readonly crashes: number;
   /** From when on one request with all of the parts may be tried. */
   readonly retryAtMs: number;
@@ -43,7 +54,7 @@
 }
 
 interface Candidate {
-  readonly part: PromptPartId;
+  readonly part: RequestPart;
   readonly crashes: ReadonlyArray<EndpointCrash>;
   /** Number of crashes with a gap between them, less one for a part that has been sound. */
   readonly score: number;
@@ -55,11 +66,20 @@
   return beginning.length > 0 ? beginning : suspects;
 }
 
-function countApart(crashes: ReadonlyArray<EndpointCrash>): number {
+/** Whether a request with the part came there after another endpoint had crashed under it. */
+function wasResent({ suspects, resent = [] }: EndpointCrash, part: RequestPart): boolean {
+  return suspects.some(
+    ({ parts }) => parts.includes(part) && resent.some((request) => parts.includes(request)),
+  );
+}
+
+/** Counts crashes that can't have one cause besides the part. */
+function countApart(crashes: ReadonlyArray<EndpointCrash>, part: RequestPart): number {
   let count = 0;
   let lastMs = -Infinity;
-  crashes.forEach(({ atMs }) => {
-    if (atMs - lastMs < HARM_OPTIONS.minGapMs) return;
+  crashes.forEach((crash) => {
+    const { atMs } = crash;
+    if (atMs - lastMs < HARM_OPTIONS.minGapMs && !wasResent(crash, part)) return;
     count += 1;
     lastMs = atMs;
   });
@@ -67,7 +87,7 @@
 }
 
 function listCandidates({ crashes, soundAtMs }: CrashEvidence): ReadonlyArray<Candidate> {
-  const byPart = new Map<PromptPartId, ReadonlyArray<EndpointCrash>>();
+  const byPart = new Map<RequestPart, ReadonlyArray<EndpointCrash>>();
   crashes.forEach((crash) => {
     const suspects = listLikelySuspects(crash);
     new Set(suspects.flatMap(({ parts }) => parts)).forEach((part) => {
@@ -78,7 +98,7 @@
   return [...byPart].map(([part, blamed]) => ({
     part,
     crashes: blamed,
-    score: countApart(blamed) - Number(soundAtMs.has(part)),
+    score: countApart(blamed, part) - Number(soundAtMs.has(part)),
   }));
 }
 
@@ -89,8 +109,9 @@
   return candidates.map((candidate) => {
     const crashes = candidate.crashes.filter((crash) => !explained.has(crash));
     if (crashes.length === candidate.crashes.length) return candidate;
-    const handicap = countApart(candidate.crashes) - candidate.score;
-    return { ...candidate, crashes, score: countApart(crashes) - handicap };
+    const { part } = candidate;
+    const handicap = countApart(candidate.crashes, part) - candidate.score;
+    return { ...candidate, crashes, score: countApart(crashes, part) - handicap };
   });
 }
 
@@ -130,21 +151,26 @@
   }, []);
 }
 
-/** The wait after the last crash; it doubles with each crash that came after a wait, so a trial. */
-function computeHoldMs(crashes: ReadonlyArray<EndpointCrash>): number {
-  const { baseHoldMs, maxHoldMs } = HARM_OPTIONS;
+/**
+ * The wait after the last crash; it doubles with each crash that came after a wait, so a trial. One
+ * request isn't worth many engines, so it is tried only a few times while its crashes are remembered.
+ */
+function computeHoldMs(crashes: ReadonlyArray<EndpointCrash>, isOneRequest: boolean): number {
+  const { baseHoldMs, maxHoldMs, maxRequestTrials } = HARM_OPTIONS;
   const failedTrials = crashes.filter(({ atMs }, index) => {
     const before = crashes[index - 1];
     return before !== undefined && atMs - before.atMs >= baseHoldMs;
   }).length;
+  if (isOneRequest && failedTrials >= maxRequestTrials) return CRASH_EVIDENCE_OPTIONS.retentionMs;
   return Math.min(maxHoldMs, baseHoldMs * 2 ** failedTrials);
 }
 
 function describe({ members, first }: Group): HarmfulParts {
   const { crashes } = first;
   const lastCrashAtMs = crashes.at(-1)?.atMs ?? -Infinity;
-  const retryAtMs = lastCrashAtMs + computeHoldMs(crashes);
-  return { parts: members.map(({ part }) => part).sort(), crashes: crashes.length, retryAtMs };
+  const parts = members.map(({ part }) => part).sort();
+  const retryAtMs = lastCrashAtMs + computeHoldMs(crashes, parts.some(isFingerprint));
+  return { parts, crashes: crashes.length, retryAtMs };
 }
 
 /** Returns the candidates that explain most crashes; of equal ones, those never known as sound. */
@@ -152,8 +178,8 @@
   const eligible = candidates.filter(({ score }) => score >= HARM_OPTIONS.minCrashes);
   const maxScore = Math.max(...eligible.map(({ score }) => score));
   const top = eligible.filter(({ score }) => score === maxScore);
-  const fewest = Math.min(...top.map(({ crashes }) => countApart(crashes)));
-  return top.filter(({ crashes }) => countApart(crashes) === fewest);
+  const fewest = Math.min(...top.map(({ crashes, part }) => countApart(crashes, part)));
+  return top.filter(({ crashes, part }) => countApart(crashes, part) === fewest);
 }
 
 /**
--- a/src/decisions/requestFingerprint.ts
+++ b/src/decisions/requestFingerprint.ts
@@ -6,7 +6,7 @@
  * only behind these bytes have one fingerprint.
  */
 import { createHash } from 'node:crypto';
-import type { CustomerId, RequestFingerprint } from '../core';
+import { FINGERPRINT_PREFIX, type CustomerId, type RequestFingerprint } from '../core';
 
 /** Bytes of a body that its digest covers. */
 export const FINGERPRINTED_BODY_BYTES = 65_536;
@@ -35,5 +35,5 @@
 ): RequestFingerprint {
   const identity = JSON.stringify([method, target, customer ?? null, bodyDigest]);
   const hash = createHash('sha256').update(identity).digest('base64url');
-  return `request:${hash.slice(0, FINGERPRINT_CHARS)}` as RequestFingerprint;
+  return `${FINGERPRINT_PREFIX}${hash.slice(0, FINGERPRINT_CHARS)}` as RequestFingerprint;
 }
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -1,8 +1,8 @@
 /**
  * State of an admitted request: its route, and the attempts to send it.
  */
-import type { CustomerId, EndpointId, RequestFingerprint, Route } from '../../core';
-import { computeRequestFingerprint } from '../../decisions';
+import type { EndpointId, RequestFingerprint, RequestPart, Route } from '../../core';
+import { CRASH_EVIDENCE_OPTIONS } from '../../decisions';
 import type { DispatchParameters, RequestDialect, ServingRequest } from '../../services';
 import type { CallerBody } from './CallerBody';
 import type { CallerExchange } from './CallerExchange';
@@ -24,22 +24,18 @@
   readonly body: SentBody;
 }
 
-/** @internal */
-export function fingerprintRequest(
-  { method, target }: ServingRequest,
-  customer: CustomerId | undefined,
-  { digest }: CallerBody,
-): RequestFingerprint {
-  return computeRequestFingerprint({ method, target, customer }, digest);
+/** Returns what a request may have in common with others that crash endpoints. @internal */
+export function listRequestParts(
+  { sharedPromptParts }: ServingRequest,
+  fingerprint: RequestFingerprint,
+): ReadonlyArray<RequestPart> {
+  return [fingerprint, ...sharedPromptParts].slice(0, CRASH_EVIDENCE_OPTIONS.maxPartsPerSuspect);
 }
 
 /** @internal */
 export class AdmittedRequest {
   private recordedAttempts: ReadonlyArray<RecordedAttempt> = [];
 
-  /** By which the request is recognised when it comes again. */
-  readonly fingerprint: RequestFingerprint;
-
   /** Endpoints that crashed before this request had any output there. */
   crashesAtStart = 0;
 
@@ -51,8 +47,13 @@
     readonly body: CallerBody,
     /** Whether it is the trial of a quarantined part, which is sent to one endpoint only. */
     readonly isTrial: boolean,
-  ) {
-    this.fingerprint = fingerprintRequest(request, work.customer, body);
+    /** By which the request is recognised when it comes again. */
+    readonly fingerprint: RequestFingerprint,
+  ) {}
+
+  /** By which the request is held in quarantine. */
+  get parts(): ReadonlyArray<RequestPart> {
+    return listRequestParts(this.request, this.fingerprint);
   }
 
   get exchange(): CallerExchange {
--- a/src/plugins/forwarding/CrashReporter.ts
+++ b/src/plugins/forwarding/CrashReporter.ts
@@ -5,7 +5,7 @@
  * A connection that breaks says little: the endpoint may reset one, or a link may be cut. After a
  * crash nothing listens at the address until the endpoint has started again.
  */
-import type { PromptPartId } from '../../core';
+import type { RequestPart } from '../../core';
 import { CRASH_EVIDENCE_OPTIONS, toCrashSuspect, type EndpointHealth } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Deployment, Quarantine, ServingMetrics, type KnownBackEnd } from '../../services';
@@ -38,7 +38,7 @@
 
   constructor(
     private readonly kernel: Kernel,
-    private readonly parts: ReadonlyArray<PromptPartId>,
+    private readonly parts: ReadonlyArray<RequestPart>,
   ) {}
 
   /** Monotonic time of the first output; undefined if there was none. */
@@ -74,22 +74,23 @@
     private readonly health: EndpointHealth,
   ) {}
 
-  /** Reports a request whose connection broke; returns whether its endpoint has crashed. */
+  /** Reports a request whose connection broke, and counts it there if its endpoint has crashed. */
   async reportLoss(
     admitted: AdmittedRequest,
     backEnd: KnownBackEnd,
     { hadHead, outputSinceMs }: AttemptProgress,
-  ): Promise<boolean> {
+  ): Promise<void> {
     const lostAtMs = this.kernel.clock.nowMs();
-    if (!(await this.hasCrashed(backEnd))) return false;
-    if (admitted.request.sharedPromptParts.length > 0) {
-      this.health.recordCrash(backEnd.endpointId, lostAtMs);
-    }
+    if (!(await this.hasCrashed(backEnd))) return;
+    this.health.recordCrash(backEnd.endpointId, lostAtMs);
     const crashId = getCrashId(backEnd);
     const outputForMs = outputSinceMs === undefined ? undefined : lostAtMs - outputSinceMs;
-    const parts = admitted.request.sharedPromptParts;
+    const { parts, fingerprint, crashesAtStart } = admitted;
     const suspect = toCrashSuspect(parts, { hadHead, outputForMs });
-    if (suspect) this.kernel.get(Quarantine).recordCrash(crashId, suspect);
+    const resent = crashesAtStart > 0 ? fingerprint : undefined;
+    if (suspect) this.kernel.get(Quarantine).recordCrash(crashId, suspect, resent);
+    const target = admitted;
+    if (outputSinceMs === undefined) target.crashesAtStart += 1;
     this.kernel.get(ServingMetrics).countCrashLoss(backEnd.service, hadHead);
     this.kernel.log.warn('endpoint crashed', {
       requestId: admitted.request.requestId,
@@ -97,23 +98,22 @@
       route: admitted.route.name,
       endpointId: backEnd.endpointId,
       crashId,
-      promptParts: parts,
-      fingerprint: admitted.fingerprint,
-      crashesAtStart: admitted.crashesAtStart,
+      promptParts: admitted.request.sharedPromptParts,
+      fingerprint,
+      crashesAtStart,
       hadHead,
       outputForMs: outputForMs === undefined ? undefined : Math.round(outputForMs),
     });
-    return true;
   }
 
   /** Watches how one attempt of a request begins at its endpoint. */
-  watchBeginning({ request }: AdmittedRequest): BeginningWatch {
-    return new BeginningWatch(this.kernel, request.sharedPromptParts);
+  watchBeginning({ parts }: AdmittedRequest): BeginningWatch {
+    return new BeginningWatch(this.kernel, parts);
   }
 
   /** Records that a request whose answer is complete began well at a monotonic time. */
-  recordSound({ request }: AdmittedRequest, beganAtMs: number): void {
-    this.kernel.get(Quarantine).recordSound(request.sharedPromptParts, beganAtMs);
+  recordSound({ parts }: AdmittedRequest, beganAtMs: number): void {
+    this.kernel.get(Quarantine).recordSound(parts, beganAtMs);
   }
 
   /** One probe answers for all requests that a crash ended at about the same time. */
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -3,7 +3,7 @@
  */
 import { setImmediate as turnOfEventLoop } from 'node:timers/promises';
 import { rejectOnAbort, ServingError, type EngineProfile, type Route } from '../../core';
-import { admitToRoute, chooseService, findRoute } from '../../decisions';
+import { admitToRoute, chooseService, computeRequestFingerprint, findRoute } from '../../decisions';
 import type { Kernel, LogFields } from '../../kernel';
 import {
   Deployment,
@@ -12,7 +12,7 @@
   ServingMetrics,
   type ServingRequest,
 } from '../../services';
-import { AdmittedRequest } from './AdmittedRequest';
+import { AdmittedRequest, listRequestParts } from './AdmittedRequest';
 import type { CallerBody } from './CallerBody';
 import { FORWARDING_OPTIONS } from './options';
 import type { LoopDelay } from './LoopDelay';
@@ -119,8 +119,9 @@
     const candidate = { route, work: { ...input, service }, deadlineMs };
     this.checkDrain(candidate);
     await this.waitUntilJoined(running, request);
+    const fingerprint = computeRequestFingerprint({ ...request, ...input }, body.digest);
     const isTrial = await rejectOnAbort(
-      this.guard.admit(request.sharedPromptParts, `routes.${route.name}`),
+      this.guard.admit(listRequestParts(request, fingerprint), `routes.${route.name}`),
       running.signal,
     );
     // The node may have begun to drain while the request waited.
@@ -142,6 +143,7 @@
       },
       body,
       isTrial,
+      fingerprint,
     );
   }
 
@@ -183,8 +185,9 @@
   }
 
   /**
-   * Holds prompts on a new node until it knows which parts the others have quarantined. They are not
-   * refused, as most callers would have to come back before that.
+   * Holds prompts on a new node until it knows what the others have quarantined. They are not refused,
+   * as most callers would have to come back before that. Calls without a prompt aren't held: their
+   * goals are shorter than the wait.
    */
   private async waitUntilJoined(
     { signal }: RunningRequest,
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -97,7 +97,7 @@
    */
   private async move(stream: RunningStream): Promise<NextSegment | undefined> {
     const { segment } = stream;
-    await this.waitForBody(stream);
+    await this.waitUntilMovable(stream);
     const { minMigrationTokens, nearlyDoneGraceMs } = FORWARDING_OPTIONS;
     if (this.estimateRemaining(stream) < minMigrationTokens) {
       await this.kernel.clock.sleep(nearlyDoneGraceMs, segment.done);
@@ -106,16 +106,21 @@
     return this.mayMove(stream) ? this.migrate(stream) : undefined;
   }
 
-  /** An engine may begin to answer before the whole body has arrived. */
-  private async waitForBody({ admitted, segment }: RunningStream): Promise<void> {
-    while (segment.isCurrent && admitted.body.isArriving) {
+  /**
+   * An engine may begin to answer before the whole body has arrived, and a request under which an
+   * endpoint has crashed has to show output first.
+   */
+  private async waitUntilMovable({ admitted, segment, progress }: RunningStream): Promise<void> {
+    const isMovable = (): boolean =>
+      !admitted.body.isArriving && this.guard.hasShownOutput(admitted, progress.outputTokens);
+    while (segment.isCurrent && !isMovable()) {
       await this.kernel.clock.sleep(FORWARDING_OPTIONS.migrationRetryMs, segment.done);
     }
   }
 
   /** Whether the run is still on its engine, and no part of its prompt was quarantined meanwhile. */
-  private mayMove({ admitted, segment }: RunningStream): boolean {
-    return segment.isCurrent && !this.guard.findRefusal(admitted);
+  private mayMove({ admitted, segment, progress }: RunningStream): boolean {
+    return segment.isCurrent && this.guard.mayMove(admitted, progress.outputTokens);
   }
 
   private async takeOverAtBackup(stream: RunningStream): Promise<void> {
--- a/src/plugins/forwarding/SegmentOpener.ts
+++ b/src/plugins/forwarding/SegmentOpener.ts
@@ -147,10 +147,7 @@
     hadHead: boolean,
     outputSinceMs: number | undefined,
   ): Promise<void> {
-    const target = admitted;
-    const progress = { hadHead, outputSinceMs };
-    const hasCrashed = await this.crashes.reportLoss(admitted, backEnd, progress);
-    if (hasCrashed && outputSinceMs === undefined) target.crashesAtStart += 1;
+    await this.crashes.reportLoss(admitted, backEnd, { hadHead, outputSinceMs });
   }
 
   private checkContinued(segment: StreamSegment, signal: AbortSignal): StreamSegment | undefined {
--- a/src/plugins/forwarding/SilenceWatch.ts
+++ b/src/plugins/forwarding/SilenceWatch.ts
@@ -66,8 +66,11 @@
 
   private async takeOver(stream: RunningStream): Promise<WatchResult> {
     if (stream.segment.takeover?.isOpen) return { result: 'stays', reason: 'is being moved' };
-    const refusal = this.guard.findRefusal(stream.admitted);
-    if (refusal) return { result: 'stays', reason: refusal.detail };
+    const { admitted, progress } = stream;
+    if (!this.guard.mayMove(admitted, progress.outputTokens)) {
+      const refusal = this.guard.findRefusal(admitted);
+      return { result: 'stays', reason: refusal?.detail ?? 'an endpoint crashed under it before' };
+    }
     const fromCopy = this.createCopyTakeover(stream);
     const first = await this.run(stream, fromCopy);
     if (first?.result === 'taken-over' || (first && first.reason !== 'refused')) return first;
--- a/src/plugins/forwarding/WholeDelivery.ts
+++ b/src/plugins/forwarding/WholeDelivery.ts
@@ -190,13 +190,17 @@
         return { result: 'not-run', reason: sent.reason, wasSent: sent.wasSent };
       }
       if (sent.outcome === 'lost') {
-        if (!signal.aborted) await this.reportLoss(admitted, placed.backEnd);
+        if (!signal.aborted) await this.reportLoss(admitted, placed.backEnd, false);
         return { result: 'lost', reason: sent.reason };
       }
       const attempt = await this.readResponse(admitted, placed.backEnd, sent);
+      if (attempt.result === 'lost' && !signal.aborted) {
+        await this.reportLoss(admitted, placed.backEnd, true);
+      }
+      // An endpoint that answers with a failure has not crashed either.
+      if (attempt.result === 'complete') this.crashes.recordSound(admitted, sentAtMs);
       if (attempt.result === 'complete' && isGood(attempt)) {
         this.placer.recordCallTime(endpointId, clock.nowMs() - sentAtMs);
-        this.crashes.recordSound(admitted, sentAtMs);
       }
       if (!signal.aborted) {
         this.placer.recordOutcome(endpointId, isGood(attempt) ? 'answered' : 'failed');
@@ -207,13 +211,15 @@
     }
   }
 
-  /** Calls without a prompt aren't delayed by the probe of their endpoint. */
-  private async reportLoss(admitted: AdmittedRequest, backEnd: KnownBackEnd): Promise<void> {
-    const progress = { hadHead: false, outputSinceMs: undefined };
-    const report = async (): Promise<void> => {
-      await this.crashes.reportLoss(admitted, backEnd, progress);
-    };
-    if (admitted.request.sharedPromptParts.length > 0) await report();
+  /** Only a call that may be sent again has to wait for the probe of its endpoint. */
+  private async reportLoss(
+    admitted: AdmittedRequest,
+    backEnd: KnownBackEnd,
+    hadHead: boolean,
+  ): Promise<void> {
+    const report = async (): Promise<void> =>
+      this.crashes.reportLoss(admitted, backEnd, { hadHead, outputSinceMs: undefined });
+    if (admitted.route.isRepeatable) await report();
     else this.kernel.runTask('report crash', report);
   }
 
--- a/src/plugins/quarantine/PromptQuarantine.ts
+++ b/src/plugins/quarantine/PromptQuarantine.ts
@@ -1,7 +1,7 @@
 /**
- * The evidence of crashes that this node knows, and the parts that are quarantined by it.
+ * The evidence of crashes that this node knows, and the requests and parts that are quarantined by it.
  */
-import type { PromptPartId } from '../../core';
+import { isFingerprint, type RequestFingerprint, type RequestPart } from '../../core';
 import {
   addCrash,
   addSound,
@@ -26,11 +26,14 @@
 export class PromptQuarantine extends Quarantine {
   private readonly sound = new SoundParts();
 
+  /** Apart from the parts of prompts, as nearly every request has a new fingerprint. */
+  private readonly soundRequests = new SoundParts();
+
   private known: CrashEvidence = NO_EVIDENCE;
 
   private harmful: ReadonlyArray<HarmfulParts> = [];
 
-  private suspects: ReadonlySet<PromptPartId> = new Set();
+  private suspects: ReadonlySet<RequestPart> = new Set();
 
   private currentRevision = 0;
 
@@ -53,12 +56,12 @@
     return this.harmful.reduce((count, { parts }) => count + parts.length, 0);
   }
 
-  override check(parts: ReadonlyArray<PromptPartId>): QuarantineVerdict {
+  override check(parts: ReadonlyArray<RequestPart>): QuarantineVerdict {
     return checkPromptParts(this.harmful, parts, this.kernel.clock.nowMs());
   }
 
   override async takeTrial(
-    parts: ReadonlyArray<PromptPartId>,
+    parts: ReadonlyArray<RequestPart>,
     harmful: HarmfulParts,
   ): Promise<boolean> {
     const key = getHarmfulKey(harmful);
@@ -66,7 +69,7 @@
     const isGranted = await this.trials.take(key, tried);
     this.kernel.log.info('decision', {
       step: 'quarantine',
-      what: 'trial of quarantined parts',
+      what: 'trial of quarantined requests',
       parts: harmful.parts,
       tried,
       outcome: isGranted ? 'granted' : 'another one runs',
@@ -74,15 +77,16 @@
     return isGranted;
   }
 
-  override recordCrash(crashId: string, lost: CrashSuspect): void {
+  override recordCrash(crashId: string, lost: CrashSuspect, resent?: RequestFingerprint): void {
     if (lost.parts.length === 0) return;
     const atMs = this.kernel.clock.nowMs();
-    const changed = this.apply(addCrash(this.known, { crashId, atMs, suspects: [lost] }), 'own');
+    const crash = { crashId, atMs, suspects: [lost], resent: resent ? [resent] : [] };
+    const changed = this.apply(addCrash(this.known, crash), 'own');
     if (changed) this.kernel.get(Members).announceToPartners();
   }
 
-  override recordSound(parts: ReadonlyArray<PromptPartId>, beganAtMs: number): void {
-    parts.forEach((part) => this.sound.record(part, beganAtMs));
+  override recordSound(parts: ReadonlyArray<RequestPart>, beganAtMs: number): void {
+    parts.forEach((part) => this.getSound(part).record(part, beganAtMs));
     if (!parts.some((part) => this.suspects.has(part))) return;
     const evidence = parts.reduce((before, part) => addSound(before, part, beganAtMs), this.known);
     this.apply(evidence, 'own');
@@ -97,12 +101,16 @@
     this.apply(expireEvidence(this.known, this.kernel.clock.nowMs()), 'expiry');
   }
 
+  private getSound(part: RequestPart): SoundParts {
+    return isFingerprint(part) ? this.soundRequests : this.sound;
+  }
+
   /** Takes over changed evidence, together with what this node knows of the parts in it. */
   private apply(evidence: CrashEvidence, source: string): boolean {
     if (evidence === this.known) return false;
     this.suspects = listSuspectParts(evidence.crashes);
     this.known = [...this.suspects].reduce((before, part) => {
-      const beganAtMs = this.sound.find(part);
+      const beganAtMs = this.getSound(part).find(part);
       return beganAtMs === undefined ? before : addSound(before, part, beganAtMs);
     }, evidence);
     this.currentRevision += 1;
@@ -120,7 +128,7 @@
       if (before.some((other) => getHarmfulKey(other) === key && other.crashes === crashes)) return;
       log.warn('decision', {
         step: 'quarantine',
-        what: 'parts of prompts quarantined',
+        what: 'requests quarantined',
         parts,
         crashes,
         crashIds: this.listCrashIds(parts),
@@ -136,7 +144,7 @@
         const soundAtMs = this.known.soundAtMs.get(part);
         log.warn('decision', {
           step: 'quarantine',
-          what: 'part of prompts released',
+          what: 'requests released',
           part,
           soundForMs: soundAtMs === undefined ? undefined : Math.round(clock.nowMs() - soundAtMs),
           source,
@@ -144,7 +152,7 @@
       });
   }
 
-  private listCrashIds(parts: ReadonlyArray<PromptPartId>): ReadonlyArray<string> {
+  private listCrashIds(parts: ReadonlyArray<RequestPart>): ReadonlyArray<string> {
     return this.known.crashes
       .filter(({ suspects }) =>
         suspects.some((suspect) => parts.every((part) => suspect.parts.includes(part))),
--- a/src/plugins/quarantine/SharedCrashes.ts
+++ b/src/plugins/quarantine/SharedCrashes.ts
@@ -2,7 +2,7 @@
  * The evidence of crashes as nodes exchange it: with ages, as their clocks differ.
  */
 import * as z from 'zod';
-import { promptPartIdSchema, type Clock } from '../../core';
+import { requestFingerprintSchema, requestPartSchema, type Clock } from '../../core';
 import { CRASH_EVIDENCE_OPTIONS } from '../../decisions';
 import { SharedState } from '../../services';
 import type { PromptQuarantine } from './PromptQuarantine';
@@ -12,9 +12,9 @@
 const MAX_ID_LENGTH = 255;
 const ageSchema = z.number().min(0);
 
-/** Whether the head of the answer had arrived; the parts of the prompt. */
+/** Whether the head of the answer had arrived; the parts of the request. */
 const suspectSchema = z
-  .tuple([z.boolean(), z.array(promptPartIdSchema).max(maxPartsPerSuspect)])
+  .tuple([z.boolean(), z.array(requestPartSchema).max(maxPartsPerSuspect)])
   .readonly();
 
 /** Id of the crash, its age in ms, suspects. */
@@ -26,12 +26,22 @@
   ])
   .readonly();
 
-/** A part of a prompt, and the time in ms since the newest sound request with it began. */
-const soundSchema = z.tuple([promptPartIdSchema, ageSchema]).readonly();
+/** A part of a request, and the time in ms since the newest sound request with it began. */
+const soundSchema = z.tuple([requestPartSchema, ageSchema]).readonly();
+
+/** Id of the crash, fingerprints of requests. */
+const resentSchema = z
+  .tuple([
+    z.string().max(MAX_ID_LENGTH),
+    z.array(requestFingerprintSchema).max(maxSuspectsPerCrash),
+  ])
+  .readonly();
 
 const contentSchema = z
   .object({
     crashes: z.array(crashSchema).max(maxCrashes),
+    /** Crashes, with requests that were sent there again; absent from nodes of earlier releases. */
+    resent: z.array(resentSchema).max(maxCrashes).default([]),
     sound: z.array(soundSchema).max(maxCrashes * maxSuspectsPerCrash * maxPartsPerSuspect),
   })
   .readonly();
@@ -61,16 +71,24 @@
         this.getAgeMs(atMs),
         suspects.map(({ hadHead, parts }) => [hadHead, [...parts]] as const),
       ]),
+      resent: crashes.flatMap(({ crashId, resent = [] }) =>
+        resent.length > 0 ? [[crashId, [...resent]] as const] : [],
+      ),
       sound: [...soundAtMs].map(([part, beganAtMs]) => [part, this.getAgeMs(beganAtMs)] as const),
     };
   }
 
-  override merge({ crashes, sound }: z.infer<typeof contentSchema>, takenAtMs: number): void {
+  override merge(
+    { crashes, resent, sound }: z.infer<typeof contentSchema>,
+    takenAtMs: number,
+  ): void {
+    const resentTo = new Map(resent);
     this.quarantine.mergeFrom({
       crashes: crashes.map(([crashId, ageMs, suspects]) => ({
         crashId,
         atMs: takenAtMs - ageMs,
         suspects: suspects.map(([hadHead, parts]) => ({ hadHead, parts })),
+        resent: resentTo.get(crashId) ?? [],
       })),
       soundAtMs: new Map(sound.map(([part, ageMs]) => [part, takenAtMs - ageMs])),
     });
--- a/src/plugins/quarantine/SoundParts.ts
+++ b/src/plugins/quarantine/SoundParts.ts
@@ -1,15 +1,15 @@
 /**
- * When the newest sound request with a part of a prompt began, for the parts used most recently.
+ * When the newest sound request with a part began, for the parts used most recently.
  */
-import type { PromptPartId } from '../../core';
+import type { RequestPart } from '../../core';
 import { QUARANTINE_OPTIONS } from './options';
 
 /** @internal */
 export class SoundParts {
   /** Least recently recorded first. */
-  private readonly beganAtMs = new Map<PromptPartId, number>();
+  private readonly beganAtMs = new Map<RequestPart, number>();
 
-  record(part: PromptPartId, beganAtMs: number): void {
+  record(part: RequestPart, beganAtMs: number): void {
     const newestMs = Math.max(beganAtMs, this.beganAtMs.get(part) ?? -Infinity);
     this.beganAtMs.delete(part);
     this.beganAtMs.set(part, newestMs);
@@ -18,7 +18,7 @@
     if (oldest !== undefined) this.beganAtMs.delete(oldest);
   }
 
-  find(part: PromptPartId): number | undefined {
+  find(part: RequestPart): number | undefined {
     return this.beganAtMs.get(part);
   }
 }
--- a/src/plugins/quarantine/TrialGrants.ts
+++ b/src/plugins/quarantine/TrialGrants.ts
@@ -6,7 +6,7 @@
  * running.
  */
 import * as z from 'zod';
-import { promptPartIdSchema, ServingError, type PromptPartId } from '../../core';
+import { requestPartSchema, ServingError, type RequestPart } from '../../core';
 import { CRASH_EVIDENCE_OPTIONS, getHarmfulKey, pickByRendezvous } from '../../decisions';
 import type { Kernel } from '../../kernel';
 import { Members, PeerHandler, Peers, Quarantine, type Peer } from '../../services';
@@ -21,7 +21,7 @@
     /** Identifies the parts that are quarantined together. */
     key: z.string(),
     /** Those of them that the request has. */
-    tried: z.array(promptPartIdSchema).min(1).max(maxPartsPerSuspect).readonly(),
+    tried: z.array(requestPartSchema).min(1).max(maxPartsPerSuspect).readonly(),
   })
   .readonly();
 type TrialRequest = z.infer<typeof requestSchema>;
@@ -36,7 +36,7 @@
   constructor(private readonly kernel: Kernel) {}
 
   /** Asks the node in charge; an unreachable one grants nothing. */
-  async take(key: string, tried: ReadonlyArray<PromptPartId>): Promise<boolean> {
+  async take(key: string, tried: ReadonlyArray<RequestPart>): Promise<boolean> {
     const { clock, log, settings } = this.kernel;
     const nodes = [
       settings.vmId,
--- a/src/plugins/quarantine/quarantine.test.ts
+++ b/src/plugins/quarantine/quarantine.test.ts
@@ -1,8 +1,8 @@
 import { MemberFleet } from '../../../tests/MemberFleet';
 import type { TestNode } from '../../../tests/TestNode';
-import type { PromptPartId } from '../../core';
+import type { PromptPartId, RequestFingerprint } from '../../core';
 import { HARM_OPTIONS } from '../../decisions';
-import { Members, PeerHandler, Quarantine } from '../../services';
+import { Members, PeerHandler, Quarantine, SharedState } from '../../services';
 import { MEMBER_OPTIONS } from '../members/options';
 import { QuarantinePlugin } from '.';
 
@@ -138,6 +138,29 @@
   expect(await countBytes()).toBeLessThan(1.1 * withoutEvidence);
 });
 
+// Guards against nodes that don't hear that one attempt crashed two endpoints, and against one that
+// an earlier release sends, without that field.
+test('a request that crashed two endpoints is known everywhere', async () => {
+  await startFleet(11, 8, 3);
+  const request = `request:${'x'.repeat(22)}` as RequestFingerprint;
+  const lost = { parts: [request, OTHER], hadHead: true };
+  getNode(0).get(Quarantine).recordCrash('engine-1@1', lost);
+  getNode(0).get(Quarantine).recordCrash('engine-2@1', lost, request);
+  const isRefused = (): boolean =>
+    fleet.nodes.every((node) => {
+      const quarantine = node.get(Quarantine);
+      return quarantine.check([request, OTHER]).outcome === 'refuse';
+    });
+  expect(await fleet.runUntil(1_500, isRefused)).toBeLessThanOrEqual(1_500);
+  expect(fleet.nodes.every((node) => check(node) === 'admit')).toBe(true);
+  const state = getNode(0)
+    .getAll(SharedState)
+    .find(({ type }) => type === 'crashes')!;
+  const { resent, ...earlier } = state.encode() as { readonly resent: unknown };
+  expect(resent).toEqual([['engine-2@1', [request]]]);
+  expect(state.schema.parse(earlier)).toMatchObject({ resent: [] });
+});
+
 // Guards against one malformed message that takes a node down or closes its links.
 test('malformed evidence is ignored', async () => {
   await startFleet(10, 2, 2);
--- a/tests/queryOfDeath.test.ts
+++ b/tests/queryOfDeath.test.ts
@@ -55,8 +55,8 @@
   parts: string,
 ): Promise<Pick<FrontResponse, 'status' | 'headers' | 'text'> | undefined> {
   const headers = { ...GENERATION_HEADERS, 'x-bramleyvane-prompt-prefix': parts };
-  // A crash cuts the answer.
-  return callFront(node, target, { method: 'POST', headers }).catch(() => undefined);
+  // No two of these requests are alike; a crash cuts the answer.
+  return callFront(node, target, { method: 'POST', headers, body: parts }).catch(() => undefined);
 }
 
 const countCrashes = (): number =>
