Log the software version of each attempt, and the attempt that a caller resumes

`version` of an endpoint's entry and the header `Resumes` are decoded at the platform's edge; the line at the end of a request names the version of each attempt's endpoint, the attempt that it resumes and the last event. An entry whose version isn't a text names no endpoint. No decision reads them yet.

--- a/src/core/BackEnd.ts
+++ b/src/core/BackEnd.ts
@@ -10,6 +10,8 @@
   /** `ip:port`. */
   readonly address: string;
   readonly dataCentre: string;
+  /** Version of its software, not of its weights; undefined when it isn't stated. */
+  readonly softwareVersion?: string | undefined;
   /** Maximum number of requests that it processes concurrently. */
   readonly slots: number;
   readonly isLeaving: boolean;
--- a/src/platform/PlatformDialect.ts
+++ b/src/platform/PlatformDialect.ts
@@ -162,6 +162,7 @@
       sharedPromptParts: sharedPrompt.map(({ id }) => id),
       sharedPrompt,
       lastEventId: headers.get(HEADER_NAMES.lastEventId),
+      resumedRequestId: callerRequestIdSchema.safeParse(headers.get(HEADER_NAMES.resumes)).data,
       headers: headers.getEndToEnd().filter(([name]) => {
         const lower = name.toLowerCase();
         return !SYSTEM_HEADERS.has(lower) && lower !== 'content-length';
--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -31,6 +31,8 @@
   service: nameSchema,
   address: z.string().refine(isAddress, 'is not an IPv4 address with a port'),
   zone: nameSchema,
+  /** Of the endpoint's software. */
+  version: nameSchema.optional(),
   slots: z.number().min(1).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining']),
   coldRemainingMs: z.number().max(MAX_DELAY_MS).default(0),
@@ -56,6 +58,7 @@
     service: decoded.service,
     address: decoded.address,
     dataCentre: decoded.zone,
+    softwareVersion: decoded.version,
     slots: decoded.slots,
     isLeaving: decoded.state === 'draining',
     warmUpMs: Math.max(0, decoded.coldRemainingMs),
--- a/src/platform/wireNames.ts
+++ b/src/platform/wireNames.ts
@@ -10,6 +10,8 @@
   /** `id:tokens` of each part of the prompt, in order; the last belongs to the request alone. */
   promptParts: 'X-Bramleyvane-Prompt-Prefix',
   lastEventId: 'Last-Event-Id',
+  /** Of a caller that takes a stream up again: id of the attempt that brought its first event. */
+  resumes: 'Resumes',
   signature: 'X-Bramleyvane-Server-Seal',
   customer: 'X-Bramleyvane-Tenant',
   expectedEndpoint: 'X-Bramleyvane-Expect-Instance',
--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -3,7 +3,12 @@
  */
 import type { EndpointId, RequestFingerprint, RequestPart, Route } from '../../core';
 import { CRASH_EVIDENCE_OPTIONS } from '../../decisions';
-import type { DispatchParameters, RequestDialect, ServingRequest } from '../../services';
+import type {
+  DispatchParameters,
+  KnownBackEnd,
+  RequestDialect,
+  ServingRequest,
+} from '../../services';
 import type { CallerBody } from './CallerBody';
 import type { CallerExchange } from './CallerExchange';
 import type { EndpointMessage } from './EndpointConnection';
@@ -14,6 +19,7 @@
 /** One attempt to send a request to an endpoint, as it is logged. @internal */
 export interface SentAttempt {
   readonly endpointId: EndpointId;
+  readonly softwareVersion: string | undefined;
   readonly outcome: string;
   readonly afterMs: number;
   /** Bytes of the body that were handed to the connection so far. */
@@ -84,17 +90,21 @@
   }
 
   get attempts(): ReadonlyArray<SentAttempt> {
-    return this.recordedAttempts.map(({ endpointId, outcome, afterMs, body }) => ({
-      endpointId,
-      outcome,
-      afterMs,
+    return this.recordedAttempts.map(({ body, ...attempt }) => ({
+      ...attempt,
       bodyBytes: body.bytes,
     }));
   }
 
-  recordAttempt(endpointId: EndpointId, outcome: string, body: SentBody, nowMs: number): void {
+  recordAttempt(
+    { endpointId, softwareVersion }: KnownBackEnd,
+    outcome: string,
+    body: SentBody,
+    nowMs: number,
+  ): void {
     const afterMs = Math.round(nowMs - this.exchange.arrivedAtMs);
-    this.recordedAttempts = [...this.recordedAttempts, { endpointId, outcome, afterMs, body }];
+    const attempt = { endpointId, softwareVersion, outcome, afterMs, body };
+    this.recordedAttempts = [...this.recordedAttempts, attempt];
   }
 
   createMessage(
--- a/src/plugins/forwarding/EndpointSender.ts
+++ b/src/plugins/forwarding/EndpointSender.ts
@@ -1,7 +1,7 @@
 /**
  * Sends a request to one endpoint and classifies the outcome of the attempt.
  */
-import { ServingError, type EndpointId } from '../../core';
+import { ServingError } from '../../core';
 import type { Kernel } from '../../kernel';
 import {
   Deployment,
@@ -107,7 +107,7 @@
       { ...message, markWriting },
       signal,
     );
-    this.recordAttempt(admitted, backEnd.endpointId, outcome, body);
+    this.recordAttempt(admitted, backEnd, outcome, body);
     return outcome;
   }
 
@@ -181,19 +181,20 @@
 
   private recordAttempt(
     admitted: AdmittedRequest,
-    endpointId: EndpointId,
+    backEnd: KnownBackEnd,
     outcome: SendOutcome,
     body: SentBody,
   ): void {
+    const { endpointId } = backEnd;
     const nowMs = this.kernel.clock.nowMs();
     const metrics = this.kernel.get(ServingMetrics);
     metrics.countAttempt(admitted.work.service, classifyAttempt(outcome));
     if (outcome.outcome === 'answered') {
       this.placer.health.recordReceived(endpointId, nowMs);
-      admitted.recordAttempt(endpointId, String(outcome.head.status), body, nowMs);
+      admitted.recordAttempt(backEnd, String(outcome.head.status), body, nowMs);
       return;
     }
-    admitted.recordAttempt(endpointId, `${outcome.outcome}: ${outcome.reason}`, body, nowMs);
+    admitted.recordAttempt(backEnd, `${outcome.outcome}: ${outcome.reason}`, body, nowMs);
     // A disconnect of the caller is no failure of the endpoint; an expired deadline is one.
     if (!admitted.exchange.disconnectSignal.aborted && outcome.reason !== CANCELLED) {
       this.placer.recordOutcome(endpointId, 'failed');
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -236,6 +236,8 @@
     const outcome = running.outcome === 'caller left' ? 'caller left' : exchange.outcome;
     log.info('request', {
       requestId,
+      resumes: admitted?.request.resumedRequestId,
+      lastEventId: admitted?.request.lastEventId,
       customer: admitted?.work.customer,
       route: admitted?.route.name,
       configurationVersion: admitted?.work.configuration.version,
--- a/src/services/ServingRequest.ts
+++ b/src/services/ServingRequest.ts
@@ -35,6 +35,11 @@
   readonly sharedPrompt: ReadonlyArray<PromptPart>;
   /** The last event that the caller received from an earlier run. */
   readonly lastEventId: string | undefined;
+  /**
+   * The attempt that brought the first event of a stream, for a caller that takes the stream up again;
+   * undefined if it doesn't say so.
+   */
+  readonly resumedRequestId: CallerRequestId | undefined;
   /** Headers to forward to the endpoint, without those that the system sets. */
   readonly headers: HeaderList;
 }
