--- a/stand-ins/PlatformEngine.ts
+++ b/stand-ins/PlatformEngine.ts
@@ -29,6 +29,8 @@
   readonly callMs?: number;
   /** Part of a prompt under which the engine crashes when it begins to write the answer. */
   readonly deadlyPart?: string;
+  /** Version of the software, which the engine then writes into each event. */
+  readonly softwareVersion?: string;
   /** Whether the engine crashes when it begins to run a request. */
   readonly isDeadly?: (request: ReceivedRequest) => boolean;
   /** Time that a copy of a run takes. */
@@ -154,6 +156,7 @@
       state: 'ready',
       coldRemainingMs: 0,
       born: 1,
+      version: this.options.softwareVersion,
       ...changes,
     };
   }
@@ -329,9 +332,7 @@
           if (this.behaviour === 'silent') await this.awake;
           if (run.isStopped) break;
           run.producedEvents += 1;
-          controller.enqueue(
-            Buffer.from(`id: ${run.producedEvents}\ndata: token ${run.producedEvents}\n\n`),
-          );
+          controller.enqueue(Buffer.from(this.createEvent(run.producedEvents)));
         }
         this.running.delete(requestId);
         // The end of a stream without framing is the same whether its run is complete or stopped.
@@ -351,6 +352,12 @@
     return context.body(body, 200, { ...head, 'Content-Type': 'text/event-stream' });
   }
 
+  private createEvent(id: number): string {
+    const { softwareVersion } = this.options;
+    const suffix = softwareVersion === undefined ? '' : ` of ${softwareVersion}`;
+    return `id: ${id}\ndata: token ${id}${suffix}\n\n`;
+  }
+
   private async copyRun(context: StandInContext): Promise<Response> {
     const request: { id: string; to: string; final: boolean } = await context.req.json();
     this.copyOrders += 1;
