Keep each run to engines of its own software version

Cause: nothing read the version of an engine, so a backup, a move, a run from a copy and a new run after an event went to any engine of the service.

Change: copies go only to engines of the version that made them, from before the first event on; with the first event that is passed on, the request is bound to the version of its engine. Both are asked in UsableEndpoints, which every choice of an endpoint goes through.

A stream that its caller takes up again is still placed at any version.

--- a/src/plugins/forwarding/AdmittedRequest.ts
+++ b/src/plugins/forwarding/AdmittedRequest.ts
@@ -1,7 +1,13 @@
 /**
  * State of an admitted request: its route, and the attempts to send it.
  */
-import type { EndpointId, RequestFingerprint, RequestPart, Route } from '../../core';
+import type {
+  CallerRequestId,
+  EndpointId,
+  RequestFingerprint,
+  RequestPart,
+  Route,
+} from '../../core';
 import { CRASH_EVIDENCE_OPTIONS } from '../../decisions';
 import type {
   DispatchParameters,
@@ -49,7 +55,7 @@
     private readonly running: RunningRequest,
     readonly request: ServingRequest,
     readonly route: Route,
-    readonly work: PlacementInput,
+    private currentWork: PlacementInput,
     readonly body: CallerBody,
     /** Whether it is the trial of a quarantined part, which is sent to one endpoint only. */
     readonly isTrial: boolean,
@@ -62,6 +68,21 @@
     return listRequestParts(this.request, this.fingerprint);
   }
 
+  get work(): PlacementInput {
+    return this.currentWork;
+  }
+
+  /** From now on the request goes only to endpoints with this software version. */
+  keepToVersion(softwareVersion: string): void {
+    if (this.currentWork.softwareVersion === softwareVersion) return;
+    this.currentWork = { ...this.currentWork, softwareVersion };
+  }
+
+  /** The attempt by which callers name the stream when they take it up again. */
+  get firstRequestId(): CallerRequestId {
+    return this.request.resumedRequestId ?? this.request.requestId;
+  }
+
   get exchange(): CallerExchange {
     return this.running.exchange;
   }
--- a/src/plugins/forwarding/EndpointPlacer.ts
+++ b/src/plugins/forwarding/EndpointPlacer.ts
@@ -35,13 +35,15 @@
 import { PlacementQueue } from './PlacementQueue';
 import { PromptPacer } from './PromptPacer';
 import type { PromptWait } from './PromptWait';
-import { UsableEndpoints } from './UsableEndpoints';
+import { haveSameVersion, UsableEndpoints } from './UsableEndpoints';
 
 /** Properties of a request that its placement depends on. @internal */
 export interface PlacementInput extends EstimateInput {
   readonly requestId: CallerRequestId;
   readonly configuration: ServingConfiguration;
   readonly service: string;
+  /** Software version that has begun the stream; undefined while it may begin at any. */
+  readonly softwareVersion?: string | undefined;
   readonly rank: number;
   /** Goal for the time to the first event. */
   readonly latencyGoalMs: number;
@@ -269,7 +271,8 @@
     const need = this.estimateNeed(work, producedTokens);
     const backEnds = this.usable
       .list(work)
-      .filter(({ endpointId }) => endpointId !== primary.endpointId);
+      .filter(({ endpointId }) => endpointId !== primary.endpointId)
+      .filter((backEnd) => haveSameVersion(backEnd, primary));
     const candidates = this.candidates.list(work, backEnds, primary.dataCentre);
     const chosenId = chooseBackupEngine(candidates, need);
     const backEnd = backEnds.find(({ endpointId }) => endpointId === chosenId);
@@ -346,7 +349,9 @@
     readonly need: ResourceNeed;
   } {
     const usable = this.usable.list(work);
-    const backEnds = usable.filter(({ endpointId }) => !excluded.includes(endpointId));
+    const backEnds = usable
+      .filter(({ endpointId }) => !excluded.includes(endpointId))
+      .filter((backEnd) => !from || haveSameVersion(backEnd, from));
     const need = this.estimateNeed(work, producedTokens, promptWait);
     const origin = from ?? this.kernel.settings;
     const listed = this.candidates.list(work, backEnds, origin.dataCentre);
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -25,6 +25,7 @@
 import { StreamProgress } from './StreamProgress';
 import type { NextSegment, StreamSegment } from './StreamSegment';
 import type { RunningStream } from './Takeover';
+import { getSoftwareVersion } from './UsableEndpoints';
 
 type SegmentEnd =
   | { readonly end: 'complete' }
@@ -169,6 +170,7 @@
         const events = splitter.push(chunk);
         if (!events) continue;
         if (!(await segment.letEventPass())) return { end: 'taken-over' };
+        if (progress.outputTokens === 0) this.recordOrigin(admitted, segment);
         this.writeHead(admitted, progress);
         progress.record(events);
         segment.recordTokens(progress.outputTokens);
@@ -192,6 +194,11 @@
     }
   }
 
+  /** Events of another software version must not follow. */
+  private recordOrigin(admitted: AdmittedRequest, { placed }: StreamSegment): void {
+    admitted.keepToVersion(getSoftwareVersion(placed.backEnd));
+  }
+
   private readSegment({ placed, response }: StreamSegment): AsyncGenerator<Uint8Array> {
     return readFromProcess(this.kernel, placed.backEnd, response);
   }
--- a/src/plugins/forwarding/UsableEndpoints.test.ts
+++ b/src/plugins/forwarding/UsableEndpoints.test.ts
@@ -124,3 +124,43 @@
   expect(scene.placer.mayContinueAt(target)).toBe(false);
   expect(scene.placer.placeAgain(scene.work, target, 8)).toBeUndefined();
 });
+
+/** Gives the engines of one data centre another software version, and the request a stream of one. */
+function createVersions(softwareVersion: string | undefined): Scene {
+  const scene = createScene(undefined);
+  Object.values(ENGINES).forEach((id, index) => {
+    const version = id === ENGINES.fnq ? 'v2' : 'v1';
+    const position = { era: 1, revision: 200 + index };
+    const backEnd = { ...find(scene, id), softwareVersion: version };
+    scene.store.applyEndpoint(backEnd, { key: id, text: '', position });
+  });
+  return { ...scene, work: { ...scene.work, softwareVersion } };
+}
+
+// Guards against a way by which a stream goes on at an engine of another software version.
+test.each(PATHS)('%s keeps to the software version of the stream', async (_name, path) => {
+  for (let repeat = 0; repeat < 20; repeat++) {
+    const scene = createVersions('v1');
+    const chosen = (await tryPath(scene, path)) as EndpointId;
+    expect(find(scene, chosen).softwareVersion).toBe('v1');
+  }
+});
+
+// Guards against memory that is copied to an engine of another version before the first event.
+test('copies before the first event stay at the version of their run', () => {
+  for (let repeat = 0; repeat < 20; repeat++) {
+    const scene = createVersions(undefined);
+    const primary = find(scene, ENGINES.fnq);
+    expect(scene.placer.placeBackup(scene.work, primary)).toBeUndefined();
+    const move = (): unknown => scene.placer.place(scene.work, [], 'place', 0, primary);
+    expect(move()).toMatchObject({ backEnd: { softwareVersion: 'v2' } });
+  }
+});
+
+// Guards against a stream that waits, or is sent anywhere, when its version has left.
+test('a stream whose version has left is refused with the reason', () => {
+  const { placer, work } = createVersions('v3');
+  expect(() => placer.place(work, [], 'route')).toThrow(
+    expect.objectContaining({ kind: 'no-endpoint', detail: expect.stringContaining('v3') }),
+  );
+});
--- a/src/plugins/forwarding/UsableEndpoints.ts
+++ b/src/plugins/forwarding/UsableEndpoints.ts
@@ -1,6 +1,7 @@
 /**
- * The endpoints that a request may use, by their state, their data centre and their region. Each
- * choice of an endpoint asks here, by the configuration in force at that moment.
+ * The endpoints that a request may use, by their state, their data centre, their region, and the software
+ * version at which its stream began. Each choice of an endpoint asks here, by the configuration in force
+ * at that moment.
  */
 import { ServingError } from '../../core';
 import { explainUnusable, findRegionTerms, mayUseRegion, type RegionTerms } from '../../decisions';
@@ -9,6 +10,21 @@
 import type { PlacementInput } from './EndpointPlacer';
 import { FORWARDING_OPTIONS } from './options';
 
+/** Returns the version of an endpoint's software; empty if it isn't stated. @internal */
+export function getSoftwareVersion({ softwareVersion = '' }: KnownBackEnd): string {
+  return softwareVersion;
+}
+
+/** Whether one endpoint can use the memory of another, and go on with its streams. @internal */
+export function haveSameVersion(one: KnownBackEnd, other: KnownBackEnd): boolean {
+  return getSoftwareVersion(one) === getSoftwareVersion(other);
+}
+
+/** Whether a request may go to an endpoint although its stream may have begun elsewhere. */
+function fitsStream({ softwareVersion }: PlacementInput, backEnd: KnownBackEnd): boolean {
+  return softwareVersion === undefined || softwareVersion === getSoftwareVersion(backEnd);
+}
+
 /** @internal */
 export class UsableEndpoints {
   constructor(private readonly kernel: Kernel) {}
@@ -21,7 +37,7 @@
     const terms = this.getTerms(work);
     return this.deployment
       .listAssignable(work.service)
-      .filter((backEnd) => this.isAllowed(terms, backEnd));
+      .filter((backEnd) => this.isAllowed(terms, backEnd) && fitsStream(work, backEnd));
   }
 
   /** Whether a request may be sent to an endpoint that was chosen earlier. */
@@ -31,7 +47,7 @@
       return false;
     }
     const isEvacuated = this.deployment.getEvacuatedSinceMs(known.dataCentre) !== undefined;
-    return !isEvacuated && this.isAllowed(this.getTerms(work), known);
+    return !isEvacuated && fitsStream(work, known) && this.isAllowed(this.getTerms(work), known);
   }
 
   /**
@@ -56,6 +72,9 @@
         ({ service, leavingSinceMs }) => service === work.service && leavingSinceMs === undefined,
       );
     const inAllowedRegions = inService.filter((backEnd) => this.isAllowed(terms, backEnd)).length;
+    if (inService.length > 0 && !inService.some((backEnd) => fitsStream(work, backEnd))) {
+      return this.explainVersion(work);
+    }
     const elsewhere = inService.length - inAllowedRegions;
     const detail = explainUnusable(terms, { inAllowedRegions, elsewhere });
     if (detail === undefined) return undefined;
@@ -66,6 +85,14 @@
     });
   }
 
+  private explainVersion({ softwareVersion, routeName }: PlacementInput): ServingError {
+    return new ServingError('no-endpoint', {
+      detail: `The stream began at the software version ${softwareVersion}, which no endpoint in service has.`,
+      clause: `routes.${routeName}.targets`,
+      retryAfterMs: FORWARDING_OPTIONS.unusableRetryAfterMs,
+    });
+  }
+
   private get deployment(): Deployment {
     return this.kernel.get(Deployment);
   }
