Take streams up again only at the software version that began them

Cause: nothing read `Resumes`; a stream that is taken up again was placed like a new one. A memory of each node alone wouldn't do: the node that began the stream is gone, or all are, and by then the list may show the new version only.

Change: a new plug-in, `origins`. With its first event, the origin of a stream that may be resumed is sent to two other nodes, chosen by rendezvous hashing. A node that gets a stream again asks the others, unless it has followed one version alone for twice the route's time limit and no endpoint has started since. With no record, the version is taken only if no other one can have served in that time; otherwise the request is refused as `stream-origin-unknown`, not run. A stream whose version has left is refused at once too.

Weighed: choosing the version of each new stream by a hash of its id would need no memory, but the set of versions differs before and after a restart, which is the case that matters; the history of the store goes back 20 s at most and may be gone; reading runs or copies from engines would continue from the memory of another request.

--- a/src/core/errorKinds.ts
+++ b/src/core/errorKinds.ts
@@ -148,6 +148,13 @@
     reason:
       'Endpoints crashed under this same request; it is refused until one attempt that is tried succeeds.',
   },
+  'stream-origin-unknown': {
+    status: 503,
+    run: 'not-run',
+    mayRepeat: true,
+    reason:
+      'It is not known which software version of the engines began this stream, so it cannot go on; request it anew.',
+  },
   draining: {
     status: 503,
     run: 'not-run',
--- a/src/decisions/index.ts
+++ b/src/decisions/index.ts
@@ -51,6 +51,7 @@
 export * from './promptPacing';
 export * from './PromptSizes';
 export * from './RetryBudget';
+export * from './streamOrigin';
 export * from './entryOrder';
 export * from './hashText';
 export * from './neighbours';
--- /dev/null
+++ b/src/decisions/streamOrigin.ts
@@ -0,0 +1,101 @@
+/**
+ * Decides which software version of a service began a stream, and which nodes keep that.
+ *
+ * A record of the stream is certain. Without one, the version is known only if no other one can have
+ * served since the stream may have begun. A node knows that from watching the list of endpoints for that
+ * long, or, if all nodes are new, from a list in which no endpoint has started lately: endpoints of
+ * another version that have just left were replaced by ones that have just started.
+ */
+import { rankByRendezvous } from './rendezvous';
+
+export const ORIGIN_OPTIONS = {
+  /** Longest time since the first event of a stream, as a multiple of its route's time limit. */
+  windowFactor: 2,
+  /** Nodes to which the origin of a stream is sent, besides the one that forwards it. */
+  keepers: 2,
+  /** Up to this size of the fleet each node may be a keeper, as all are linked anyway. */
+  maxMeshNodes: 16,
+  /** Keepers that are asked in a larger fleet, where nodes may see different lists. */
+  askedKeepers: 8,
+} as const;
+
+/** Where a stream began. @public */
+export interface StreamOrigin {
+  readonly service: string;
+  /** Empty if the engine doesn't state one. */
+  readonly softwareVersion: string;
+}
+
+/** What one node knows of the endpoints of a service. @public */
+export interface VersionSightings {
+  /** Software versions that were listed within the window. */
+  readonly versions: ReadonlyArray<string>;
+  /** For how long the node has followed the list without a gap. */
+  readonly coveredForMs: number;
+}
+
+/** @public */
+export interface OriginEvidence {
+  readonly service: string;
+  /** Origins that nodes have recorded for the stream. */
+  readonly records: ReadonlyArray<StreamOrigin>;
+  /** Of this node and of those that answered. */
+  readonly sightings: ReadonlyArray<VersionSightings>;
+  /** Time since the newest start among the listed endpoints of the service. */
+  readonly newestStartAgeMs: number;
+  readonly windowMs: number;
+}
+
+/** @public */
+export type OriginVerdict =
+  | {
+      readonly outcome: 'known';
+      readonly origin: StreamOrigin;
+      readonly by: 'record' | 'only version';
+    }
+  | { readonly outcome: 'unknown'; readonly reason: string };
+
+/** @public */
+export function decideOrigin({
+  service,
+  records,
+  sightings,
+  newestStartAgeMs,
+  windowMs,
+}: OriginEvidence): OriginVerdict {
+  const [record] = records;
+  if (record) return { outcome: 'known', origin: record, by: 'record' };
+  const versions = [...new Set(sightings.flatMap((seen) => seen.versions))].sort();
+  const [softwareVersion] = versions;
+  if (softwareVersion === undefined) {
+    return { outcome: 'unknown', reason: `no endpoint of ${service} is known` };
+  }
+  if (versions.length > 1) {
+    const reason = `endpoints of ${service} have served with the versions ${versions.join(', ')}`;
+    return { outcome: 'unknown', reason };
+  }
+  const coveredForMs = Math.max(...sightings.map((seen) => seen.coveredForMs));
+  if (coveredForMs < windowMs && newestStartAgeMs < windowMs) {
+    const reason = `no node has followed ${service} for long, and an endpoint has started lately`;
+    return { outcome: 'unknown', reason };
+  }
+  return { outcome: 'known', origin: { service, softwareVersion }, by: 'only version' };
+}
+
+/**
+ * Returns the nodes that may know where a stream began, the most likely ones first. In a large fleet
+ * they are some of the nodes, so that not every node has a link to every other one.
+ * @param others ids of the other nodes.
+ */
+export function rankKeepers<Id extends string>(
+  firstRequestId: string,
+  others: ReadonlyArray<Id>,
+): ReadonlyArray<Id> {
+  const nodes = others.length + 1;
+  const getId = (id: Id): string => id;
+  if (nodes <= ORIGIN_OPTIONS.maxMeshNodes) return rankByRendezvous(firstRequestId, others, getId);
+  const poolSize = Math.ceil(2 * Math.sqrt(nodes));
+  const pool = rankByRendezvous('keepers of stream origins', others, getId).slice(0, poolSize);
+  const { askedKeepers } = ORIGIN_OPTIONS;
+  return rankByRendezvous(firstRequestId, pool, getId).slice(0, askedKeepers);
+}
--- a/src/frontPlugins.ts
+++ b/src/frontPlugins.ts
@@ -9,5 +9,6 @@
 import './plugins/metrics';
 import './plugins/directory';
 import './plugins/quarantine';
+import './plugins/origins';
 import './plugins/forwarding';
 import './plugins/frontHttp';
--- a/src/plugins/forwarding/RequestForwarder.ts
+++ b/src/plugins/forwarding/RequestForwarder.ts
@@ -3,7 +3,13 @@
  */
 import { setImmediate as turnOfEventLoop } from 'node:timers/promises';
 import { rejectOnAbort, ServingError, type EngineProfile, type Route } from '../../core';
-import { admitToRoute, chooseService, computeRequestFingerprint, findRoute } from '../../decisions';
+import {
+  admitToRoute,
+  chooseService,
+  computeRequestFingerprint,
+  findRoute,
+  type StreamOrigin,
+} from '../../decisions';
 import type { Kernel, LogFields } from '../../kernel';
 import {
   Deployment,
@@ -19,6 +25,7 @@
 import type { DrainedRequest, NodeDrain } from './NodeDrain';
 import { QuarantineGuard } from './QuarantineGuard';
 import { createOverdueError, type RequestTable } from './RequestTable';
+import { isResumed, ResumedStreams } from './ResumedStreams';
 import type { RetryPolicy } from './RetryPolicy';
 import type { RunningRequest } from './RunningRequest';
 import type { StreamDelivery } from './StreamDelivery';
@@ -53,11 +60,14 @@
 export class RequestForwarder {
   private readonly guard: QuarantineGuard;
 
+  private readonly resumed: ResumedStreams;
+
   constructor(
     private readonly kernel: Kernel,
     private readonly parts: ForwarderParts,
   ) {
     this.guard = new QuarantineGuard(kernel);
+    this.resumed = new ResumedStreams(kernel);
   }
 
   async serve(running: RunningRequest): Promise<void> {
@@ -104,7 +114,9 @@
       throw new ServingError(kind, { detail, clause, retryAfterMs });
     }
     const { configuration, route, holder } = verdict;
-    const service = chooseService(route, request.requestId);
+    this.setDeadline(running, request, route);
+    const origin = await this.findOrigin(running, request, route);
+    const service = origin?.service ?? chooseService(route, request.requestId);
     if (service === undefined) {
       throw new ServingError('no-endpoint', {
         detail: 'The route leads to no service.',
@@ -114,11 +126,10 @@
     const { prompt } = request;
     const input = { customer: holder?.customer, routeName: route.name, prompt };
     this.checkPromptSize(request, configuration.services.get(service)?.engine);
-    this.setDeadline(running, request, route);
     const { deadlineMs } = running;
     const candidate = { route, work: { ...input, service }, deadlineMs };
     this.checkDrain(candidate);
-    await this.waitUntilJoined(running, request);
+    if (request.sharedPromptParts.length > 0) await this.waitUntilJoined(running);
     const fingerprint = computeRequestFingerprint({ ...request, ...input }, body.digest);
     const isTrial = await rejectOnAbort(
       this.guard.admit(listRequestParts(request, fingerprint), `routes.${route.name}`),
@@ -136,6 +147,7 @@
         ...input,
         configuration,
         service,
+        softwareVersion: origin?.softwareVersion,
         rank: holder?.rank ?? route.rank,
         latencyGoalMs: route.latencyGoalMs,
         sharedPrompt: request.sharedPrompt,
@@ -189,11 +201,7 @@
    * as most callers would have to come back before that. Calls without a prompt aren't held: their
    * goals are shorter than the wait.
    */
-  private async waitUntilJoined(
-    { signal }: RunningRequest,
-    { sharedPromptParts }: ServingRequest,
-  ): Promise<void> {
-    if (sharedPromptParts.length === 0) return;
+  private async waitUntilJoined({ signal }: RunningRequest): Promise<void> {
     const members = this.kernel.get(Members);
     while (!members.hasJoined()) {
       await this.kernel.clock.sleep(FORWARDING_OPTIONS.joinCheckIntervalMs, signal);
@@ -201,6 +209,17 @@
     }
   }
 
+  /** A new node first joins the others, which may know where the stream began. */
+  private async findOrigin(
+    running: RunningRequest,
+    request: ServingRequest,
+    route: Route,
+  ): Promise<StreamOrigin | undefined> {
+    if (!isResumed(request, route)) return undefined;
+    await this.waitUntilJoined(running);
+    return this.resumed.findOrigin(request, route, running.signal);
+  }
+
   private checkDrain(candidate: DrainedRequest): void {
     const refusal = this.parts.drain.findRefusal(candidate);
     if (refusal) throw refusal;
--- a/src/plugins/forwarding/StreamDelivery.ts
+++ b/src/plugins/forwarding/StreamDelivery.ts
@@ -7,7 +7,7 @@
  */
 import { ServingError, type EndpointId } from '../../core';
 import type { Kernel } from '../../kernel';
-import { ServingMetrics } from '../../services';
+import { ServingMetrics, StreamOrigins } from '../../services';
 import type { AdmittedRequest } from './AdmittedRequest';
 import type { CrashReporter } from './CrashReporter';
 import type { EndpointPlacer } from './EndpointPlacer';
@@ -194,9 +194,13 @@
     }
   }
 
-  /** Events of another software version must not follow. */
+  /** Events of another software version must not follow, here or when the caller comes back. */
   private recordOrigin(admitted: AdmittedRequest, { placed }: StreamSegment): void {
-    admitted.keepToVersion(getSoftwareVersion(placed.backEnd));
+    const { service } = placed.backEnd;
+    const softwareVersion = getSoftwareVersion(placed.backEnd);
+    admitted.keepToVersion(softwareVersion);
+    if (!admitted.route.isResumable) return;
+    this.kernel.get(StreamOrigins).record(admitted.firstRequestId, { service, softwareVersion });
   }
 
   private readSegment({ placed, response }: StreamSegment): AsyncGenerator<Uint8Array> {
--- /dev/null
+++ b/src/plugins/origins/index.ts
@@ -0,0 +1,1 @@
+export { OriginsPlugin } from './OriginsPlugin';
--- /dev/null
+++ b/src/services/StreamOrigins.ts
@@ -0,0 +1,27 @@
+/**
+ * Where streams began that callers may take up again at any node.
+ *
+ * What engines of two software versions write doesn't fit together, and engines don't check it. So a
+ * stream goes on only at the version that began it, and not at all where nothing tells which one it was.
+ */
+import type { CallerRequestId } from '../core';
+import type { OriginVerdict, StreamOrigin } from '../decisions';
+
+/** A stream that a caller takes up again. @public */
+export interface ResumedStream {
+  /** The attempt that brought its first event; undefined if the caller doesn't say. */
+  readonly firstRequestId: CallerRequestId | undefined;
+  /** Service that its route leads to. */
+  readonly service: string;
+  /** Longest time since its first event. */
+  readonly windowMs: number;
+}
+
+/** @public */
+export abstract class StreamOrigins {
+  /** Records where a stream began; called before its first event is passed on. */
+  abstract record(firstRequestId: CallerRequestId, origin: StreamOrigin): void;
+
+  /** Finds where a stream began, by what this node and the others know. */
+  abstract find(stream: ResumedStream): Promise<OriginVerdict>;
+}
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -25,3 +25,4 @@
 export * from './ServingRequest';
 export * from './SharedState';
 export * from './SourceProgress';
+export * from './StreamOrigins';
--- a/tests/softwareVersions.test.ts
+++ b/tests/softwareVersions.test.ts
@@ -1,3 +1,4 @@
+import { Deployment } from '../src/services';
 import type { PlatformEngine } from '../stand-ins/PlatformEngine';
 import { EventReader } from './EventReader';
 import {
@@ -225,7 +226,7 @@
   expect(countWhole(again)).toBe(STREAMS);
 });
 
-// Guards against a version that left while the node was told of it only by others.
+// Guards against a new node that takes the only version it has seen for the only one that has served.
 test('a new node asks the others for versions that have left', async () => {
   configure();
   await addEngines('v1');
@@ -251,7 +252,13 @@
   await addEngines('v2');
   for (let index = 0; index < ENGINES; index++) fixture.store.remove(`servers/i-v1-${index}`);
   await waitUntil('the new engines alone', () =>
-    nodes.every(({ lines }) => lines.some(({ endpointId }) => endpointId === 'i-v2-1')),
+    nodes.every(({ kernel }) => {
+      const inService = kernel.get(Deployment).listAssignable('writers');
+      return (
+        inService.length === ENGINES &&
+        inService.every(({ softwareVersion }) => softwareVersion === 'v2')
+      );
+    }),
   );
   expectRefused(await takeUp(readers, nodes), 'no-endpoint');
 });
