Take no answer whose status is none of a final answer

Here 000 to 199 never reached a caller, but only because of assertions in the HTTP client; 600 and 999 were passed on with the body, on all four kinds of route, and by the calls of `serve`.

Cause: no status was looked at, and an HTTP client takes any three digits.

Change: statuses outside 200 to 599 are no answer, in one place for each of the two clients of endpoints. The request may have run, so it counts as lost: 502, and another endpoint for what may be repeated.

--- a/src/plugins/calls/UndiciServiceCalls.test.ts
+++ b/src/plugins/calls/UndiciServiceCalls.test.ts
@@ -35,6 +35,7 @@
   'reset in the answer head',
   'close in the answer body',
   'malformed answer',
+  'an odd status',
   'too large an answer',
   'no answer',
 ];
--- a/src/plugins/calls/UndiciServiceCalls.ts
+++ b/src/plugins/calls/UndiciServiceCalls.ts
@@ -11,7 +11,7 @@
   type ServiceAnswer,
   type ServiceCall,
 } from '../../services';
-import { SingleConnection } from '../../wire';
+import { checkFinalStatus, SingleConnection } from '../../wire';
 import { CALL_OPTIONS } from './options';
 
 type CallContext = Parameters<Operations['run']>[2];
@@ -69,6 +69,7 @@
         signal,
       });
       const body = new Uint8Array(await response.body.arrayBuffer());
+      checkFinalStatus(response.statusCode);
       return { status: response.statusCode, headers: copyHeaders(response.headers), body };
     } catch (thrown) {
       throw new ServingError(connection.wasOpened ? 'outcome-unknown' : 'endpoint-unreachable', {
--- a/src/plugins/forwarding/EndpointConnection.ts
+++ b/src/plugins/forwarding/EndpointConnection.ts
@@ -4,7 +4,7 @@
 import { Client, type Dispatcher } from 'undici';
 import { ServingError } from '../../core';
 import type { HeaderList } from '../../services';
-import { ConnectionUsedError, pairHeaders, SingleConnection } from '../../wire';
+import { checkFinalStatus, ConnectionUsedError, pairHeaders, SingleConnection } from '../../wire';
 import { FORWARDING_OPTIONS } from './options';
 import { probeEndpoint } from './probeEndpoint';
 import type { BodyContent } from './SentBody';
@@ -104,6 +104,7 @@
         responseHeaders: 'raw',
         highWaterMark: FORWARDING_OPTIONS.maxUnreadResponseBytes,
       });
+      this.checkStatus(response);
       const headers = pairHeaders(response.headers as unknown as ReadonlyArray<string>);
       this.updateIdleTimeout(headers);
       return { status: response.statusCode, headers, isOnUsedConnection, body: response.body };
@@ -128,6 +129,16 @@
     await this.client.destroy();
   }
 
+  private checkStatus({ statusCode, body }: Dispatcher.ResponseData): void {
+    try {
+      checkFinalStatus(statusCode);
+    } catch (thrown) {
+      // The connection is closed with the body unread, which is an error of the body.
+      body.on('error', () => {});
+      throw thrown;
+    }
+  }
+
   private updateIdleTimeout(headers: HeaderList): void {
     const timeoutMs = parseIdleTimeoutMs(headers);
     if (timeoutMs === undefined) return;
--- a/src/wire/index.ts
+++ b/src/wire/index.ts
@@ -8,6 +8,7 @@
 export * from './problem';
 export * from './SingleConnection';
 export * from './ClosedConnections';
+export * from './checkFinalStatus';
 export * from './closeServers';
 export * from './CoalescingRequest';
 export * from './ConnectionLimiter';
--- a/tests/RawService.ts
+++ b/tests/RawService.ts
@@ -18,6 +18,7 @@
   | 'reset in the answer head'
   | 'close in the answer body'
   | 'malformed answer'
+  | 'an odd status'
   | 'too large an answer'
   | 'no answer';
 
@@ -117,6 +118,9 @@
       case 'malformed answer':
         socket.end('nonsense\r\n\r\n');
         break;
+      case 'an odd status':
+        socket.end(`HTTP/1.1 600 Odd\r\ncontent-length: ${body.length}${HEAD_END}${body}`);
+        break;
       case 'too large an answer':
         socket.end(`${head}content-length: 5000000${HEAD_END}${'x'.repeat(5_000_000)}`);
         break;
--- a/tests/brokenAnswers.test.ts
+++ b/tests/brokenAnswers.test.ts
@@ -225,3 +225,39 @@
   );
   expect(status).toBe(502);
 });
+
+const ODD_STATUSES = ['000', '001', '099', '100', '101', '199', '600', '999'];
+const ROUTES = ['/lookup/a', '/credit/a', '/report/a', '/label/a'];
+
+// Guards against an answer that reaches the caller as one although its status is none of a final answer,
+// such as 000, or that keeps the caller waiting.
+test.each(ROUTES.flatMap((target) => ODD_STATUSES.map((status) => [status, target] as const)))(
+  'status %s is no answer at %s',
+  async (status, target) => {
+    const answer: Answer = (socket, requestId) => {
+      const head = createHead(requestId, 'Content-Length: 5\r\n\r\nwhole');
+      socket.write(head.replace('200 OK', `${status} Odd`));
+    };
+    await addRawEndpoint('desk', answer);
+    await addRawEndpoint('writers', answer);
+    const node = await fixture.addReadyNode(2);
+    const { status: answered, text } = await call(node, target);
+    expect(answered).toBe(502);
+    expect(JSON.parse(text)).toMatchObject({ error: { kind: 'answer-lost', run: 'unknown' } });
+  },
+);
+
+// Guards against giving up a request that may be repeated because one endpoint answers with an odd status.
+test.each(['000', '600'])('a call is repeated after status %s', async (status) => {
+  let calls = 0;
+  const answer: Answer = (socket, requestId) => {
+    calls += 1;
+    const head = createHead(requestId, 'Content-Length: 5\r\n\r\nwhole');
+    socket.write(calls === 1 ? head.replace('200 OK', `${status} Odd`) : head);
+  };
+  await addRawEndpoint('desk', answer);
+  await addRawEndpoint('desk', answer);
+  const node = await fixture.addReadyNode(2);
+  expect(await call(node, '/lookup/a')).toEqual({ status: 200, text: 'whole' });
+  expect(calls).toBe(2);
+});
