--- a/src/plugins/forwarding/ResumedStreams.ts
+++ b/src/plugins/forwarding/ResumedStreams.ts
@@ -3,8 +3,13 @@
  * again, at this node or another one.
  */
 import { rejectOnAbort, ServingError, type Route } from '../../core';
-import { chooseService, ORIGIN_OPTIONS, type StreamOrigin } from '../../decisions';
-import type { Kernel } from '../../kernel';
+import {
+  chooseService,
+  ORIGIN_OPTIONS,
+  type OriginVerdict,
+  type StreamOrigin,
+} from '../../decisions';
+import type { Kernel, LogFields } from '../../kernel';
 import { StreamOrigins, type ServingRequest } from '../../services';
 import { FORWARDING_OPTIONS } from './options';
 
@@ -16,6 +21,12 @@
   return delivery === 'stream' && (lastEventId !== undefined || resumedRequestId !== undefined);
 }
 
+function describeVerdict(verdict: OriginVerdict): LogFields {
+  if (verdict.outcome === 'unknown') return { outcome: 'refused', reason: verdict.reason };
+  const { service, softwareVersion } = verdict.origin;
+  return { outcome: `goes on at ${service} ${softwareVersion}`, by: verdict.by };
+}
+
 /** @internal */
 export class ResumedStreams {
   constructor(private readonly kernel: Kernel) {}
@@ -42,7 +53,7 @@
       resumes: firstRequestId,
       lastEventId: request.lastEventId,
       clause: `routes.${route.name}`,
-      ...verdict,
+      ...describeVerdict(verdict),
     });
     if (verdict.outcome === 'unknown') throw this.createError(route, verdict.reason);
     const { origin } = verdict;
