--- a/tests/FrontFixture.ts
+++ b/tests/FrontFixture.ts
@@ -69,6 +69,21 @@
   };
 }
 
+/** Returns services whose engines move runs and keep backups of them. */
+export function createServicesWithBackups(
+  maxConnections = 40,
+  kvCapacity = 30_000,
+): ReadonlyArray<Readonly<Record<string, unknown>>> {
+  return [
+    { name: 'desk', maxConnections: 40 },
+    {
+      name: 'writers',
+      maxConnections,
+      engine: { kvCapacity, stride: 4, moves: true, backups: true },
+    },
+  ];
+}
+
 async function findFreePort(): Promise<number> {
   const server = createServer().listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/tests/deadlyRequests.test.ts
+++ b/tests/deadlyRequests.test.ts
@@ -1,5 +1,6 @@
 import {
   callFront,
+  createServicesWithBackups,
   createStoreConfiguration,
   FrontFixture,
   GENERATION_HEADERS,
@@ -78,14 +79,7 @@
 }
 
 async function startEngines(): Promise<void> {
-  const services = [
-    { name: 'desk', maxConnections: 40 },
-    {
-      name: 'writers',
-      maxConnections: 40,
-      engine: { kvCapacity: 30_000, stride: 4, moves: true, backups: true },
-    },
-  ];
+  const services = createServicesWithBackups();
   fixture.store.put('op/config', createStoreConfiguration({ services }));
   for (let index = 0; index < ENGINES; index++) {
     await addEngine('desk', index);
--- a/tests/queryOfDeath.test.ts
+++ b/tests/queryOfDeath.test.ts
@@ -1,5 +1,6 @@
 import {
   callFront,
+  createServicesWithBackups,
   createStoreConfiguration,
   FrontFixture,
   GENERATION_HEADERS,
@@ -34,14 +35,7 @@
 }
 
 async function startFleet(engineOptions = {}): Promise<ReadonlyArray<FrontNode>> {
-  const services = [
-    { name: 'desk', maxConnections: 40 },
-    {
-      name: 'writers',
-      maxConnections: 40,
-      engine: { kvCapacity: 30_000, stride: 4, moves: true, backups: true },
-    },
-  ];
+  const services = createServicesWithBackups();
   fixture.store.put('op/config', createStoreConfiguration({ services }));
   for (let index = 0; index < ENGINES; index++) await addEngine(index, engineOptions);
   const nodes = [await fixture.addReadyNode(ENGINES), await fixture.addReadyNode(ENGINES)];
--- a/tests/softwareVersions.test.ts
+++ b/tests/softwareVersions.test.ts
@@ -2,6 +2,7 @@
 import type { PlatformEngine } from '../stand-ins/PlatformEngine';
 import { EventReader } from './EventReader';
 import {
+  createServicesWithBackups,
   createStoreConfiguration,
   FrontFixture,
   GENERATION_HEADERS,
@@ -41,13 +42,7 @@
 }
 
 function configure(): void {
-  const services = [
-    {
-      name: 'writers',
-      maxConnections: 200,
-      engine: { kvCapacity: 60_000, stride: 4, moves: true, backups: true },
-    },
-  ];
+  const services = createServicesWithBackups(200, 60_000);
   fixture.store.put('op/config', createStoreConfiguration({ services }));
 }
 
