--- a/src/platform/storeValues.ts
+++ b/src/platform/storeValues.ts
@@ -31,8 +31,8 @@
   service: nameSchema,
   address: z.string().refine(isAddress, 'is not an IPv4 address with a port'),
   zone: nameSchema,
-  /** Of the endpoint's software. */
-  version: nameSchema.optional(),
+  /** Of the endpoint's software; some writers put a number. */
+  version: z.union([nameSchema, z.number().transform(String)]).optional(),
   slots: z.number().min(1).max(MAX_SLOTS),
   state: z.enum(['ready', 'draining']),
   coldRemainingMs: z.number().max(MAX_DELAY_MS).default(0),
