Ask the quarantine once before a silent engine's run is moved

The watch of silent engines asked whether a run may be moved, and then asked the quarantine again for the reason. The guard gives the reason in one call, which the mover uses too. One error that nobody sees loses a typographic apostrophe. Behaviour is the same.

Formatter, types and the linter on the two folders are clean; 39 tests of queryOfDeath, softwareVersions, origins and RunMigrator pass.

--- a/src/plugins/forwarding/QuarantineGuard.ts
+++ b/src/plugins/forwarding/QuarantineGuard.ts
@@ -66,10 +66,12 @@
     });
   }
 
-  /** Whether a run that still has its engine may be moved to another one, which it could crash. */
-  mayMove(admitted: AdmittedRequest, outputTokens: number): boolean {
+  /** Returns why a run that still has its engine must not be moved to another one, which it could crash. */
+  findMoveRefusal(admitted: AdmittedRequest, outputTokens: number): string | undefined {
     const refusal = this.findRefusal(admitted);
-    return refusal === undefined && this.hasShownOutput(admitted, outputTokens);
+    if (refusal) return refusal.detail;
+    const mayMove = this.hasShownOutput(admitted, outputTokens);
+    return mayMove ? undefined : 'an endpoint crashed under it before';
   }
 
   /** False for a request under which an endpoint has crashed, until it has output elsewhere. */
--- a/src/plugins/forwarding/RunMigrator.ts
+++ b/src/plugins/forwarding/RunMigrator.ts
@@ -120,7 +120,7 @@
 
   /** Whether the run is still on its engine, and no part of its prompt was quarantined meanwhile. */
   private mayMove({ admitted, segment, progress }: RunningStream): boolean {
-    return segment.isCurrent && this.guard.mayMove(admitted, progress.outputTokens);
+    return segment.isCurrent && !this.guard.findMoveRefusal(admitted, progress.outputTokens);
   }
 
   private async takeOverAtBackup(stream: RunningStream): Promise<void> {
--- a/src/plugins/forwarding/SilenceWatch.ts
+++ b/src/plugins/forwarding/SilenceWatch.ts
@@ -67,10 +67,8 @@
   private async takeOver(stream: RunningStream): Promise<WatchResult> {
     if (stream.segment.takeover?.isOpen) return { result: 'stays', reason: 'is being moved' };
     const { admitted, progress } = stream;
-    if (!this.guard.mayMove(admitted, progress.outputTokens)) {
-      const refusal = this.guard.findRefusal(admitted);
-      return { result: 'stays', reason: refusal?.detail ?? 'an endpoint crashed under it before' };
-    }
+    const reason = this.guard.findMoveRefusal(admitted, progress.outputTokens);
+    if (reason !== undefined) return { result: 'stays', reason };
     const fromCopy = this.createCopyTakeover(stream);
     const first = await this.run(stream, fromCopy);
     if (first?.result === 'taken-over' || (first && first.reason !== 'refused')) return first;
--- a/src/plugins/origins/FleetOrigins.ts
+++ b/src/plugins/origins/FleetOrigins.ts
@@ -126,7 +126,7 @@
     const answers = this.rankOthers(firstRequestId).map(async (vmId) => {
       const reply = await this.ask(vmId, stream);
       if (reply) replies.push(reply);
-      if (!reply?.origin) throw new Error('The node doesn’t know the origin.');
+      if (!reply?.origin) throw new Error('The origin is not known there.');
     });
     await Promise.any(answers).catch(() => {});
     return replies;
