Log whether a stream's only version was followed or merely listed

The line of a stream that is taken up again said 'only version' both where a node had watched the list for long and where all nodes were new. Told apart, the lines of the joined streams say 'only version listed'. No decision changes.

--- a/src/decisions/streamOrigin.ts
+++ b/src/decisions/streamOrigin.ts
@@ -51,7 +51,8 @@
   | {
       readonly outcome: 'known';
       readonly origin: StreamOrigin;
-      readonly by: 'record' | 'only version';
+      /** `only version followed`: a node has watched the list for long; `listed`: no node has. */
+      readonly by: 'record' | 'only version followed' | 'only version listed';
     }
   | { readonly outcome: 'unknown'; readonly reason: string };
 
@@ -79,7 +80,8 @@
     const reason = `no node has followed ${service} for long, and an endpoint has started lately`;
     return { outcome: 'unknown', reason };
   }
-  return { outcome: 'known', origin: { service, softwareVersion }, by: 'only version' };
+  const by = coveredForMs >= windowMs ? 'only version followed' : 'only version listed';
+  return { outcome: 'known', origin: { service, softwareVersion }, by };
 }
 
 /**
