--- a/tests/softwareVersions.test.ts
+++ b/tests/softwareVersions.test.ts
@@ -41,6 +41,11 @@
   );
 }
 
+function removeEntries(version: string): void {
+  for (let index = 0; index < ENGINES; index++)
+    fixture.store.remove(`servers/i-${version}-${index}`);
+}
+
 function configure(): void {
   const services = createServicesWithBackups(200, 60_000);
   fixture.store.put('op/config', createStoreConfiguration({ services }));
@@ -206,11 +211,64 @@
   const readers = await startStreams(await startNodes(2, ENGINES), '/label/a');
   await leave(readers);
   await addEngines('v2', { born: Date.now() });
-  for (let index = 0; index < ENGINES; index++) fixture.store.remove(`servers/i-v1-${index}`);
+  removeEntries('v1');
   const again = await takeUp(readers, await restartNodes(ENGINES));
   expectRefused(again, 'stream-origin-unknown');
 });
 
+/** Starts streams beside two versions, and ends them and all nodes after that. */
+async function startBesideTwoVersions(): Promise<ReadonlyArray<EventReader>> {
+  configure();
+  await addEngines('v1');
+  await addEngines('v2');
+  const readers = await startStreams(await startNodes(2, 2 * ENGINES), '/label/a');
+  await leave(readers);
+  await Promise.all(fixture.nodes.splice(0).map(async ({ kernel }) => kernel.dispose()));
+  return readers;
+}
+
+// Guards against taking the only version that is left for the one at which the stream began, where
+// another one had long served beside it and no endpoint has started since.
+test('streams are refused after all nodes restart and one of two versions has left', async () => {
+  const readers = await startBesideTwoVersions();
+  removeEntries('v1');
+  const again = await takeUp(readers, await startNodes(2, ENGINES));
+  expectRefused(again, 'stream-origin-unknown');
+});
+
+// Guards against taking an endpoint that has left for one of the version that is left, when the source
+// has kept only its removal.
+test('streams are refused after all nodes restart and unknown endpoints have left', async () => {
+  const readers = await startBesideTwoVersions();
+  fixture.store.compact();
+  removeEntries('v1');
+  const again = await takeUp(readers, await startNodes(2, ENGINES));
+  expectRefused(again, 'stream-origin-unknown');
+});
+
+// Guards against taking the only version that is left for the one at which the stream began while
+// the source doesn't tell which ones have left.
+test('streams are refused after all nodes restart and the source has gone', async () => {
+  const readers = await startBesideTwoVersions();
+  removeEntries('v1');
+  const nodes = await startNodes(2, ENGINES);
+  fixture.store.behaviour = 'unavailable';
+  expectRefused(await takeUp(readers, nodes), 'stream-origin-unknown');
+});
+
+// Guards against refusing streams for as long as a version that left before them is remembered.
+test('streams go on after all nodes restart and a version has left long before', async () => {
+  configure();
+  await addEngines('v1');
+  await addEngines('v2');
+  removeEntries('v1');
+  fixture.store.compact();
+  const readers = await startStreams(await startNodes(2, ENGINES), '/label/a');
+  await leave(readers);
+  const again = await takeUp(readers, await restartNodes(ENGINES));
+  expect(countWhole(again)).toBe(STREAMS);
+});
+
 // Guards against refusing streams where only one version has been in service all the time.
 test('streams go on after all nodes restart beside one version', async () => {
   configure();
@@ -227,7 +285,7 @@
   await addEngines('v1');
   await addEngines('v2');
   await startNodes(1, 2 * ENGINES);
-  for (let index = 0; index < ENGINES; index++) fixture.store.remove(`servers/i-v1-${index}`);
+  removeEntries('v1');
   const node = await fixture.addReadyNode(ENGINES);
   await fixture.waitForMembers();
   const [reader] = await startStreams([node], '/label/a', 1);
@@ -245,7 +303,7 @@
   const readers = await startStreams(nodes, '/label/a', 4);
   await leave(readers);
   await addEngines('v2');
-  for (let index = 0; index < ENGINES; index++) fixture.store.remove(`servers/i-v1-${index}`);
+  removeEntries('v1');
   await waitUntil('the new engines alone', () =>
     nodes.every(({ kernel }) => {
       const inService = kernel.get(Deployment).listAssignable('writers');
