Refuse streams whose version may have left before all nodes restarted

Cause: with no node that had followed the list, only the start times of the listed endpoints stood for what nobody had seen, and these show a version that left only if it was replaced. The decision lines said 'only version listed', which rules out that another node told of the version.

A node that depends on the list alone now reads the source's history, as far back as it is kept, and refuses where it shows another version, an unknown endpoint that has left, or can't be read. The history is searched from its newest end, over connections of its own, so that a failure doesn't end the watch of the list; one read holds while the node follows the list. The check of the start times stays, as the source may drop its history.

--- a/src/decisions/streamOrigin.test.ts
+++ b/src/decisions/streamOrigin.test.ts
@@ -1,4 +1,11 @@
-import { decideOrigin, ORIGIN_OPTIONS, rankKeepers, type OriginEvidence } from './streamOrigin';
+import {
+  decideOrigin,
+  EMPTY_HISTORY,
+  needsHistory,
+  ORIGIN_OPTIONS,
+  rankKeepers,
+  type OriginEvidence,
+} from './streamOrigin';
 
 const WINDOW_MS = 12_000;
 
@@ -8,6 +15,7 @@
   sightings: [{ versions: ['v1'], coveredForMs: WINDOW_MS }],
   newestStartAgeMs: WINDOW_MS,
   windowMs: WINDOW_MS,
+  history: EMPTY_HISTORY,
 };
 
 const NEW_NODE = { versions: ['v1'], coveredForMs: 900 };
@@ -33,6 +41,23 @@
     { sightings: [NEW_NODE], newestStartAgeMs: 500 },
     'unknown',
   ],
+  [
+    'a new node, a history with its version',
+    { sightings: [NEW_NODE], history: { ...EMPTY_HISTORY, versions: ['v1'] } },
+    'v1',
+  ],
+  [
+    'a new node, a history with another version',
+    { sightings: [NEW_NODE], history: { ...EMPTY_HISTORY, versions: ['v1', 'v0'] } },
+    'unknown',
+  ],
+  [
+    'a new node, a history with unknown removals',
+    { sightings: [NEW_NODE], history: { ...EMPTY_HISTORY, hasUnknownRemovals: true } },
+    'unknown',
+  ],
+  ['a new node, no history', { sightings: [NEW_NODE], history: undefined }, 'unknown'],
+  ['a node that has followed the list, no history', { history: undefined }, 'v1'],
   [
     'a new node that others tell of one version',
     { sightings: [NEW_NODE, { versions: ['v1'], coveredForMs: WINDOW_MS }], newestStartAgeMs: 500 },
@@ -50,6 +75,18 @@
   expect(decide(changes)).toBe(expected);
 });
 
+// Guards against reading the history for each stream, which is paid for, and against not reading it
+// where nothing else tells of versions that have left.
+test.each([
+  ['one version all the time', {}, false],
+  ['a record', { sightings: [NEW_NODE], records: [RECORD] }, false],
+  ['two versions', { sightings: [TWO] }, false],
+  ['an endpoint started lately', { sightings: [NEW_NODE], newestStartAgeMs: 500 }, false],
+  ['new nodes', { sightings: [NEW_NODE], history: undefined }, true],
+] as const)('needs the history: %s', (_name, changes, expected) => {
+  expect(needsHistory({ ...EVIDENCE, ...changes })).toBe(expected);
+});
+
 const listNodes = (count: number): ReadonlyArray<string> =>
   Array.from({ length: count }, (_, index) => `front-${index}`);
 
--- a/src/decisions/streamOrigin.ts
+++ b/src/decisions/streamOrigin.ts
@@ -3,8 +3,9 @@
  *
  * A record of the stream is certain. Without one, the version is known only if no other one can have
  * served since the stream may have begun. A node knows that from watching the list of endpoints for that
- * long, or, if all nodes are new, from a list in which no endpoint has started lately: endpoints of
- * another version that have just left were replaced by ones that have just started.
+ * long. If all nodes are new, two things stand for it: the source's history of the list, which shows the
+ * endpoints that have left lately, and a list in which no endpoint has started lately, because the source
+ * may have dropped its history.
  */
 import { rankByRendezvous } from './rendezvous';
 
@@ -34,6 +35,17 @@
   readonly coveredForMs: number;
 }
 
+/** What the source's history of the list shows of a service. @public */
+export interface PastVersions {
+  /** Software versions that were listed. */
+  readonly versions: ReadonlyArray<string>;
+  /** Whether endpoints have left whose service and version the history doesn't show. */
+  readonly hasUnknownRemovals: boolean;
+}
+
+/** History that shows nothing which the list doesn't. @public */
+export const EMPTY_HISTORY: PastVersions = { versions: [], hasUnknownRemovals: false };
+
 /** @public */
 export interface OriginEvidence {
   readonly service: string;
@@ -44,6 +56,8 @@
   /** Time since the newest start among the listed endpoints of the service. */
   readonly newestStartAgeMs: number;
   readonly windowMs: number;
+  /** Undefined if the source couldn't be asked. */
+  readonly history: PastVersions | undefined;
 }
 
 /** @public */
@@ -56,14 +70,31 @@
     }
   | { readonly outcome: 'unknown'; readonly reason: string };
 
+function refuseVersions(service: string, versions: ReadonlyArray<string>): OriginVerdict {
+  const reason = `endpoints of ${service} have served with the versions ${versions.join(', ')}`;
+  return { outcome: 'unknown', reason };
+}
+
+/** Decides for an origin that is the only one listed now, while no node has followed the list. */
+function decideByHistory(
+  { service, newestStartAgeMs, windowMs, history }: OriginEvidence,
+  origin: StreamOrigin,
+): OriginVerdict {
+  const refuse = (cause: string): OriginVerdict => ({
+    outcome: 'unknown',
+    reason: `no node has followed ${service} for long, and ${cause}`,
+  });
+  if (newestStartAgeMs < windowMs) return refuse('an endpoint has started lately');
+  if (!history) return refuse('the history of the list could not be read');
+  const versions = [...new Set([origin.softwareVersion, ...history.versions])].sort();
+  if (versions.length > 1) return refuseVersions(service, versions);
+  if (history.hasUnknownRemovals) return refuse('endpoints of unknown versions have left lately');
+  return { outcome: 'known', origin, by: 'only version listed' };
+}
+
 /** @public */
-export function decideOrigin({
-  service,
-  records,
-  sightings,
-  newestStartAgeMs,
-  windowMs,
-}: OriginEvidence): OriginVerdict {
+export function decideOrigin(evidence: OriginEvidence): OriginVerdict {
+  const { service, records, sightings, windowMs } = evidence;
   const [record] = records;
   if (record) return { outcome: 'known', origin: record, by: 'record' };
   const versions = [...new Set(sightings.flatMap((seen) => seen.versions))].sort();
@@ -71,17 +102,17 @@
   if (softwareVersion === undefined) {
     return { outcome: 'unknown', reason: `no endpoint of ${service} is known` };
   }
-  if (versions.length > 1) {
-    const reason = `endpoints of ${service} have served with the versions ${versions.join(', ')}`;
-    return { outcome: 'unknown', reason };
-  }
+  if (versions.length > 1) return refuseVersions(service, versions);
+  const origin = { service, softwareVersion };
   const coveredForMs = Math.max(...sightings.map((seen) => seen.coveredForMs));
-  if (coveredForMs < windowMs && newestStartAgeMs < windowMs) {
-    const reason = `no node has followed ${service} for long, and an endpoint has started lately`;
-    return { outcome: 'unknown', reason };
-  }
-  const by = coveredForMs >= windowMs ? 'only version followed' : 'only version listed';
-  return { outcome: 'known', origin: { service, softwareVersion }, by };
+  if (coveredForMs >= windowMs) return { outcome: 'known', origin, by: 'only version followed' };
+  return decideByHistory(evidence, origin);
+}
+
+/** Whether the decision depends on the source's history, which then has to be read. @public */
+export function needsHistory(evidence: OriginEvidence): boolean {
+  const verdict = decideOrigin({ ...evidence, history: EMPTY_HISTORY });
+  return verdict.outcome === 'known' && verdict.by === 'only version listed';
 }
 
 /**
--- a/src/platform/StoreSource.ts
+++ b/src/platform/StoreSource.ts
@@ -1,7 +1,6 @@
 /**
  * Reads the configuration, the evacuations and the list of endpoints from the platform's metadata store.
  */
-import { Agent, request } from 'undici';
 import * as z from 'zod';
 import { NO_POSITION, ServingError, type SourcePosition } from '../core';
 import {
@@ -10,15 +9,9 @@
   type PublishedChanges,
   type PublishedValue,
 } from '../services';
-import { readBoundedText } from '../wire';
+import { StoreCalls, type StoreAnswer } from './StoreCalls';
 import { decodeItem, decodeValue, getNextPageKey } from './storeItems';
-import { HEADER_NAMES, PATHS, STORE_KEYS } from './wireNames';
-
-const OK = 200;
-const GONE = 410;
-
-/** Far above a page of the store, which has about a megabyte, in its longest encoding. */
-const MAX_ANSWER_BYTES = 16_777_216;
+import { PATHS, STORE_KEYS } from './wireNames';
 
 const rangeSchema = z.object({
   items: z.array(z.unknown()),
@@ -31,29 +24,28 @@
   storeRevision: z.int().nonnegative(),
 });
 
-interface StoreAnswer {
-  readonly era: number;
-  readonly body: unknown;
-}
-
-/** A store that has never been restored may state no era, which then is 0. */
-function parseEra(header: string | string[] | undefined): number {
-  const era = Number(header);
-  return Number.isSafeInteger(era) && era > 0 ? era : 0;
+function toChanges({ era, body }: StoreAnswer): PublishedChanges | undefined {
+  if (body === undefined) return undefined;
+  const { events, storeRevision } = watchSchema.parse(body);
+  const changes = events.flatMap((event) => decodeItem(event, era));
+  return { changes, position: { era, revision: storeRevision } };
 }
 
 /** @internal */
 export class StoreSource extends DeploymentSource {
-  private agent = new Agent({ pipelining: 1 });
+  private readonly calls: StoreCalls;
 
-  private highestEra = 0;
+  /** A failure replaces all connections, which would end a watch that waits on one of them. */
+  private readonly historyCalls: StoreCalls;
 
-  constructor(private readonly baseUrl: string) {
+  constructor(baseUrl: string) {
     super();
+    this.calls = new StoreCalls(baseUrl);
+    this.historyCalls = new StoreCalls(baseUrl);
   }
 
   get newestEra(): number {
-    return this.highestEra;
+    return Math.max(this.calls.newestEra, this.historyCalls.newestEra);
   }
 
   decode(value: PublishedValue): PublishedChange | undefined {
@@ -69,7 +61,7 @@
       let after: string | undefined;
       for (let hasMore = true; hasMore;) {
         const query = { prefix, ...(after === undefined ? {} : { after }) };
-        const { era, body } = await this.call(PATHS.storeRange, query, signal);
+        const { era, body } = await this.calls.call(PATHS.storeRange, query, signal);
         const page = rangeSchema.parse(body);
         position ??= { era, revision: page.storeRevision };
         if (era !== position.era) {
@@ -89,35 +81,15 @@
     signal: AbortSignal,
   ): Promise<PublishedChanges | undefined> {
     const query = { prefix: '', after: String(position.revision), waitMs: String(waitMs) };
-    const { era, body } = await this.call(PATHS.storeWatch, query, signal);
-    if (body === undefined) return undefined;
-    const { events, storeRevision } = watchSchema.parse(body);
-    const changes = events.flatMap((event) => decodeItem(event, era));
-    return { changes, position: { era, revision: storeRevision } };
+    return toChanges(await this.calls.call(PATHS.storeWatch, query, signal));
   }
 
-  /** Returns the era and the body; no body when that part of the history is no longer available. */
-  private async call(
-    path: string,
-    query: Readonly<Record<string, string>>,
+  async readEndpointChanges(
+    position: SourcePosition,
     signal: AbortSignal,
-  ): Promise<StoreAnswer> {
-    try {
-      const response = await request(`${this.baseUrl}${path}?${new URLSearchParams(query)}`, {
-        dispatcher: this.agent,
-        signal,
-      });
-      const era = parseEra(response.headers[HEADER_NAMES.storeEra.toLowerCase()]);
-      this.highestEra = Math.max(this.highestEra, era);
-      const text = await readBoundedText(response.body, MAX_ANSWER_BYTES);
-      if (response.statusCode === GONE) return { era, body: undefined };
-      if (response.statusCode !== OK) throw new Error(`the store returned ${response.statusCode}`);
-      return { era, body: JSON.parse(text) };
-    } catch (thrown) {
-      // A connection that has lost a response delivers no more responses, so it is replaced.
-      void this.agent.destroy();
-      this.agent = new Agent({ pipelining: 1 });
-      throw ServingError.from(thrown, 'endpoint-failed');
-    }
+  ): Promise<PublishedChanges | undefined> {
+    const after = String(position.revision);
+    const query = { prefix: STORE_KEYS.endpointPrefix, after, waitMs: '0' };
+    return toChanges(await this.historyCalls.call(PATHS.storeWatch, query, signal));
   }
 }
--- a/src/plugins/deployment/DeploymentPlugin.ts
+++ b/src/plugins/deployment/DeploymentPlugin.ts
@@ -4,6 +4,7 @@
 import { Plugin, registerPlugin } from '../../kernel';
 import {
   Deployment,
+  EndpointHistory,
   FrontSettingsStore,
   GaugeSource,
   PeerHandler,
@@ -17,6 +18,7 @@
 import { RelayHandler } from './RelayHandler';
 import { RelayTask } from './RelayTask';
 import { SharedDepartures } from './SharedDepartures';
+import { SourceHistory } from './SourceHistory';
 import { SourceTask } from './SourceTask';
 
 class ConfigurationReadiness extends ReadinessCheck {
@@ -50,6 +52,7 @@
     const { bounds, regions } = settingsStore.settings;
     this.store = new DeploymentStore(this.kernel, bounds, new Map(Object.entries(regions)));
     this.kernel.provide(Deployment, this.store);
+    this.kernel.provide(EndpointHistory, new SourceHistory(this.kernel, this.store));
     this.kernel.provide(PeerHandler, new RelayHandler(this.store));
     this.kernel.provide(SharedState, new SharedDepartures(this.store, this.kernel.clock));
     this.kernel.provide(GaugeSource, new DeploymentGauges(this.store));
--- a/src/plugins/deployment/SourceTask.test.ts
+++ b/src/plugins/deployment/SourceTask.test.ts
@@ -38,6 +38,10 @@
     return this.next();
   }
 
+  async readEndpointChanges(): Promise<undefined> {
+    return undefined;
+  }
+
   private async next(): Promise<PublishedChanges> {
     const [answer, ...rest] = this.answers;
     this.answers = rest;
@@ -86,6 +90,10 @@
     if (this.kind === 'failing') throw new Error('refused');
     return this.kind === 'empty' ? this.answer : undefined;
   }
+
+  async readEndpointChanges(): Promise<undefined> {
+    return undefined;
+  }
 }
 
 interface RunningTask {
--- a/src/plugins/deployment/options.ts
+++ b/src/plugins/deployment/options.ts
@@ -25,6 +25,10 @@
   watchTimeoutMarginMs: 600,
   /** Timeout of a full read. */
   readTimeoutMs: 1_500,
+  /** Revisions before the newest one at which the search for the beginning of the history starts. */
+  firstHistoryStep: 64,
+  /** Factor by which the steps of that search grow until they reach what is no longer kept. */
+  historyStepFactor: 4,
   /** Time before the end of its wait at which a watch may return without counting as early. */
   earlyAnswerToleranceMs: 10,
   /** Retry interval while the source fails. */
--- a/src/plugins/origins/FleetOrigins.ts
+++ b/src/plugins/origins/FleetOrigins.ts
@@ -7,6 +7,7 @@
 import { ServingError, type CallerRequestId, type VmId } from '../../core';
 import {
   decideOrigin,
+  needsHistory,
   ORIGIN_OPTIONS,
   rankKeepers,
   type OriginEvidence,
@@ -31,6 +32,7 @@
   type OriginReply,
 } from './originMessages';
 import { OriginTable } from './OriginTable';
+import { PastEndpoints } from './PastEndpoints';
 import { VersionHistory } from './VersionHistory';
 
 /** @internal */
@@ -39,8 +41,11 @@
 
   private readonly history = new VersionHistory();
 
+  private readonly past: PastEndpoints;
+
   constructor(private readonly kernel: Kernel) {
     super();
+    this.past = new PastEndpoints(kernel);
   }
 
   get recordCount(): number {
@@ -71,9 +76,12 @@
 
   override async find(stream: ResumedStream): Promise<OriginVerdict> {
     const own = this.answer(stream);
-    const evidence = this.toEvidence(stream, [own]);
-    if (own.origin || this.isSettled(evidence)) return decideOrigin(evidence);
-    return decideOrigin(this.toEvidence(stream, [own, ...(await this.askOthers(stream))]));
+    const ownEvidence = this.toEvidence(stream, [own]);
+    if (own.origin || this.isSettled(ownEvidence)) return decideOrigin(ownEvidence);
+    const evidence = this.toEvidence(stream, [own, ...(await this.askOthers(stream))]);
+    if (!needsHistory(evidence)) return decideOrigin(evidence);
+    const history = await this.past.describe(stream.service, this.history.followedSinceMs);
+    return decideOrigin({ ...evidence, history });
   }
 
   /** Answers by what this node knows. */
@@ -95,6 +103,7 @@
       records: replies.flatMap(({ origin }) => origin ?? []),
       sightings: replies,
       newestStartAgeMs: this.getNewestStartAgeMs(service),
+      history: undefined,
     };
   }
 
--- a/src/plugins/origins/VersionHistory.ts
+++ b/src/plugins/origins/VersionHistory.ts
@@ -11,12 +11,17 @@
   /** By service, then by version; monotonic times. */
   private readonly lastSeenMs = new Map<string, Map<string, number>>();
 
-  private followedSinceMs: number | undefined;
+  private followingSinceMs: number | undefined;
+
+  /** Time since which the list has been followed without a gap; undefined in a gap. */
+  get followedSinceMs(): number | undefined {
+    return this.followingSinceMs;
+  }
 
   /** @param isCurrent whether no change of the list can have been missed since the last call. */
   observe(backEnds: ReadonlyArray<KnownBackEnd>, isCurrent: boolean, nowMs: number): void {
-    if (isCurrent) this.followedSinceMs ??= nowMs;
-    else this.followedSinceMs = undefined;
+    if (isCurrent) this.followingSinceMs ??= nowMs;
+    else this.followingSinceMs = undefined;
     backEnds.forEach(({ service, softwareVersion = '' }) => {
       const versions = this.lastSeenMs.get(service) ?? new Map<string, number>();
       this.lastSeenMs.set(service, versions.set(softwareVersion, nowMs));
@@ -29,7 +34,7 @@
     const sinceMs = nowMs - windowMs - ORIGINS_OPTIONS.observeIntervalMs;
     const seen = [...(this.lastSeenMs.get(service) ?? [])];
     const versions = seen.filter(([, seenMs]) => seenMs >= sinceMs).map(([version]) => version);
-    const coveredForMs = this.followedSinceMs === undefined ? 0 : nowMs - this.followedSinceMs;
+    const coveredForMs = this.followingSinceMs === undefined ? 0 : nowMs - this.followingSinceMs;
     return { versions, coveredForMs };
   }
 
--- a/src/plugins/origins/options.ts
+++ b/src/plugins/origins/options.ts
@@ -12,4 +12,8 @@
   maxRecords: 16_384,
   /** Time that other nodes have to answer; a caller waits for it. */
   askTimeoutMs: 250,
+  /** Time for the search in the source's history; a caller waits for it. */
+  historyTimeoutMs: 1_000,
+  /** How long the history isn't read again after the source didn't answer. */
+  historyRetryMs: 1_000,
 } as const;
--- a/src/services/DeploymentSource.ts
+++ b/src/services/DeploymentSource.ts
@@ -79,4 +79,15 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<PublishedChanges | undefined>;
+
+  /**
+   * Returns the changes of endpoints after a position without waiting for any; the position of the
+   * answer may be before the newest one. It doesn't disturb a call that waits for changes.
+   * @returns undefined when that part of the history is no longer available.
+   * @throws ServingError `endpoint-failed`.
+   */
+  abstract readEndpointChanges(
+    position: SourcePosition,
+    signal: AbortSignal,
+  ): Promise<PublishedChanges | undefined>;
 }
--- a/src/services/index.ts
+++ b/src/services/index.ts
@@ -4,6 +4,7 @@
 export * from './DecisionLog';
 export * from './Deployment';
 export * from './DeploymentSource';
+export * from './EndpointHistory';
 export * from './EntryDirectory';
 export * from './Fleet';
 export * from './FrontSettingsStore';
--- a/tests/RestoredFleet.ts
+++ b/tests/RestoredFleet.ts
@@ -187,6 +187,15 @@
     }
   }
 
+  async readEndpointChanges(
+    after: SourcePosition,
+    signal: AbortSignal,
+  ): Promise<PublishedChanges | undefined> {
+    const answer = await this.readChanges(after, 0, signal);
+    const isOfEndpoint = ({ kind }: PublishedChange): boolean => kind.startsWith('endpoint');
+    return answer && { ...answer, changes: answer.changes.filter(isOfEndpoint) };
+  }
+
   private open(): StoreState {
     this.calls += 1;
     const state = this.store.open();
--- a/tests/softwareVersions.test.ts
+++ b/tests/softwareVersions.test.ts
@@ -42,8 +42,9 @@
 }
 
 function removeEntries(version: string): void {
-  for (let index = 0; index < ENGINES; index++)
+  for (let index = 0; index < ENGINES; index++) {
     fixture.store.remove(`servers/i-${version}-${index}`);
+  }
 }
 
 function configure(): void {
