Tell all nodes of a small fleet where a stream began

Two keepers besides the forwarding node are lost together when most nodes of a small fleet are killed at once: with 9 nodes, of which 8 were killed, the last one knew 10 of 20 streams, and beside two versions the others would be refused. Nodes of a fleet of up to 16 are linked with each other anyway, so all are told now, 15 messages of about 100 bytes for each stream that may be resumed at most. Larger fleets keep two keepers, as the pool of keepers bounds what a node spends on control.

Test: 'the last of 9 nodes knows where streams began' failed before (10 of 20).

--- a/src/decisions/streamOrigin.test.ts
+++ b/src/decisions/streamOrigin.test.ts
@@ -1,8 +1,8 @@
 import {
+  chooseKeepers,
   decideOrigin,
   EMPTY_HISTORY,
   needsHistory,
-  ORIGIN_OPTIONS,
   rankKeepers,
   type OriginEvidence,
 } from './streamOrigin';
@@ -97,10 +97,10 @@
   for (let index = 0; index < 300; index++) {
     const requestId = `r-${index}`;
     const begin = nodes[index % count]!;
-    const told = rankKeepers(
+    const told = chooseKeepers(
       requestId,
       nodes.filter((id) => id !== begin),
-    ).slice(0, ORIGIN_OPTIONS.keepers);
+    );
     const alive = nodes.filter((id, position) => id !== begin && position % 3 !== 0);
     const asking = alive[index % alive.length]!;
     const asked = rankKeepers(
--- a/src/decisions/streamOrigin.ts
+++ b/src/decisions/streamOrigin.ts
@@ -12,9 +12,9 @@
 export const ORIGIN_OPTIONS = {
   /** Longest time since the first event of a stream, as a multiple of its route's time limit. */
   windowFactor: 2,
-  /** Nodes to which the origin of a stream is sent, besides the one that forwards it. */
+  /** Nodes of a large fleet to which the origin of a stream is sent, besides the one that forwards it. */
   keepers: 2,
-  /** Up to this size of the fleet each node may be a keeper, as all are linked anyway. */
+  /** Up to this size of the fleet each node is a keeper, as all are linked anyway. */
   maxMeshNodes: 16,
   /** Keepers that are asked in a larger fleet, where nodes may see different lists. */
   askedKeepers: 8,
@@ -115,6 +115,8 @@
   return verdict.outcome === 'known' && verdict.by === 'only version listed';
 }
 
+const isMesh = (others: number): boolean => others + 1 <= ORIGIN_OPTIONS.maxMeshNodes;
+
 /**
  * Returns the nodes that may know where a stream began, the most likely ones first. In a large fleet
  * they are some of the nodes, so that not every node has a link to every other one.
@@ -124,11 +126,22 @@
   firstRequestId: string,
   others: ReadonlyArray<Id>,
 ): ReadonlyArray<Id> {
-  const nodes = others.length + 1;
   const getId = (id: Id): string => id;
-  if (nodes <= ORIGIN_OPTIONS.maxMeshNodes) return rankByRendezvous(firstRequestId, others, getId);
-  const poolSize = Math.ceil(2 * Math.sqrt(nodes));
+  if (isMesh(others.length)) return rankByRendezvous(firstRequestId, others, getId);
+  const poolSize = Math.ceil(2 * Math.sqrt(others.length + 1));
   const pool = rankByRendezvous('keepers of stream origins', others, getId).slice(0, poolSize);
   const { askedKeepers } = ORIGIN_OPTIONS;
   return rankByRendezvous(firstRequestId, pool, getId).slice(0, askedKeepers);
 }
+
+/**
+ * Returns the nodes that are told where a stream begins: all of a small fleet, as most of its nodes may
+ * be killed at the same moment.
+ */
+export function chooseKeepers<Id extends string>(
+  firstRequestId: string,
+  others: ReadonlyArray<Id>,
+): ReadonlyArray<Id> {
+  if (isMesh(others.length)) return others;
+  return rankKeepers(firstRequestId, others).slice(0, ORIGIN_OPTIONS.keepers);
+}
--- a/src/plugins/origins/FleetOrigins.ts
+++ b/src/plugins/origins/FleetOrigins.ts
@@ -6,9 +6,9 @@
  */
 import { ServingError, type CallerRequestId, type VmId } from '../../core';
 import {
+  chooseKeepers,
   decideOrigin,
   needsHistory,
-  ORIGIN_OPTIONS,
   rankKeepers,
   type OriginEvidence,
   type OriginVerdict,
@@ -64,9 +64,9 @@
   override record(firstRequestId: CallerRequestId, origin: StreamOrigin): void {
     this.table.add(firstRequestId, origin);
     const record: OriginRecord = { firstRequestId, origin };
-    this.rankOthers(firstRequestId)
-      .slice(0, ORIGIN_OPTIONS.keepers)
-      .forEach((vmId) => this.kernel.get(Peers).send(vmId, RECORD_MESSAGE, record));
+    chooseKeepers(firstRequestId, this.listOthers()).forEach((vmId) =>
+      this.kernel.get(Peers).send(vmId, RECORD_MESSAGE, record),
+    );
   }
 
   /** Keeps an origin for the node that forwards the stream. */
@@ -132,7 +132,7 @@
   private async askOthers(stream: ResumedStream): Promise<ReadonlyArray<OriginReply>> {
     const { firstRequestId = '' } = stream;
     const replies: OriginReply[] = [];
-    const answers = this.rankOthers(firstRequestId).map(async (vmId) => {
+    const answers = rankKeepers(firstRequestId, this.listOthers()).map(async (vmId) => {
       const reply = await this.ask(vmId, stream);
       if (reply) replies.push(reply);
       if (!reply?.origin) throw new Error('The origin is not known there.');
@@ -156,11 +156,10 @@
     }
   }
 
-  private rankOthers(firstRequestId: string): ReadonlyArray<VmId> {
-    const others = this.kernel.get(Members).listLive();
-    return rankKeepers(
-      firstRequestId,
-      others.map(({ vmId }) => vmId),
-    );
+  private listOthers(): ReadonlyArray<VmId> {
+    return this.kernel
+      .get(Members)
+      .listLive()
+      .map(({ vmId }) => vmId);
   }
 }
--- a/src/plugins/origins/origins.test.ts
+++ b/src/plugins/origins/origins.test.ts
@@ -104,6 +104,30 @@
   120_000,
 );
 
+// Guards against streams of a small fleet that can't go on after most of its nodes were killed at once.
+test('the last of 9 nodes knows where streams began', async () => {
+  const fleet = await MemberFleet.start(9, 9, 3, 1, [TwoVersions, OriginsPlugin]);
+  try {
+    await fleet.runUntil(6_000, () =>
+      fleet.nodes.every((node) => node.get(Members).listLive().length === 8),
+    );
+    const streams = Array.from({ length: 20 }, (_, index) => `r-${index}` as CallerRequestId);
+    const first = fleet.network.nodes.get('front-0')!;
+    streams.forEach((stream) => first.get(StreamOrigins).record(stream, ORIGIN));
+    await fleet.network.run(500);
+    await fleet.kill([0, 1, 2, 3, 4, 5, 6, 7]);
+    const [last] = fleet.nodes;
+    const found = streams.map(async (firstRequestId) =>
+      last!.get(StreamOrigins).find({ firstRequestId, service: 'writers', windowMs: WINDOW_MS }),
+    );
+    await fleet.network.run(1_000);
+    const known = (await Promise.all(found)).filter(({ outcome }) => outcome === 'known');
+    expect(known).toHaveLength(streams.length);
+  } finally {
+    await fleet.stop();
+  }
+}, 120_000);
+
 // Guards against a malformed record or question that takes a node down.
 test('malformed messages are refused', () => {
   const kernel = new TestKernel([]);
