--- a/src/decisions/findHarmfulParts.test.ts
+++ b/src/decisions/findHarmfulParts.test.ts
@@ -140,6 +140,39 @@
     ['request:1 -5'],
     [],
   ],
+  [
+    'endpoints at once under a call that comes everywhere',
+    [
+      crash(0, 'request:1', 'request:2'),
+      crash(100, 'request:3', 'request:1'),
+      crash(200, 'request:1', 'request:4'),
+    ],
+    [],
+    ['request:1'],
+  ],
+  [
+    'endpoints at once, and a bystander that was sent again',
+    [
+      crash(0, 'request:1', 'request:2'),
+      crash(100, 'request:1'),
+      crash(200, 'request:1'),
+      crashResent(200, 'request:2'),
+    ],
+    [],
+    ['request:1'],
+  ],
+  [
+    'endpoints at once under one prompt that comes everywhere',
+    [crash(0, 'request:1 a'), crash(100, 'request:1 a')],
+    [],
+    ['a+request:1'],
+  ],
+  [
+    'endpoints at once under different requests',
+    [crash(0, 'request:1 a'), crash(100, 'request:2 a'), crash(200, 'request:3 a')],
+    [],
+    [],
+  ],
   [
     'different requests with a harmful part',
     [crash(0, 'request:1 x'), crash(2e3, 'request:2 x')],
--- a/tests/deadlyRequests.test.ts
+++ b/tests/deadlyRequests.test.ts
@@ -203,3 +203,19 @@
   expect((await call(node, withParts(deadly, 'own')))?.status).toBe(503);
   expect(countCrashes()).toBe(before);
 });
+
+// Guards against a request that comes at several nodes at the same moment: the crashes under it are as
+// close together as those that one cause, such as a rack, takes along.
+test.each(CASES)('%s that comes at once everywhere is refused', async (_name, deadly) => {
+  await start();
+  const callAll = async (): Promise<ReadonlyArray<FrontResponse | undefined>> =>
+    Promise.all([0, 1, 0, 1].map(async (index) => call(getNode(index), withParts(deadly, 'own'))));
+  await callAll();
+  await pause();
+  if (countCrashes() < MAX_CRASHES) await callAll();
+  await pause();
+  const before = countCrashes();
+  const last = await callAll();
+  expect(last.map((answer) => answer?.status)).toEqual([503, 503, 503, 503]);
+  expect(countCrashes()).toBe(before);
+});
