Count crashes under the same request apart, however close they are

Crashes less than 500 ms apart counted once, as a rack can take several endpoints at once; so three endpoints that crashed within 0.4 s under one request were one crash, and a bystander that a retry had taken to two of them was held in its place.

Different endpoints have no request in common by chance, so crashes count apart when the same request was at both, for its fingerprint and for the parts of its prompt alike. For different requests with a common part nothing changes.

--- a/src/decisions/findHarmfulParts.ts
+++ b/src/decisions/findHarmfulParts.ts
@@ -24,7 +24,7 @@
 } from './crashEvidence';
 
 export const HARM_OPTIONS = {
-  /** Crashes closer together count once: one cause, such as a rack, can take several at once. */
+  /** Crashes under different requests count once if closer: a rack can take several endpoints at once. */
   minGapMs: 500,
   /** Crashes for which a part is quarantined; a part that has ever been sound needs one more. */
   minCrashes: 2,
@@ -66,20 +66,34 @@
   return beginning.length > 0 ? beginning : suspects;
 }
 
-/** Whether a request with the part came there after another endpoint had crashed under it. */
+function listRequests(
+  suspects: ReadonlyArray<CrashSuspect>,
+  part: RequestPart,
+): ReadonlyArray<RequestPart> {
+  return suspects
+    .filter(({ parts }) => parts.includes(part))
+    .flatMap(({ parts }) => parts.filter(isFingerprint));
+}
+
+/** Whether a request with the part was sent there after another endpoint had crashed under it. */
 function wasResent({ suspects, resent = [] }: EndpointCrash, part: RequestPart): boolean {
-  return suspects.some(
-    ({ parts }) => parts.includes(part) && resent.some((request) => parts.includes(request)),
-  );
+  return listRequests(suspects, part).some((request) => resent.some((other) => other === request));
 }
 
-/** Counts crashes that can't have one cause besides the part. */
+/**
+ * Counts crashes that can't have one cause besides the part: those with a gap between them, and those
+ * under the same request, as different endpoints have no request in common by chance.
+ */
 function countApart(crashes: ReadonlyArray<EndpointCrash>, part: RequestPart): number {
   let count = 0;
   let lastMs = -Infinity;
+  const requests = new Set<RequestPart>();
   crashes.forEach((crash) => {
     const { atMs } = crash;
-    if (atMs - lastMs < HARM_OPTIONS.minGapMs && !wasResent(crash, part)) return;
+    const present = listRequests(listLikelySuspects(crash), part);
+    const isRepeat = present.some((request) => requests.has(request));
+    present.forEach((request) => requests.add(request));
+    if (atMs - lastMs < HARM_OPTIONS.minGapMs && !isRepeat && !wasResent(crash, part)) return;
     count += 1;
     lastMs = atMs;
   });
